--- /dev/null
+++ b/hawthornshelf/__init__.py
@@ -0,0 +1,1 @@
+"""Serve language models on a fixed fleet of engines."""
--- /dev/null
+++ b/hawthornshelf/cli.py
@@ -0,0 +1,422 @@
+"""Run the command line, which only calls porcelain."""
+
+import getpass
+import os
+import sys
+from collections.abc import Sequence
+from importlib.metadata import version
+from pathlib import Path
+from typing import Any, ClassVar
+
+import msgspec
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from hawthornshelf import porcelain
+from hawthornshelf.commands import (
+    ConfigurationAccepted,
+    ConfigurationConflict,
+    NotFound,
+    Result,
+)
+from hawthornshelf.configuration import Configuration
+from hawthornshelf.declarations import (
+    diff_configurations,
+    load_declaration,
+    print_configuration,
+)
+from hawthornshelf.errors import HawthornshelfError, RequestRefused
+from hawthornshelf.settings import SETTINGS, read_settings
+from hawthornshelf.texttable import format_table
+
+__all__ = ["main"]
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_BAD_INPUT = 2
+EXIT_UNAVAILABLE = 3
+AT_VARIABLE = "HAWTHORNSHELF_AT"
+TOKEN_VARIABLE = "HAWTHORNSHELF_OPERATOR_TOKEN"
+EXITS_HELP = "Exit codes: 0 done, 1 refused, 2 bad input, 3 no node answered."
+
+
+def _help(example: str, text: str = "") -> str:
+    parts = [text, f"Example: {example}", EXITS_HELP]
+    return "\n\n".join(part for part in parts if part)
+
+
+class _OperatorCommand(Command):
+    """Hold the options that all operators' commands share."""
+
+    extra_options: ClassVar[list[Option]] = []
+    extra_arguments: ClassVar[list[Argument]] = []
+
+    def __init__(self) -> None:
+        self.options = [
+            option("at", None, f"nodes to ask, ip:port,... or {AT_VARIABLE}", False),
+            option("json", None, "print JSON", True),
+            *self.extra_options,
+        ]
+        self.arguments = list(self.extra_arguments)
+        super().__init__()
+
+    def handle(self) -> int:
+        """Run the command and turn errors into exit codes."""
+        try:
+            return self.run_command()
+        except* RequestRefused as group:
+            self._print_errors(group)
+            status = EXIT_REFUSED
+        except* HawthornshelfError as group:
+            self._print_errors(group)
+            status = EXIT_UNAVAILABLE
+        return status
+
+    def run_command(self) -> int:
+        """Do the command's work and return the exit code."""
+        raise AssertionError("each command defines its work")
+
+    @property
+    def at(self) -> list[str]:
+        """Return the nodes to ask."""
+        text = self.option("at") or os.environ.get(AT_VARIABLE, "")
+        return [address for address in text.split(",") if address]
+
+    @property
+    def token(self) -> str:
+        """Return the operator token."""
+        return os.environ.get(TOKEN_VARIABLE, "")
+
+    def show(self, answer: Any, text: str) -> None:
+        """Print an answer as JSON if asked for, or else as text."""
+        if self.option("json"):
+            data = msgspec.json.format(msgspec.json.encode(answer), indent=2)
+            print(data.decode())
+        else:
+            print(text.rstrip("\n"))
+
+    def load(self) -> Configuration:
+        """Return the declaration named by the file argument."""
+        return load_declaration(Path(self.argument("file")))
+
+    def _print_errors(self, group: BaseExceptionGroup[Any]) -> None:
+        for error in group.exceptions:
+            if isinstance(error, BaseExceptionGroup):
+                self._print_errors(error)
+            else:
+                print(f"error: {error}", file=sys.stderr)
+
+
+_FILE = argument("file", "Python file that defines `configuration`")
+_UPSTREAM = argument("upstream", "name of the runner")
+_NODE = argument("node", "name of the control node")
+
+
+class _Serve(Command):
+    name = "serve"
+    description = "Run a node"
+    help = _help(
+        "hawthornshelf serve --node tt-a1 --data-centre tt-north-a "
+        "--listen 127.0.0.1:8001 --peer-listen 127.0.0.1:9001 "
+        "--control tt-a1=127.0.0.1:9001 --roles entry,control --data /var/lib/hs",
+        "Each flag may be set by its HAWTHORNSHELF_* variable; flags go first.",
+    )
+    options: ClassVar[list[Option]] = [
+        *(
+            option(s.name, None, f"{s.help} ({s.allowed}; {s.variable})", False)
+            for s in SETTINGS
+        ),
+        option("check-settings", None, "print the settings and stop", True),
+    ]
+
+    def handle(self) -> int:
+        """Check the settings and run the node."""
+        flags = {setting.name: self.option(setting.name) for setting in SETTINGS}
+        try:
+            settings, values = read_settings(flags, os.environ)
+        except ExceptionGroup as group:
+            for error in group.exceptions:
+                print(f"error: {error}", file=sys.stderr)
+            return EXIT_BAD_INPUT
+        if self.option("check-settings"):
+            rows = [(v.setting.name, v.shown(), v.origin) for v in values]
+            print(format_table(("setting", "value", "from"), rows))
+            return EXIT_OK
+        from hawthornshelf.process import run_process
+
+        try:
+            run_process(settings)
+        except (HawthornshelfError, OSError, RuntimeError) as error:
+            print(f"error: {error}", file=sys.stderr)
+            return EXIT_REFUSED
+        return EXIT_OK
+
+
+class _Addresses(_OperatorCommand):
+    name = "addresses"
+    description = "Print the addresses that callers should use"
+    help = _help("hawthornshelf addresses --at 127.0.0.1:8001")
+    extra_options: ClassVar[list[Option]] = [
+        option("data-centre", None, "data centre of the caller", False)
+    ]
+
+    def run_command(self) -> int:
+        """Print the addresses."""
+        near = self.option("data-centre") or ""
+        answer = porcelain.fetch_addresses(self.at, near)
+        lines = [*answer.addresses, f"max-age {answer.max_age:g} s"]
+        self.show(answer, "\n".join(lines))
+        return EXIT_OK
+
+
+class _Status(_OperatorCommand):
+    name = "status"
+    description = "Print nodes, replicas, drains and orders, and what each waits for"
+    help = _help("hawthornshelf status --at 127.0.0.1:8001")
+
+    def run_command(self) -> int:
+        """Print the status."""
+        report = porcelain.fetch_status(self.at, self.token)
+        self.show(report, porcelain.describe_status(report))
+        return EXIT_OK
+
+
+class _ConfigPrint(_OperatorCommand):
+    name = "config print"
+    description = "Print a declaration as it would be accepted"
+    help = _help("hawthornshelf config print examples/bamboo_lantern.py")
+    extra_arguments: ClassVar[list[Argument]] = [_FILE]
+
+    def run_command(self) -> int:
+        """Print the declaration."""
+        configuration = self.load()
+        self.show(configuration, print_configuration(configuration))
+        return EXIT_OK
+
+
+class _ConfigDiff(_OperatorCommand):
+    name = "config diff"
+    description = "Compare a declaration with the configuration in force"
+    help = _help(
+        "hawthornshelf config diff examples/bamboo_lantern.py --at 127.0.0.1:8001"
+    )
+    extra_arguments: ClassVar[list[Argument]] = [_FILE]
+
+    def run_command(self) -> int:
+        """Print the difference."""
+        wanted = self.load()
+        report = porcelain.fetch_configuration(self.at, self.token)
+        text = diff_configurations(report.configuration, wanted)
+        shown = text or f"no difference from version {report.version}"
+        self.show({"version": report.version, "diff": text}, shown)
+        return EXIT_OK
+
+
+class _ConfigPropose(_OperatorCommand):
+    name = "config propose"
+    description = "Propose a declaration; it is accepted if its base is in force"
+    help = _help(
+        "hawthornshelf config propose examples/bamboo_lantern.py --base 0 "
+        "--at 127.0.0.1:8001",
+        "Sending a proposal again with the same change id is safe: it gets the "
+        "first answer.",
+    )
+    extra_arguments: ClassVar[list[Argument]] = [_FILE]
+    extra_options: ClassVar[list[Option]] = [
+        option("base", None, "version the change is based on", False),
+        option("change-id", None, "id to send again after a lost answer", False),
+        option("operator", None, "name to record", False),
+    ]
+
+    def run_command(self) -> int:
+        """Propose the declaration."""
+        configuration = self.load()
+        change_id = self.option("change-id") or porcelain.make_change_id()
+        base = self._find_base()
+        print(f"change id {change_id}", file=sys.stderr)
+        result = porcelain.propose_configuration(
+            self.at,
+            configuration,
+            base,
+            change_id,
+            self.option("operator") or getpass.getuser(),
+            self.token,
+        )
+        return self._show_result(result)
+
+    def _find_base(self) -> int:
+        text = self.option("base")
+        if text is not None:
+            return int(text)
+        return porcelain.fetch_configuration(self.at, self.token).version
+
+    def _show_result(self, result: Result) -> int:
+        match result:
+            case ConfigurationAccepted(accepted):
+                self.show(result, f"accepted as version {accepted}")
+                return EXIT_OK
+            case ConfigurationConflict(base, current):
+                text = f"refused: based on version {base}, in force is {current}"
+                self.show(result, text)
+        return EXIT_REFUSED
+
+
+class _ConfigShow(_OperatorCommand):
+    name = "config show"
+    description = "Print the configuration in force, and each node's version"
+    help = _help("hawthornshelf config show --at 127.0.0.1:8001")
+
+    def run_command(self) -> int:
+        """Print the configuration."""
+        report = porcelain.fetch_configuration(self.at, self.token)
+        status = porcelain.fetch_status(self.at, self.token)
+        rows = [(m.node, m.status, m.version) for m in status.members]
+        text = (
+            f"version {report.version}\n{print_configuration(report.configuration)}"
+            f"\n{format_table(('node', 'status', 'version'), rows)}"
+        )
+        self.show(report, text)
+        return EXIT_OK
+
+
+class _ConfigHistory(_OperatorCommand):
+    name = "config history"
+    description = "Print the accepted changes (ask a control node)"
+    help = _help("hawthornshelf config history --at 127.0.0.1:8001")
+
+    def run_command(self) -> int:
+        """Print the history."""
+        history = porcelain.fetch_configuration(self.at, self.token).history
+        rows = [
+            (c.version, c.change_id, c.operator, porcelain.format_stamp(c.accepted))
+            for c in history
+        ]
+        heads = ("version", "change id", "operator", "accepted")
+        self.show(history, format_table(heads, rows))
+        return EXIT_OK
+
+
+class _UpstreamList(_OperatorCommand):
+    name = "upstream list"
+    description = "Print the upstreams as a node sees them"
+    help = _help("hawthornshelf upstream list --at 127.0.0.1:8001")
+
+    def run_command(self) -> int:
+        """Print the upstreams."""
+        report = porcelain.fetch_status(self.at, self.token)
+        rows = [
+            (u.upstream, u.service, u.in_flight, "no" if u.blocked else "yes")
+            for u in report.upstreams
+        ]
+        heads = ("upstream", "service", "in flight", "takes work")
+        self.show(report.upstreams, format_table(heads, rows))
+        return EXIT_OK
+
+
+class _UpstreamDrain(_OperatorCommand):
+    name = "upstream drain"
+    description = "Stop new work for an upstream; running work ends by itself"
+    help = _help("hawthornshelf upstream drain lm-1 --at 127.0.0.1:8001")
+    extra_arguments: ClassVar[list[Argument]] = [_UPSTREAM]
+
+    def run_command(self) -> int:
+        """Drain the upstream."""
+        name = self.argument("upstream")
+        result = porcelain.drain_upstream(self.at, name, self.token)
+        self.show(result, f"{name} takes no new work; see status for who is awaited")
+        return EXIT_OK
+
+
+class _UpstreamRelease(_OperatorCommand):
+    name = "upstream release"
+    description = "End the drain of an upstream"
+    help = _help("hawthornshelf upstream release lm-1 --at 127.0.0.1:8001")
+    extra_arguments: ClassVar[list[Argument]] = [_UPSTREAM]
+
+    def run_command(self) -> int:
+        """Release the upstream."""
+        name = self.argument("upstream")
+        result = porcelain.release_upstream(self.at, name, self.token)
+        if isinstance(result, NotFound):
+            self.show(result, f"{name} is not drained")
+            return EXIT_REFUSED
+        self.show(result, f"{name} takes work again")
+        return EXIT_OK
+
+
+class _ReplicaList(_OperatorCommand):
+    name = "replica list"
+    description = "Print the control replicas (ask a control node)"
+    help = _help("hawthornshelf replica list --at 127.0.0.1:8001")
+
+    def run_command(self) -> int:
+        """Print the replicas."""
+        control = porcelain.fetch_status(self.at, self.token).control
+        replicas = control.replicas if control else ()
+        rows = [
+            (r.node, r.replica, "voter" if r.voter else "learner") for r in replicas
+        ]
+        self.show(replicas, format_table(("node", "replica", "kind"), rows))
+        return EXIT_OK
+
+
+class _ReplicaChange(_OperatorCommand):
+    admit = True
+    extra_arguments: ClassVar[list[Argument]] = [_NODE]
+
+    def run_command(self) -> int:
+        """Change the replicas."""
+        node = self.argument("node")
+        answer = porcelain.change_replica(self.at, node, self.admit, self.token)
+        done = "admitted once it has caught up" if self.admit else "being removed"
+        self.show(answer, f"{node}: {done if answer.accepted else answer.reason}")
+        return EXIT_OK if answer.accepted else EXIT_REFUSED
+
+
+class _ReplicaAdd(_ReplicaChange):
+    name = "replica add"
+    description = "Admit the replica of a new control node"
+    help = _help("hawthornshelf replica add tt-b2 --at 127.0.0.1:8001")
+
+
+class _ReplicaRemove(_ReplicaChange):
+    name = "replica remove"
+    description = "Remove the replica of a control node"
+    help = _help("hawthornshelf replica remove tt-b2 --at 127.0.0.1:8001")
+    admit = False
+
+
+_COMMANDS = (
+    _Serve,
+    _Addresses,
+    _Status,
+    _ConfigPrint,
+    _ConfigDiff,
+    _ConfigPropose,
+    _ConfigShow,
+    _ConfigHistory,
+    _UpstreamList,
+    _UpstreamDrain,
+    _UpstreamRelease,
+    _ReplicaList,
+    _ReplicaAdd,
+    _ReplicaRemove,
+)
+
+
+def make_application() -> Application:
+    """Return the command-line application."""
+    application = Application("hawthornshelf", version("hawthornshelf"))
+    for command in _COMMANDS:
+        application.add(command())
+    return application
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the command line and exit with its code."""
+    if arguments is not None:
+        sys.argv = ["hawthornshelf", *arguments]
+    make_application().run()
--- /dev/null
+++ b/hawthornshelf/control.py
@@ -0,0 +1,429 @@
+"""Run one control replica: the log, the replicated state and engine orders."""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import NamedTuple
+
+import msgspec
+
+from hawthornshelf.commands import (
+    Command,
+    DrainUpstream,
+    ReleaseUpstream,
+    RemoveNode,
+    Result,
+)
+from hawthornshelf.effects import Effect, Send, log
+from hawthornshelf.engineorders import OrderReconciler
+from hawthornshelf.errors import MalformedMessage
+from hawthornshelf.events import (
+    EngineRead,
+    OrderEnded,
+    Persisted,
+    PlatformListed,
+    StorageLost,
+)
+from hawthornshelf.genesis import Genesis
+from hawthornshelf.log import EntryKind, Loaded, LogEntry, Membership, Persist
+from hawthornshelf.messages import (
+    CODEC,
+    AskControl,
+    ChangeReplica,
+    ControlWord,
+    Hello,
+    MemberStatus,
+    Message,
+    NotLeader,
+    PullView,
+    ReplicaChanged,
+    Submit,
+    SubmitReply,
+    ViewUpdate,
+)
+from hawthornshelf.raft import Raft, Timing
+from hawthornshelf.raftmessages import RaftMessage, RaftSend
+from hawthornshelf.replicas import ReplicaKeeper
+from hawthornshelf.state import SharedState, SharedView
+
+__all__ = ["ControlCore", "ControlSettings"]
+
+HELLO_SECONDS = 0.5
+RECONCILE_SECONDS = 0.2
+WORD_SECONDS = 1.0
+COMPACT_ENTRIES = 1000
+MAX_PENDING = 20_000
+PLATFORM_FRESH_SECONDS = 5.0
+NEVER = float("inf")
+LEAVING_DRAIN = "leaving"
+
+
+class ControlSettings(NamedTuple):
+    """Set up a control replica; times are in seconds."""
+
+    node: str
+    initial: tuple[str, ...]
+    timing: Timing = Timing()
+    order_timeout: float = 1.0
+    clock_drift: float = 0.1
+    uses_platform: bool = False
+    compact_entries: int = COMPACT_ENTRIES
+
+
+class _Stamped(NamedTuple):
+    """Hold a command as it stands in the log."""
+
+    stamp: float
+    command: bytes
+
+
+class _Waiting(NamedTuple):
+    """Hold who waits for the result of a log entry."""
+
+    term: int
+    node: str
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class ToNode:
+    """Ask for a message to be sent to a node by name."""
+
+    node: str
+    message: Message
+
+
+StatusOf = Callable[[str], MemberStatus | None]
+
+
+class ControlCore:
+    """Step one control replica; all I/O is left to the caller."""
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        loaded: Loaded,
+        rng: random.Random,
+        now: float,
+        status_of: StatusOf = lambda node: None,
+    ) -> None:
+        self._settings = settings
+        self.raft = Raft(loaded, settings.timing, rng, now)
+        self.state = SharedState.load(loaded.snapshot.data)
+        self.applied = loaded.snapshot.index
+        self.stopped = ""
+        self._genesis = Genesis(settings.node, loaded.replica, settings.initial)
+        self._replicas = ReplicaKeeper(self.raft)
+        self._reconciler = OrderReconciler(self._propose_own)
+        self._status_of = status_of
+        self._waiting: dict[int, _Waiting] = {}
+        self._effects: list[Effect | ToNode] = []
+        self._hello_due = 0.0
+        self._reconcile_due = 0.0
+        self._was_leader = False
+        self._leading_from = now
+        self._now = now
+        self._wall = 0.0
+        self._word_at = -NEVER
+        self._word_due = 0.0
+        self._listed_at = -NEVER
+        self._listed: PlatformListed | None = None
+
+    def receive(self, now: float, wall: float, sender: str, message: Message) -> None:
+        """Take in one message from a node."""
+        self._now, self._wall = now, wall
+        if self.stopped:
+            return
+        match message:
+            case Hello():
+                self._on_hello(message)
+            case Submit():
+                self._on_submit(sender, message)
+            case ChangeReplica():
+                self._on_change_replica(sender, message)
+            case AskControl():
+                self._on_ask(now, sender, message)
+            case PullView():
+                if self.state.revision > message.revision:
+                    self._reply(sender, ViewUpdate(self.state.view()))
+            case _ if isinstance(message, RaftMessage):
+                self.raft.step(now, message)
+
+    def handle(
+        self,
+        now: float,
+        wall: float,
+        event: Persisted | StorageLost | EngineRead | OrderEnded | PlatformListed,
+    ) -> None:
+        """Take in one event that concerns this replica."""
+        self._now, self._wall = now, wall
+        match event:
+            case Persisted(sequence):
+                self.raft.persisted(sequence)
+            case StorageLost(reason):
+                self.stopped = reason
+                self._log("replica-stopped", reason=reason)
+            case EngineRead():
+                self._reconciler.on_read(now, event)
+            case OrderEnded():
+                self._effects.append(self._reconciler.on_order_ended(event))
+            case PlatformListed():
+                self._listed, self._listed_at = event, now
+
+    def tick(self, now: float, wall: float) -> list[Effect | ToNode]:
+        """Run what is due and return the effects gathered."""
+        self._now, self._wall = now, wall
+        if self.stopped:
+            return self._take_effects()
+        self._greet(now)
+        self.raft.tick(now)
+        self._run_raft(now)
+        self._note_leadership(now)
+        if self.raft.is_ready and now >= self._reconcile_due:
+            self._reconcile_due = now + RECONCILE_SECONDS
+            self._reconcile(now)
+            self._run_raft(now)
+        return self._take_effects()
+
+    def age(self, now: float) -> float:
+        """Return how old this replica's knowledge may be, in seconds."""
+        if self.stopped:
+            return NEVER
+        if self.raft.is_ready and now < self.raft.lease_until():
+            return self._platform_age(now)
+        return now - self._word_at
+
+    def note_word(self, now: float, age: float) -> None:
+        """Take in how old the leader's knowledge was when it sent word."""
+        self._word_at = max(self._word_at, now - age)
+
+    def leader_node(self) -> str:
+        """Return the node believed to lead, or an empty name."""
+        member = self.raft.membership.find(self.raft.leader)
+        return member.node if member else ""
+
+    def give_up_leadership(self, now: float) -> None:
+        """Hand leadership to another voter before a planned stop."""
+        if self.raft.is_leader and not self.stopped:
+            self.raft.transfer_leadership(now)
+
+    def is_removed(self) -> bool:
+        """Tell if the group has a membership without this replica."""
+        members = self.raft.membership
+        return bool(members.members) and members.find(self.raft.replica) is None
+
+    def orders_from(self) -> float:
+        """Return the second from which unchecked engines may get orders."""
+        timing = self._settings.timing
+        wait = timing.election + self._settings.clock_drift
+        return self._leading_from + wait + self._settings.order_timeout
+
+    def view(self) -> SharedView:
+        """Return what is spread to every node."""
+        return self.state.view()
+
+    def membership(self) -> Membership:
+        """Return the replicas of the control group."""
+        return self.raft.membership
+
+    # Messages
+
+    def _on_hello(self, hello: Hello) -> None:
+        self._genesis.receive(hello)
+        self._replicas.receive(hello)
+
+    def _on_submit(self, sender: str, message: Submit) -> None:
+        if not self.raft.is_leader or len(self._waiting) >= MAX_PENDING:
+            self._reply(sender, NotLeader(message.request, self.leader_node()))
+            return
+        try:
+            CODEC.decode(message.command, sender)
+        except MalformedMessage as error:
+            self._log("command-refused", peer=sender, reason=error.reason)
+            return
+        index = self._propose_bytes(message.command)
+        if index is not None:
+            waiting = _Waiting(self.raft.term, sender, message.request)
+            self._waiting[index] = waiting
+
+    def _on_change_replica(self, sender: str, message: ChangeReplica) -> None:
+        if not self.raft.is_ready:
+            self._reply(sender, NotLeader(message.request, self.leader_node()))
+            return
+        reason = self._replicas.change(message.node, message.admit)
+        reply = ReplicaChanged(message.request, not reason, reason)
+        self._reply(sender, reply)
+
+    def _on_ask(self, now: float, sender: str, message: AskControl) -> None:
+        revision = self.state.revision
+        word = ControlWord(self.age(now), self.applied, revision)
+        if revision > message.revision:
+            self._reply(sender, ViewUpdate(self.state.view()))
+        self._reply(sender, word)
+
+    # Log
+
+    def _propose_own(self, command: Command) -> None:
+        self._propose_bytes(CODEC.encode(command))
+
+    def _propose_bytes(self, command: bytes) -> int | None:
+        stamped = _Stamped(self._wall, command)
+        return self.raft.propose(msgspec.msgpack.encode(stamped))
+
+    def _run_raft(self, now: float) -> None:
+        """Gather effects until the replica has nothing more to say to itself."""
+        looped = True
+        while looped:
+            looped = False
+            self._apply_committed()
+            for effect in self.raft.take(now):
+                looped = self._route(now, effect) or looped
+        self._apply_committed()
+
+    def _route(self, now: float, effect: Persist | RaftSend) -> bool:
+        match effect:
+            case Persist():
+                self._effects.append(effect)
+                return False
+            case RaftSend(message):
+                if message.target == self.raft.replica:
+                    self.raft.step(now, message)
+                    return True
+                self._send_to_replica(message)
+                return False
+
+    def _send_to_replica(self, message: RaftMessage) -> None:
+        member = self.raft.membership.find(message.target)
+        node = member.node if member else self._replicas.node_of(message.target)
+        if node:
+            self._effects.append(ToNode(node, message))
+
+    def _apply_committed(self) -> None:
+        snapshot = self.raft.take_snapshot()
+        if snapshot is not None:
+            self.state = SharedState.load(snapshot.data)
+            self.applied = snapshot.index
+        for entry in self.raft.take_committed():
+            self._apply(entry)
+        kept = self.raft.applied_index - self.raft.snapshot.index
+        if kept >= self._settings.compact_entries:
+            self.raft.compact(self.state.dump())
+
+    def _apply(self, entry: LogEntry) -> None:
+        self.applied = entry.index
+        waiting = self._waiting.pop(entry.index, None)
+        if entry.kind != EntryKind.COMMAND:
+            return
+        stamped = msgspec.msgpack.decode(entry.data, type=_Stamped)
+        command = CODEC.decode(stamped.command)
+        result = self.state.apply(entry.term, entry.index, stamped.stamp, command)
+        if waiting is not None:
+            self._answer(entry, waiting, result)
+
+    def _answer(self, entry: LogEntry, waiting: _Waiting, result: Result) -> None:
+        if waiting.term == entry.term:
+            reply: Message = SubmitReply(waiting.request, CODEC.encode(result))
+        else:
+            reply = NotLeader(waiting.request, self.leader_node())
+        self._reply(waiting.node, reply)
+
+    # Leadership
+
+    def _greet(self, now: float) -> None:
+        blank = not self.raft.membership.members
+        if blank:
+            first = self._genesis.decide()
+            if first is not None:
+                self.raft.adopt_genesis(first)
+                self._log("group-formed", replicas=len(first.membership.members))
+        if self._needs_hello(now):
+            self._hello_due = now + HELLO_SECONDS
+            for node, hello in self._genesis.hellos(blank):
+                self._effects.append(ToNode(node, hello))
+
+    def _needs_hello(self, now: float) -> bool:
+        own = self.raft.membership.find(self.raft.replica)
+        settled = own is not None and own.voter and self.raft.leader != ""
+        return not settled and now >= self._hello_due
+
+    def _note_leadership(self, now: float) -> None:
+        if self.raft.is_leader == self._was_leader:
+            return
+        self._was_leader = self.raft.is_leader
+        if self.raft.is_leader:
+            self._leading_from = now
+            self._reconciler.reset()
+        else:
+            self._waiting.clear()
+        self._log("leadership", leads=self.raft.is_leader, term=self.raft.term)
+
+    def _reconcile(self, now: float) -> None:
+        self._replicas.tick(now)
+        self._note_platform(now)
+        self._send_word(now)
+        lease_until = self.raft.lease_until()
+        effects = self._reconciler.tick(
+            now, self.state, lease_until, self.orders_from()
+        )
+        self._effects.extend(effects)
+
+    def _note_platform(self, now: float) -> None:
+        """Drain upstreams that leave, and strike off nodes whose VM is gone."""
+        listed = self._listed
+        if listed is None or now > self._listed_at + PLATFORM_FRESH_SECONDS:
+            return
+        runners = self.state.configuration.runners()
+        for name in sorted(listed.leaving):
+            if name in runners and name not in self.state.drains:
+                self._propose_own(DrainUpstream(name, LEAVING_DRAIN))
+        for drain in list(self.state.drains.values()):
+            if drain.reason == LEAVING_DRAIN and drain.upstream in listed.live:
+                self._propose_own(ReleaseUpstream(drain.upstream, drain.index))
+        present = listed.live | listed.leaving
+        for row in list(self.state.nodes.values()):
+            dead = self._status_of(row.node) in (MemberStatus.DEAD, None)
+            if dead and row.node not in present:
+                self._propose_own(RemoveNode(row.node, row.incarnation))
+
+    def _send_word(self, now: float) -> None:
+        """Tell the other replicas how fresh this leader's knowledge is."""
+        if now < self._word_due:
+            return
+        self._word_due = now + WORD_SECONDS
+        word = ControlWord(self.age(now), self.applied, self.state.revision)
+        for member in self.raft.membership.members:
+            if member.node != self._settings.node:
+                self._reply(member.node, word)
+
+    def _platform_age(self, now: float) -> float:
+        if not self._settings.uses_platform:
+            return 0.0
+        return now - self._listed_at
+
+    # Helpers
+
+    def _reply(self, node: str, message: Message) -> None:
+        self._effects.append(ToNode(node, message))
+
+    def _log(self, event: str, **fields: str | int | float) -> None:
+        self._effects.append(log(event, **fields))
+
+    def _take_effects(self) -> list[Effect | ToNode]:
+        effects, self._effects = self._effects, []
+        return effects
+
+
+def resolve(
+    effects: Sequence[Effect | ToNode], address_of: Callable[[str], str]
+) -> list[Effect]:
+    """Turn messages to nodes into sends; drop those without a known address."""
+    resolved: list[Effect] = []
+    for effect in effects:
+        match effect:
+            case ToNode(node, message):
+                address = address_of(node)
+                if address:
+                    resolved.append(Send(node, address, message))
+            case _:
+                resolved.append(effect)
+    return resolved
--- /dev/null
+++ b/hawthornshelf/declarations.py
@@ -0,0 +1,214 @@
+"""Declare configurations in Python, check them and print them before acceptance."""
+
+import difflib
+import ipaddress
+import runpy
+from collections.abc import Iterable, Iterator
+from datetime import timedelta
+from pathlib import Path
+
+from hawthornshelf.configuration import (
+    CallRule,
+    Configuration,
+    Deployment,
+    EngineService,
+    Model,
+    Objective,
+    PlainService,
+    Runner,
+    WorkClass,
+)
+from hawthornshelf.errors import DeclarationError
+
+__all__ = [
+    "CallRule",
+    "Configuration",
+    "Deployment",
+    "EngineService",
+    "Model",
+    "Objective",
+    "PlainService",
+    "Runner",
+    "WorkClass",
+    "check_configuration",
+    "diff_configurations",
+    "load_declaration",
+    "print_configuration",
+]
+
+ROLES = ("mixed", "prefill", "decode")
+METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
+MAX_SLOTS = 4096
+MAX_RUNNERS = 5000
+NAME_CHARACTERS = frozenset("abcdefghijklmnopqrstuvwxyz0123456789-._")
+
+
+def load_declaration(path: Path) -> Configuration:
+    """Run a Python file and return its `configuration`; raise DeclarationError."""
+    try:
+        names = runpy.run_path(str(path))
+    except Exception as error:
+        reason = f"{type(error).__name__}: {error}"
+        raise DeclarationError(str(path), reason) from error
+    found = names.get("configuration")
+    if not isinstance(found, Configuration):
+        raise DeclarationError(str(path), "defines no Configuration `configuration`")
+    check_configuration(found)
+    return found
+
+
+def check_configuration(configuration: Configuration) -> None:
+    """Raise an ExceptionGroup with a DeclarationError for each fault."""
+    faults = list(_find_faults(configuration))
+    if faults:
+        raise ExceptionGroup("bad declaration", faults)
+
+
+def print_configuration(configuration: Configuration) -> str:
+    """Return a configuration as text that is the same for the same content."""
+    lines: list[str] = []
+    for deployment in sorted(configuration.deployments):
+        lines.extend(_print_deployment(deployment))
+    return "\n".join(lines) + "\n" if lines else ""
+
+
+def diff_configurations(old: Configuration, new: Configuration) -> str:
+    """Return the lines that a change removes and adds."""
+    before = print_configuration(old).splitlines()
+    after = print_configuration(new).splitlines()
+    lines = difflib.unified_diff(before, after, "in force", "proposed", lineterm="")
+    return "".join(f"{line}\n" for line in lines)
+
+
+def _print_deployment(deployment: Deployment) -> Iterator[str]:
+    yield f"deployment {deployment.name}"
+    yield f"  region {deployment.region}"
+    yield f"  role-change-weight {deployment.role_change_weight:g}"
+    for work in sorted(deployment.work):
+        urgent = "urgent" if work.urgent else "bulk"
+        yield f"  work {work.name}: {urgent}, deadline {_seconds(work.deadline)}"
+    for objective in sorted(deployment.objectives):
+        yield (
+            f"  objective {objective.work}: {objective.target:.4%} "
+            f"within {_seconds(objective.latency)}"
+        )
+    for engine in sorted(deployment.engines):
+        yield from _print_engine_service(engine)
+    for service in sorted(deployment.services):
+        yield from _print_plain_service(service)
+
+
+def _print_engine_service(service: EngineService) -> Iterator[str]:
+    yield f"  engines {service.name}"
+    model = service.model
+    yield f"    model {model.name} version {model.version}"
+    for adapter in sorted(model.adapters):
+        yield f"    adapter {adapter}"
+    for runner in sorted(service.runners):
+        fencing = "checks fencing" if runner.checks_fencing else "ignores fencing"
+        yield (
+            f"    runner {runner.name} {runner.address} in {runner.data_centre}: "
+            f"{runner.role}, {runner.slots} slots, {fencing}"
+        )
+
+
+def _print_plain_service(service: PlainService) -> Iterator[str]:
+    yield f"  service {service.name}"
+    for rule in service.calls:
+        repeat = "idempotent" if rule.idempotent else "at most once"
+        yield f"    call {rule.method} {rule.path}: {repeat}"
+    yield "    call any other: at most once"
+    for runner in sorted(service.runners):
+        yield (
+            f"    runner {runner.name} {runner.address} in {runner.data_centre}: "
+            f"{runner.slots} slots"
+        )
+
+
+def _seconds(value: timedelta) -> str:
+    return f"{value.total_seconds():g} s"
+
+
+def _find_faults(configuration: Configuration) -> Iterator[DeclarationError]:
+    yield from _find_repeats(configuration)
+    if len(configuration.runners()) > MAX_RUNNERS:
+        yield DeclarationError("deployments", f"more than {MAX_RUNNERS} runners")
+    for deployment in configuration.deployments:
+        path = f"deployment {deployment.name}"
+        yield from _check_names(path, (deployment.name, deployment.region))
+        if not deployment.role_change_weight >= 0:
+            yield DeclarationError(f"{path}.role_change_weight", "must be 0 or more")
+        yield from _check_work(path, deployment)
+        for service in deployment.all_services():
+            yield from _check_service(f"{path}.{service.name}", service)
+
+
+def _check_work(path: str, deployment: Deployment) -> Iterator[DeclarationError]:
+    names = {work.name for work in deployment.work}
+    yield from _check_names(path, names)
+    for work in deployment.work:
+        if not timedelta(0) < work.deadline <= timedelta(seconds=600):
+            reason = "deadline must be over 0 and at most 600 s"
+            yield DeclarationError(f"{path}.{work.name}", reason)
+    for objective in deployment.objectives:
+        where = f"{path}.objective {objective.work}"
+        if objective.work not in names:
+            yield DeclarationError(where, "names no declared class of work")
+        if not 0 < objective.target < 1:
+            yield DeclarationError(where, "target must be between 0 and 1")
+        if objective.latency <= timedelta(0):
+            yield DeclarationError(where, "latency must be over 0")
+
+
+def _check_service(
+    path: str, service: EngineService | PlainService
+) -> Iterator[DeclarationError]:
+    yield from _check_names(path, (service.name,))
+    if isinstance(service, EngineService):
+        yield from _check_names(
+            path, (service.model.name, service.model.version, *service.model.adapters)
+        )
+    else:
+        for rule in service.calls:
+            if rule.method not in METHODS or not rule.path.startswith("/"):
+                reason = f"call {rule.method} {rule.path} is not a method and a path"
+                yield DeclarationError(path, reason)
+    for runner in service.runners:
+        yield from _check_runner(f"{path}.{runner.name}", runner)
+
+
+def _check_runner(path: str, runner: Runner) -> Iterator[DeclarationError]:
+    yield from _check_names(path, (runner.name, runner.data_centre))
+    host, _, port = runner.address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        if not 1 <= int(port) <= 65535:
+            raise ValueError(port)
+    except ValueError:
+        yield DeclarationError(path, f"address {runner.address!r} is not ip:port")
+    if not 1 <= runner.slots <= MAX_SLOTS:
+        yield DeclarationError(path, f"slots must be 1 to {MAX_SLOTS}")
+    if runner.role not in ROLES:
+        yield DeclarationError(path, f"role must be one of {', '.join(ROLES)}")
+
+
+def _check_names(path: str, names: Iterable[str]) -> Iterator[DeclarationError]:
+    for name in names:
+        if not name or not NAME_CHARACTERS.issuperset(name):
+            reason = f"{name!r} is not a name of a-z, 0-9, -, . and _"
+            yield DeclarationError(path, reason)
+
+
+def _find_repeats(configuration: Configuration) -> Iterator[DeclarationError]:
+    names: dict[str, list[str]] = {"deployment": [], "service": [], "runner": []}
+    for deployment in configuration.deployments:
+        names["deployment"].append(deployment.name)
+        names.setdefault(f"work of {deployment.name}", []).extend(
+            work.name for work in deployment.work
+        )
+        for service in deployment.all_services():
+            names["service"].append(service.name)
+            names["runner"].extend(runner.name for runner in service.runners)
+    for kind, found in names.items():
+        for name in sorted({name for name in found if found.count(name) > 1}):
+            yield DeclarationError(kind, f"{name} is declared more than once")
--- /dev/null
+++ b/hawthornshelf/engineorders.py
@@ -0,0 +1,207 @@
+"""Bring engines to the declared state, one order at a time."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from hawthornshelf.commands import (
+    Command,
+    DrainUpstream,
+    FinishOrder,
+    PlaceOrder,
+    ReleaseUpstream,
+)
+from hawthornshelf.configuration import Configuration, Model, Runner
+from hawthornshelf.effects import Effect, ReadEngine, SendOrder, log
+from hawthornshelf.events import EngineRead, EngineReading, OrderEnded
+from hawthornshelf.state import OrderRow, SharedState
+
+__all__ = ["ORDER_DRAIN", "OrderReconciler"]
+
+ORDER_DRAIN = "order"
+READ_SECONDS = 1.0
+RESEND_SECONDS = 3.0
+MAX_CHANGES_OF_SERVING_ENGINES = 1
+MAX_CHANGES_OF_EMPTY_ENGINES = 3
+
+
+class _EngineRow(NamedTuple):
+    """Hold what this leader knows of one engine; times are monotonic seconds."""
+
+    reading: EngineReading | None = None
+    read_at: float = float("-inf")
+    asked_at: float = float("-inf")
+    sent_order: int = 0
+    sent_at: float = float("-inf")
+
+
+Propose = Callable[[Command], None]
+
+
+class OrderReconciler:
+    """Compare readings with the configuration while this replica leads."""
+
+    def __init__(self, propose: Propose) -> None:
+        self._propose = propose
+        self._rows: dict[str, _EngineRow] = {}
+        self._proposed_at: dict[tuple[str, type], float] = {}
+
+    def reset(self) -> None:
+        """Forget all readings, so that a new leader reads before it orders."""
+        self._rows.clear()
+        self._proposed_at.clear()
+
+    def on_read(self, now: float, event: EngineRead) -> None:
+        """Take in an engine's reading."""
+        row = self._rows.get(event.upstream)
+        if row is not None and event.reading is not None:
+            self._rows[event.upstream] = row._replace(
+                reading=event.reading, read_at=now
+            )
+
+    def on_order_ended(self, event: OrderEnded) -> Effect:
+        """Ask for a new reading after an order's answer."""
+        row = self._rows.get(event.upstream)
+        if row is not None:
+            self._rows[event.upstream] = row._replace(
+                asked_at=float("-inf"), read_at=float("-inf")
+            )
+        return log(
+            "order-ended",
+            upstream=event.upstream,
+            order=event.order,
+            accepted=event.accepted,
+            reason=event.reason,
+        )
+
+    def tick(
+        self,
+        now: float,
+        state: SharedState,
+        lease_until: float,
+        unchecked_from: float,
+    ) -> list[Effect]:
+        """Take the next step for each engine; order nothing without the lease."""
+        runners = state.configuration.runners()
+        models = state.configuration.models()
+        self._rows = {n: self._rows.get(n, _EngineRow()) for n in models}
+        effects: list[Effect] = []
+        for name, model in models.items():
+            runner = runners[name]
+            effects.extend(self._ask(now, runner))
+            allowed = now if runner.checks_fencing else unchecked_from
+            if now >= allowed and now < lease_until:
+                effects.extend(self._advance(now, state, runner, model, lease_until))
+        self._release_removed(now, state, state.configuration)
+        return effects
+
+    def _ask(self, now: float, runner: Runner) -> list[Effect]:
+        row = self._rows[runner.name]
+        if now < row.asked_at + READ_SECONDS:
+            return []
+        self._rows[runner.name] = row._replace(asked_at=now)
+        return [ReadEngine(runner.name, runner.address)]
+
+    def _advance(
+        self,
+        now: float,
+        state: SharedState,
+        runner: Runner,
+        model: Model,
+        lease_until: float,
+    ) -> list[Effect]:
+        """Decide by the last reading: drain, order, resend, or release."""
+        row = self._rows[runner.name]
+        if row.reading is None or now > row.read_at + 2 * READ_SECONDS:
+            return []
+        drain = state.drains.get(runner.name)
+        order = state.orders.get(runner.name)
+        if row.reading.changing:
+            return []
+        if _matches(row.reading, runner, model):
+            self._finish(now, state, runner.name)
+            return []
+        if drain is None:
+            if self._may_start(now, state, row.reading):
+                self._propose_once(now, DrainUpstream(runner.name, ORDER_DRAIN))
+            return []
+        if drain.reason != ORDER_DRAIN or state.awaited(runner.name):
+            return []
+        wanted = PlaceOrder(
+            runner.name, model.name, model.version, model.adapters, runner.role
+        )
+        if order is None or order.finished or order.command != wanted:
+            self._propose_once(now, wanted)
+            return []
+        return self._send(now, runner, order, lease_until)
+
+    def _send(
+        self, now: float, runner: Runner, order: OrderRow, lease_until: float
+    ) -> list[Effect]:
+        row = self._rows[runner.name]
+        if row.sent_order == order.order and now < row.sent_at + RESEND_SECONDS:
+            return []
+        self._rows[runner.name] = row._replace(sent_order=order.order, sent_at=now)
+        send = SendOrder(
+            runner.name,
+            runner.address,
+            order.order,
+            order.fence,
+            order.command,
+            lease_until,
+        )
+        return [send]
+
+    def _finish(self, now: float, state: SharedState, upstream: str) -> None:
+        order = state.orders.get(upstream)
+        drain = state.drains.get(upstream)
+        if order is not None and not order.finished:
+            self._propose_once(now, FinishOrder(upstream, order.order))
+        elif drain is not None and drain.reason == ORDER_DRAIN:
+            self._propose_once(now, ReleaseUpstream(upstream, drain.index))
+
+    def _release_removed(
+        self, now: float, state: SharedState, configuration: Configuration
+    ) -> None:
+        """End the drains of upstreams that are no longer declared."""
+        declared = configuration.runners()
+        for drain in list(state.drains.values()):
+            if drain.upstream not in declared:
+                self._propose_once(now, ReleaseUpstream(drain.upstream, drain.index))
+
+    def _may_start(
+        self, now: float, state: SharedState, reading: EngineReading
+    ) -> bool:
+        """Bound the changes under way; engines out of reach don't count."""
+        empty = reading.model == ""
+        limit = (
+            MAX_CHANGES_OF_EMPTY_ENGINES if empty else MAX_CHANGES_OF_SERVING_ENGINES
+        )
+        under_way = [
+            drain
+            for drain in state.drains.values()
+            if drain.reason == ORDER_DRAIN and self._is_in_reach(now, drain.upstream)
+        ]
+        return len(under_way) < limit
+
+    def _is_in_reach(self, now: float, upstream: str) -> bool:
+        row = self._rows.get(upstream, _EngineRow())
+        return now <= row.read_at + 5 * READ_SECONDS
+
+    def _propose_once(self, now: float, command: Command) -> None:
+        """Propose a command unless the same was proposed a moment ago."""
+        upstream = getattr(command, "upstream", "")
+        key = (upstream, type(command))
+        if now >= self._proposed_at.get(key, float("-inf")) + READ_SECONDS:
+            self._proposed_at[key] = now
+            self._propose(command)
+
+
+def _matches(reading: EngineReading, runner: Runner, model: Model) -> bool:
+    wanted = (model.name, model.version, tuple(sorted(model.adapters)), runner.role)
+    found = (
+        reading.model,
+        reading.version,
+        tuple(sorted(reading.adapters)),
+        reading.role,
+    )
+    return wanted == found
--- /dev/null
+++ b/hawthornshelf/entry.py
@@ -0,0 +1,616 @@
+"""Run one entry node: take requests, send them to upstreams, answer callers."""
+
+import heapq
+import random
+from typing import NamedTuple
+
+from hawthornshelf.admission import Admission
+from hawthornshelf.catalogue import Catalogue, Route
+from hawthornshelf.commands import (
+    AckDrain,
+    ClaimAnswered,
+    ClaimGranted,
+    ClaimInProgress,
+    ClaimMismatch,
+    ClaimUnknown,
+    ClearSuspects,
+    Command,
+    EndTrial,
+    OpenClaim,
+    OpenTrial,
+    RecordAnswer,
+    ReleaseClaim,
+    Result,
+    TrialGranted,
+    TrialRefused,
+)
+from hawthornshelf.configuration import Configuration
+from hawthornshelf.crashes import CrashWatch
+from hawthornshelf.effects import (
+    CancelAttempt,
+    Dispatch,
+    Effect,
+    Finish,
+    Outcome,
+    ReadLoad,
+    Refuse,
+    SendChunk,
+    log,
+)
+from hawthornshelf.events import (
+    AttemptBroken,
+    AttemptCompleted,
+    AttemptRefused,
+    AttemptStarted,
+    CallerGone,
+    ChunkReceived,
+    LoadReported,
+    RequestArrived,
+)
+from hawthornshelf.requests import Phase, RequestRow, RequestTable
+from hawthornshelf.retries import RetryBudget
+from hawthornshelf.state import SharedView
+from hawthornshelf.submission import Submitter
+from hawthornshelf.upstreams import UpstreamRow, UpstreamTable
+
+__all__ = ["EntryCore", "EntryEvent"]
+
+CLAIM_WAIT_SECONDS = 5.0
+CLAIM_SEND_SECONDS = 2.0
+RECORD_WAIT_SECONDS = 3.0
+RELEASE_WAIT_SECONDS = 60.0
+REPORT_WAIT_SECONDS = 30.0
+TRIAL_WAIT_SECONDS = 2.0
+TRIAL_RETRY_SECONDS = 0.1
+SEND_SECONDS = 5.0
+MAX_ATTEMPTS = 4
+MAX_OPEN_REQUESTS = 2000
+MAX_STREAM_SECONDS = 900.0
+
+EntryEvent = (
+    RequestArrived
+    | CallerGone
+    | AttemptStarted
+    | ChunkReceived
+    | AttemptCompleted
+    | AttemptRefused
+    | AttemptBroken
+    | LoadReported
+)
+
+
+class _Ack(NamedTuple):
+    upstream: str
+    drain: int
+
+
+class EntryCore:
+    """Step one entry node; all I/O is left to the caller."""
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: str,
+        data_centre: str,
+        submitter: Submitter,
+        rng: random.Random,
+    ) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._submitter = submitter
+        self._rng = rng
+        self.requests = RequestTable()
+        self.upstreams = UpstreamTable(data_centre, rng)
+        self.admission = Admission()
+        self._catalogue = Catalogue(Configuration())
+        self._budget = RetryBudget()
+        self._crashes = CrashWatch()
+        self._view = SharedView()
+        self._suspects: dict[str, bool] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._acks: dict[_Ack, str] = {}
+        self._deadlines: list[tuple[float, str]] = []
+        self._trials: dict[str, str] = {}
+        self._effects: list[Effect] = []
+        self.node_count = 1
+
+    # What the node as a whole learns
+
+    def load_view(self, view: SharedView) -> None:
+        """Take the shared view: configuration, drains and suspects."""
+        if view.version != self._view.version:
+            self._catalogue = Catalogue(view.configuration)
+            self.upstreams.load(view.configuration)
+        self._view = view
+        self._suspects = {row.digest: row.quarantined for row in view.suspects}
+        self._block_upstreams()
+        self._end_quarantined()
+
+    def note_leaving(self, names: frozenset[str]) -> None:
+        """Take the upstreams that the platform lists as leaving."""
+        self._leaving = names
+        self._block_upstreams()
+
+    def handle(self, now: float, event: EntryEvent) -> None:
+        """Take in one event."""
+        match event:
+            case RequestArrived():
+                self._on_request(now, event)
+            case ChunkReceived():
+                self._on_chunk(now, event)
+            case AttemptCompleted():
+                self._on_completed(now, event)
+            case AttemptBroken():
+                self._on_broken(now, event)
+            case AttemptRefused():
+                self._on_refused(now, event)
+            case AttemptStarted():
+                self._on_started(event)
+            case CallerGone():
+                self._on_caller_gone(now, event)
+            case LoadReported():
+                self._on_load(now, event)
+
+    def refuse(self, request: str, reason: str, retry_after: float) -> None:
+        """Refuse a request that was not taken in."""
+        self._effects.append(Refuse(request, 503, Outcome.NOT_RUN, reason, retry_after))
+
+    def on_result(self, now: float, submission: str, result: Result | None) -> None:
+        """Take in the result of a command, or None if none came in time."""
+        self._forget_ack(submission, result)
+        row = self.requests.by_submission(submission)
+        if row is None:
+            return
+        row = row._replace(submission="")
+        match row.phase:
+            case Phase.CLAIMING:
+                self._on_claim(now, row, result)
+            case Phase.TRYING:
+                self._on_trial(now, row, result)
+            case Phase.RECORDING:
+                self._finish(now, row)
+            case _:
+                self.requests.put(row)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Run what is due and return the effects gathered."""
+        self._effects.extend(self.upstreams.tick(now))
+        self._crashes.tick(now)
+        self._expire(now)
+        for service in self.requests.services():
+            self._pump(now, service)
+        self._ack_drains(now)
+        effects, self._effects = self._effects, []
+        return effects
+
+    # Arrival
+
+    def _on_request(self, now: float, event: RequestArrived) -> None:
+        route = self._catalogue.find(event)
+        if route is None:
+            self._reject(event, 404, f"nothing serves {event.target}")
+        elif not self._catalogue.knows_work(event.work):
+            self._reject(event, 400, f"no class of work is named {event.work}")
+        elif not route.idempotent and not event.key:
+            self._reject(event, 400, "this call needs an Idempotency-Key header")
+        elif len(self.requests) >= MAX_OPEN_REQUESTS:
+            self.refuse(event.request, "too many open requests", 1.0)
+        else:
+            self._admit(now, event, route)
+
+    def _reject(self, event: RequestArrived, status: int, reason: str) -> None:
+        self._effects.append(Refuse(event.request, status, Outcome.NOT_RUN, reason))
+
+    def _admit(self, now: float, event: RequestArrived, route: Route) -> None:
+        row = RequestRow(
+            event,
+            route.service,
+            route.urgent,
+            route.idempotent,
+            now,
+            now + route.deadline,
+        )
+        if self._suspects.get(row.digest):
+            self._effects.append(_quarantined(row))
+            return
+        slots = self._slots(route.service)
+        ahead = self.requests.queued_before(row)
+        queued = self.requests.queued(route.service)
+        verdict = self.admission.judge(
+            route.service, ahead, queued, slots, route.deadline
+        )
+        if verdict.refusal:
+            retry_after = self.admission.retry_after(route.service, queued, slots)
+            self.refuse(event.request, verdict.refusal, retry_after)
+            return
+        self._budget.earn()
+        self.requests.put(row)
+        heapq.heappush(self._deadlines, (row.deadline, row.id))
+        self._pump(now, route.service)
+
+    def _slots(self, service: str) -> int:
+        open_rows = [
+            row
+            for row in self.upstreams.in_service(service)
+            if row.runner.name not in self.upstreams.blocked
+        ]
+        total = sum(row.runner.slots for row in open_rows)
+        return -(-total // max(1, self.node_count))
+
+    # Sending
+
+    def _pump(self, now: float, service: str) -> None:
+        """Send waiting requests while upstreams have room."""
+        held: list[RequestRow] = []
+        while (row := self.requests.pop(service)) is not None:
+            if now < row.ready_at or self._crashes.is_held(row.digest):
+                held.append(row)
+            elif not self._start(now, row):
+                held.append(row)
+                break
+        for row in held:
+            self.requests.push_back(row)
+
+    def _start(self, now: float, row: RequestRow) -> bool:
+        choice = self.upstreams.choose(
+            now,
+            row.service,
+            self.node_count,
+            row.excluded,
+            row.arrived.prompt_blocks,
+            row.urgent,
+        )
+        if choice is None:
+            if row.excluded and not self._has_other(row):
+                self.requests.put(row._replace(excluded=()))
+            return False
+        if not row.idempotent:
+            self._open_claim(now, row)
+        elif self._is_suspect(now, row):
+            self._open_trial(now, row, choice.row)
+        else:
+            self._dispatch(now, row, choice.row)
+        return True
+
+    def _has_other(self, row: RequestRow) -> bool:
+        names = {r.runner.name for r in self.upstreams.in_service(row.service)}
+        return bool(names - self.upstreams.blocked - set(row.excluded))
+
+    def _dispatch(
+        self, now: float, row: RequestRow, upstream: UpstreamRow, bound: float = 0.0
+    ) -> None:
+        number = row.attempts + 1
+        attempt = f"{row.id}.{number}"
+        name = upstream.runner.name
+        row = row._replace(
+            phase=Phase.RUNNING,
+            attempts=number,
+            attempt=attempt,
+            upstream=name,
+            claimed_at=now,
+        )
+        self.requests.put(row)
+        self.upstreams.add(name, row.tokens)
+        self.upstreams.prefixes.add(name, row.arrived.prompt_blocks)
+        self._effects.append(
+            Dispatch(
+                row.id,
+                attempt,
+                name,
+                upstream.runner.address,
+                row.offset,
+                bound or now + SEND_SECONDS,
+                row.urgent,
+            )
+        )
+
+    # Claims
+
+    def _open_claim(self, now: float, row: RequestRow) -> None:
+        event = row.arrived
+        command = OpenClaim(event.workspace, event.key, event.digest, row.id)
+        until = min(now + CLAIM_WAIT_SECONDS, row.deadline)
+        submission = self._submitter.submit(now, command, until)
+        self.requests.put(
+            row._replace(phase=Phase.CLAIMING, submission=submission, claimed_at=now)
+        )
+
+    def _on_claim(self, now: float, row: RequestRow, result: Result | None) -> None:
+        match result:
+            case ClaimGranted():
+                self._send_claimed(now, row)
+            case ClaimAnswered(answer) if answer is not None:
+                self._close(row, Finish(row.id, answer, replayed=True))
+            case ClaimAnswered():
+                reason = "it completed earlier; its answer is no longer kept"
+                self._close(row, Refuse(row.id, 410, Outcome.COMPLETE, reason))
+            case ClaimUnknown():
+                reason = "an earlier attempt may have run"
+                self._close(row, Refuse(row.id, 409, Outcome.UNKNOWN, reason))
+            case ClaimInProgress():
+                reason = "another attempt with this key is under way"
+                refusal = Refuse(row.id, 409, Outcome.UNKNOWN, reason, 2.0)
+                self._close(row, refusal)
+            case ClaimMismatch():
+                reason = "this key was used with another body"
+                self._close(row, Refuse(row.id, 422, Outcome.NOT_RUN, reason))
+            case _:
+                self._give_back(now, row, "no claim could be had")
+
+    def _send_claimed(self, now: float, row: RequestRow) -> None:
+        bound = min(row.claimed_at + CLAIM_WAIT_SECONDS, row.deadline)
+        choice = self.upstreams.choose(
+            now, row.service, 1, row.excluded, urgent=row.urgent
+        )
+        if now >= bound or choice is None:
+            self._give_back(now, row, "no upstream is free")
+            return
+        self._dispatch(now, row, choice.row, min(bound, now + CLAIM_SEND_SECONDS))
+
+    def _give_back(self, now: float, row: RequestRow, reason: str) -> None:
+        """Release the claim of a request of which no byte was sent, and refuse it."""
+        event = row.arrived
+        command = ReleaseClaim(event.workspace, event.key, row.id)
+        self._submitter.submit(now, command, now + RELEASE_WAIT_SECONDS)
+        self._close(row, Refuse(row.id, 503, Outcome.NOT_RUN, reason, 1.0))
+
+    def _record(self, now: float, row: RequestRow) -> None:
+        event = row.arrived
+        assert row.answer is not None
+        command = RecordAnswer(event.workspace, event.key, row.id, row.answer)
+        until = now + RECORD_WAIT_SECONDS
+        submission = self._submitter.submit(now, command, until)
+        self.requests.put(row._replace(phase=Phase.RECORDING, submission=submission))
+
+    # Suspects
+
+    def _is_suspect(self, now: float, row: RequestRow) -> bool:
+        return row.digest in self._suspects or self._crashes.is_suspect(now, row.digest)
+
+    def _open_trial(self, now: float, row: RequestRow, upstream: UpstreamRow) -> None:
+        name = upstream.runner.name
+        command = OpenTrial(row.digest, name, self._node, self._incarnation)
+        submission = self._submitter.submit(now, command, now + TRIAL_WAIT_SECONDS)
+        self.requests.put(
+            row._replace(phase=Phase.TRYING, submission=submission, upstream=name)
+        )
+
+    def _on_trial(self, now: float, row: RequestRow, result: Result | None) -> None:
+        upstream = self.upstreams.find(row.upstream)
+        match result:
+            case TrialGranted() if upstream and self._may_send(now, upstream):
+                self._trials[row.id] = row.upstream
+                self._dispatch(now, row, upstream)
+            case TrialRefused(quarantined=True):
+                self._close(row, _quarantined(row))
+            case _:
+                if result is None or isinstance(result, TrialGranted):
+                    self._end_trial(now, row, row.upstream)
+                wait = TRIAL_RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
+                self.requests.put(
+                    row._replace(phase=Phase.QUEUED, upstream="", ready_at=now + wait)
+                )
+
+    def _may_send(self, now: float, upstream: UpstreamRow) -> bool:
+        blocked = upstream.runner.name in self.upstreams.blocked
+        return not blocked and now >= upstream.down_until
+
+    def _end_trial(self, now: float, row: RequestRow, upstream: str) -> None:
+        command = EndTrial(row.digest, upstream)
+        self._submitter.submit(now, command, now + REPORT_WAIT_SECONDS)
+
+    def _end_quarantined(self) -> None:
+        """Answer those at once that wait here and have been quarantined."""
+        if not any(self._suspects.values()):
+            return
+        for row in self.requests:
+            waits = row.phase in (Phase.QUEUED, Phase.TRYING)
+            if waits and self._suspects.get(row.digest):
+                self._close(row, _quarantined(row))
+
+    # Attempts
+
+    def _on_started(self, event: AttemptStarted) -> None:
+        row = self.requests.by_attempt(event.attempt)
+        if row is not None:
+            self.upstreams.note_boot(row.upstream, event.boot)
+            self.requests.put(row._replace(sent=True))
+
+    def _on_chunk(self, now: float, event: ChunkReceived) -> None:
+        row = self.requests.by_attempt(event.attempt)
+        if row is None or event.offset < row.offset:
+            return
+        if event.offset > row.offset:
+            self._effects.append(CancelAttempt(event.attempt))
+            self._retry(now, self._leave(row), "gap in the stream")
+            return
+        self.requests.put(row._replace(offset=row.offset + 1, sent=True))
+        self._effects.append(SendChunk(row.id, event.text))
+
+    def _on_completed(self, now: float, event: AttemptCompleted) -> None:
+        row = self.requests.by_attempt(event.attempt)
+        if row is None:
+            return
+        row = self._leave(row)._replace(answer=event.answer, sent=True)
+        if row.arrived.is_engine and event.pieces != row.offset:
+            self._retry(now, row, "stream ended early")
+            return
+        self.admission.note_completed(row.service, now - row.claimed_at)
+        self._clear_suspect(now, row)
+        if row.idempotent:
+            self._finish(now, row)
+        else:
+            self._record(now, row)
+
+    def _on_refused(self, now: float, event: AttemptRefused) -> None:
+        row = self.requests.by_attempt(event.attempt)
+        if row is not None:
+            excluded = (*row.excluded, row.upstream)
+            self._retry(now, self._leave(row)._replace(excluded=excluded), event.reason)
+
+    def _on_broken(self, now: float, event: AttemptBroken) -> None:
+        row = self.requests.by_attempt(event.attempt)
+        if row is None:
+            return
+        self._log_broken(row, event)
+        if event.sent and row.arrived.is_engine:
+            self._doubt(now, row.upstream)
+        self.upstreams.note_down(now, row.upstream)
+        excluded = (*row.excluded, row.upstream)
+        sent = row.sent or event.sent
+        row = self._leave(row)._replace(excluded=excluded, sent=sent)
+        if event.sent and not row.idempotent:
+            reason = f"{event.reason}; it may have run"
+            self._close(row, Refuse(row.id, 502, Outcome.UNKNOWN, reason))
+        else:
+            self._retry(now, row, event.reason)
+
+    def _doubt(self, now: float, name: str) -> None:
+        upstream = self.upstreams.find(name)
+        if upstream is None:
+            return
+        digests = [row.digest for row in self.requests if row.upstream == name]
+        self._crashes.note_broken(now, name, upstream.boot, digests)
+        self._effects.append(ReadLoad(name, upstream.runner.address))
+
+    def _retry(self, now: float, row: RequestRow, reason: str) -> None:
+        """Queue a request again within its deadline and the retry budget."""
+        in_time = now < row.deadline or row.offset > 0
+        allowed = row.attempts < MAX_ATTEMPTS and in_time
+        if allowed and self._budget.spend():
+            self.requests.put(row._replace(phase=Phase.QUEUED))
+            self._pump(now, row.service)
+            return
+        if not row.idempotent:
+            self._give_back(now, row, reason)
+            return
+        outcome = Outcome.UNKNOWN if row.sent else Outcome.NOT_RUN
+        self._close(row, Refuse(row.id, 503, outcome, reason, 1.0))
+
+    def _leave(self, row: RequestRow) -> RequestRow:
+        """Discount a request's attempt, which has ended."""
+        self.upstreams.remove(row.upstream, row.tokens)
+        left = row._replace(attempt="", upstream="", phase=Phase.RUNNING)
+        self.requests.put(left)
+        return left
+
+    def _clear_suspect(self, now: float, row: RequestRow) -> None:
+        self._crashes.clear(row.digest)
+        if self._suspects.get(row.digest) is False:
+            command = ClearSuspects((row.digest,))
+            self._submitter.submit(now, command, now + REPORT_WAIT_SECONDS)
+        upstream = self._trials.pop(row.id, "")
+        if upstream:
+            self._end_trial(now, row, upstream)
+
+    def _on_load(self, now: float, event: LoadReported) -> None:
+        self.upstreams.on_load(now, event)
+        report = self._crashes.on_load(now, event)
+        if report is not None:
+            self._effects.append(log("upstream-crashed", upstream=event.upstream))
+            self._submitter.submit(now, report, now + REPORT_WAIT_SECONDS)
+
+    # Ends
+
+    def _finish(self, now: float, row: RequestRow) -> None:
+        self._close(row, Finish(row.id, row.answer))
+        self._pump(now, row.service)
+
+    def _close(self, row: RequestRow, effect: Finish | Refuse) -> None:
+        self._trials.pop(row.id, None)
+        self.requests.remove(row.id)
+        self._effects.append(effect)
+
+    def _on_caller_gone(self, now: float, event: CallerGone) -> None:
+        row = self.requests.find(event.request)
+        if row is None:
+            return
+        if row.phase is Phase.RUNNING and row.idempotent:
+            self._effects.append(CancelAttempt(row.attempt))
+            self._drop(now, self._leave(row))
+        elif row.phase in (Phase.QUEUED, Phase.TRYING):
+            self._drop(now, row)
+
+    def _drop(self, now: float, row: RequestRow) -> None:
+        upstream = self._trials.pop(row.id, "")
+        if upstream:
+            self._end_trial(now, row, upstream)
+        self._submitter.abandon(row.submission)
+        self.requests.remove(row.id)
+
+    def _expire(self, now: float) -> None:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            row = self.requests.find(heapq.heappop(self._deadlines)[1])
+            if row is not None:
+                self._expire_one(now, row)
+
+    def _expire_one(self, now: float, row: RequestRow) -> None:
+        """Give up on a request that has had no answer by its deadline."""
+        streams_until = row.arrived_at + MAX_STREAM_SECONDS
+        if row.phase is Phase.RECORDING:
+            return
+        if row.offset > 0 and now < streams_until:
+            heapq.heappush(self._deadlines, (streams_until, row.id))
+            return
+        retry_after = self.admission.retry_after(
+            row.service, self.requests.queued(row.service), self._slots(row.service)
+        )
+        if row.phase is Phase.RUNNING:
+            reason = "no answer by the deadline"
+            refusal = Refuse(row.id, 504, Outcome.UNKNOWN, reason, retry_after)
+            self._effects.append(refusal)
+            if row.idempotent:
+                self._effects.append(CancelAttempt(row.attempt))
+                self._drop(now, self._leave(row))
+        elif row.phase is Phase.CLAIMING:
+            self._submitter.abandon(row.submission)
+            self._give_back(now, row, "no claim by the deadline")
+        else:
+            self._drop(now, row)
+            outcome = Outcome.UNKNOWN if row.sent else Outcome.NOT_RUN
+            reason = "no upstream was free by the deadline"
+            self._effects.append(Refuse(row.id, 503, outcome, reason, retry_after))
+
+    # Drains
+
+    def _block_upstreams(self) -> None:
+        drained = {drain.upstream for drain in self._view.drains}
+        self.upstreams.blocked = self._leaving.union(drained)
+
+    def _ack_drains(self, now: float) -> None:
+        """Confirm each drain once nothing is in flight to its upstream."""
+        open_drains = {_Ack(d.upstream, d.index) for d in self._view.drains}
+        for ack in [ack for ack in self._acks if ack not in open_drains]:
+            del self._acks[ack]
+        for ack in sorted(open_drains - set(self._acks)):
+            row = self.upstreams.find(ack.upstream)
+            if row is None or row.in_flight == 0:
+                command: Command = AckDrain(
+                    ack.upstream, ack.drain, self._node, self._incarnation
+                )
+                until = now + REPORT_WAIT_SECONDS
+                self._acks[ack] = self._submitter.submit(now, command, until)
+
+    def _forget_ack(self, submission: str, result: Result | None) -> None:
+        """Send an ack again that got no result."""
+        if result is None:
+            for ack, sent in list(self._acks.items()):
+                if sent == submission:
+                    del self._acks[ack]
+
+    def _log_broken(self, row: RequestRow, event: AttemptBroken) -> None:
+        self._effects.append(
+            log(
+                "attempt-broken",
+                request=row.id,
+                peer=row.upstream,
+                step="dispatch",
+                sent=event.sent,
+                reason=event.reason,
+            )
+        )
+
+
+def _quarantined(row: RequestRow) -> Refuse:
+    reason = "this request crashed the upstreams that ran it"
+    return Refuse(row.id, 422, Outcome.UNKNOWN, reason)
--- /dev/null
+++ b/hawthornshelf/node.py
@@ -0,0 +1,421 @@
+"""Join the parts of one process: membership, control replica and entry node."""
+
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from hawthornshelf.commands import Done, JoinNode, RemoveNode, Result
+from hawthornshelf.control import ControlCore, ControlSettings, ToNode, resolve
+from hawthornshelf.effects import (
+    CommandEnded,
+    Effect,
+    ReplicaChangeEnded,
+    StopProcess,
+    log,
+)
+from hawthornshelf.entry import EntryCore, EntryEvent
+from hawthornshelf.events import (
+    CommandGiven,
+    EngineRead,
+    Event,
+    OrderEnded,
+    Persisted,
+    PlatformListed,
+    Received,
+    ReplicaChangeGiven,
+    RequestArrived,
+    StopAsked,
+    StorageLost,
+)
+from hawthornshelf.log import Loaded
+from hawthornshelf.membership import Gossip, MembershipTable, Outgoing
+from hawthornshelf.messages import (
+    AskControl,
+    ChangeReplica,
+    ControlWord,
+    Hello,
+    MemberRow,
+    MemberStatus,
+    Message,
+    NotLeader,
+    Ping,
+    PingReply,
+    PingRequest,
+    PullView,
+    ReplicaChanged,
+    Submit,
+    SubmitReply,
+    ViewUpdate,
+)
+from hawthornshelf.raft import Timing
+from hawthornshelf.raftmessages import RaftMessage
+from hawthornshelf.state import SharedView
+from hawthornshelf.submission import Submitter
+
+__all__ = ["NodeCore", "NodeSettings"]
+
+ASK_SECONDS = 1.0
+STALE_SECONDS = 5.0
+JOIN_WAIT_SECONDS = 5.0
+LEAVE_WAIT_SECONDS = 10.0
+OPERATOR_WAIT_SECONDS = 10.0
+PUSH_TO_NODES = 3
+NEVER = float("inf")
+
+
+class NodeSettings(NamedTuple):
+    """Set up a node; `control` maps the control nodes to their peer addresses."""
+
+    node: str
+    incarnation: str
+    data_centre: str
+    peer_address: str
+    caller_address: str
+    entry: bool
+    control: dict[str, str]
+    peers: dict[str, str] = {}
+    timing: Timing = Timing()
+    uses_platform: bool = False
+    linger: float = 10.0
+    started_ms: int = 1
+    compact_entries: int = 1000
+
+
+class NodeCore:
+    """Step one process; the shell does all I/O and owns the clock."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        loaded: Loaded | None,
+        rng: random.Random,
+        now: float,
+        view: SharedView | None = None,
+    ) -> None:
+        self.settings = settings
+        self._rng = rng
+        self.members = MembershipTable(
+            _own_row(settings, loaded is not None), _seeds(settings), rng
+        )
+        self.submitter = Submitter(settings.node, sorted(settings.control))
+        self.control: ControlCore | None = None
+        self.entry: EntryCore | None = None
+        self.view = SharedView()
+        if loaded is not None:
+            self.control = self._make_control(loaded, rng, now)
+        if settings.entry:
+            self.entry = EntryCore(
+                settings.node,
+                settings.incarnation,
+                settings.data_centre,
+                self.submitter,
+                rng,
+            )
+        self._effects: list[Effect | ToNode] = []
+        self._word_at = -NEVER
+        self._listed_at = -NEVER
+        self._ask_due = 0.0
+        self._join = ""
+        self._joined_index = 0
+        self._joined = False
+        self._stopping_at = NEVER
+        self._leave = ""
+        self._left = False
+        self._leave_until = NEVER
+        self._operator: set[str] = set()
+        self._replica_changes: dict[str, tuple[ChangeReplica, float, float]] = {}
+        if view is not None:
+            self._load_view(now, view)
+
+    def step(self, now: float, wall: float, events: Sequence[Event]) -> list[Effect]:
+        """Take in events, run what is due and return the effects."""
+        for event in events:
+            self._handle(now, wall, event)
+        self._tick(now, wall)
+        effects, self._effects = self._effects, []
+        return self._deliver_local(now, wall, effects)
+
+    def age(self, now: float) -> float:
+        """Return how old this node's word from control may be, in seconds."""
+        return now - self._word_at
+
+    def refusal(self, now: float) -> str:
+        """Return why this node takes no new work, or nothing if it does."""
+        if now >= self._stopping_at + self.settings.linger:
+            return "this node is leaving"
+        if not self._joined:
+            return "this node has not joined yet"
+        if min(self.age(now), now - self._listed_at) > STALE_SECONDS:
+            return "this node is cut off from the control group"
+        return ""
+
+    # Events
+
+    def _handle(self, now: float, wall: float, event: Event) -> None:
+        match event:
+            case Received(sender, message):
+                self._receive(now, wall, sender, message)
+            case RequestArrived():
+                self._on_request(now, event)
+            case Persisted() | StorageLost() | EngineRead() | OrderEnded():
+                if self.control:
+                    self.control.handle(now, wall, event)
+            case PlatformListed():
+                self._on_platform(now, wall, event)
+            case CommandGiven(request, command):
+                self._operator.add(request)
+                until = now + OPERATOR_WAIT_SECONDS
+                self.submitter.submit_as(request, command, until)
+            case ReplicaChangeGiven(request, node, admit):
+                change = ChangeReplica(request, node, admit)
+                until = now + OPERATOR_WAIT_SECONDS
+                self._replica_changes[request] = (change, until, now)
+            case StopAsked():
+                self._on_stop(now)
+            case _ if isinstance(event, EntryEvent):
+                if self.entry:
+                    self.entry.handle(now, event)
+
+    def _receive(self, now: float, wall: float, sender: str, message: Message) -> None:
+        match message:
+            case Ping() | PingReply() | PingRequest():
+                self._on_gossip(now, sender, message)
+            case SubmitReply():
+                ended = self.submitter.on_reply(message)
+                if ended is not None:
+                    self._on_result(now, ended.request, ended.result)
+            case NotLeader():
+                self.submitter.on_not_leader(now, sender, message)
+            case ReplicaChanged():
+                if self._replica_changes.pop(message.request, None):
+                    ended_change = ReplicaChangeEnded(
+                        message.request, message.accepted, message.reason
+                    )
+                    self._effects.append(ended_change)
+            case ViewUpdate(view):
+                self._load_view(now, view)
+            case ControlWord():
+                self._on_word(now, message)
+            case PullView(revision) if self.view.revision > revision:
+                self._send(sender, ViewUpdate(self.view))
+            case Hello() | Submit() | ChangeReplica() | AskControl():
+                if self.control:
+                    self.control.receive(now, wall, sender, message)
+            case _ if isinstance(message, RaftMessage) and self.control:
+                self.control.receive(now, wall, sender, message)
+
+    def _on_request(self, now: float, event: RequestArrived) -> None:
+        if self.entry is None:
+            return
+        reason = self.refusal(now)
+        if reason:
+            self.entry.refuse(event.request, reason, 1.0)
+        else:
+            self.entry.handle(now, event)
+
+    def _on_gossip(self, now: float, sender: str, message: Gossip) -> None:
+        if isinstance(message, Ping | PingReply):
+            self._note_age(now, message.age)
+            if message.revision > self.view.revision:
+                self._send(sender, PullView(self.view.revision))
+        for outgoing in self.members.receive(now, sender, message):
+            self._gossip(outgoing)
+
+    def _on_platform(self, now: float, wall: float, event: PlatformListed) -> None:
+        self._listed_at = now
+        if self.entry:
+            self.entry.note_leaving(event.leaving)
+        if self.control:
+            self.control.handle(now, wall, event)
+        if self.settings.node in event.leaving:
+            self._on_stop(now)
+
+    def _on_word(self, now: float, message: ControlWord) -> None:
+        self._note_age(now, message.age)
+        if self.control:
+            self.control.note_word(now, message.age)
+        current = self.view.revision >= message.revision
+        if self._joined_index and message.applied >= self._joined_index and current:
+            self._joined = True
+
+    def _on_result(self, now: float, request: str, result: Result | None) -> None:
+        if request in self._operator:
+            self._operator.discard(request)
+            self._effects.append(CommandEnded(request, result))
+        elif request == self._join:
+            self._join = ""
+            if isinstance(result, Done):
+                self._joined_index = result.index
+        elif request == self._leave:
+            self._left = True
+        elif self.entry:
+            self.entry.on_result(now, request, result)
+
+    # Shared view
+
+    def _load_view(self, now: float, view: SharedView) -> None:
+        """Take a view if it is newer, and push it on to a few nodes."""
+        if view.revision <= self.view.revision:
+            return
+        self.view = view
+        self.members.revision = view.revision
+        if self.entry:
+            self.entry.load_view(view)
+        for member in self.members.pick(PUSH_TO_NODES):
+            self._send(member.node, ViewUpdate(view))
+        self._effects.append(
+            log("view-in-force", revision=view.revision, version=view.version)
+        )
+
+    def _note_age(self, now: float, age: float) -> None:
+        self._word_at = max(self._word_at, now - age)
+
+    # What is due
+
+    def _tick(self, now: float, wall: float) -> None:
+        if self.control:
+            self._effects.extend(self.control.tick(now, wall))
+            self._note_age(now, self.control.age(now))
+            if self.control.state.revision > self.view.revision:
+                self._load_view(now, self.control.view())
+        self.members.age = self.age(now)
+        self._update_own(now)
+        for outgoing in self.members.tick(now):
+            self._gossip(outgoing)
+        if self.entry:
+            self._tick_entry(now)
+        self._tick_submissions(now)
+        self._tick_replica_changes(now)
+        self._tick_stop(now)
+
+    def _tick_entry(self, now: float) -> None:
+        assert self.entry is not None
+        self.entry.node_count = self.members.entry_count()
+        self._effects.extend(self.entry.tick(now))
+        wants_join = not self._joined and self._stopping_at == NEVER
+        if wants_join and not self._join and not self._joined_index:
+            command = JoinNode(self.settings.node, self.settings.incarnation)
+            until = now + JOIN_WAIT_SECONDS
+            self._join = self.submitter.submit(now, command, until)
+        if now >= self._ask_due:
+            wait = ASK_SECONDS if self._joined else ASK_SECONDS / 4
+            self._ask_due = now + wait
+            target = self._rng.choice(sorted(self.settings.control))
+            self._send(target, AskControl(self.view.revision, self._joined_index))
+
+    def _tick_submissions(self, now: float) -> None:
+        messages, ended = self.submitter.tick(now)
+        for node, message in messages:
+            self._send(node, message)
+        for item in ended:
+            self._on_result(now, item.request, None)
+
+    def _tick_replica_changes(self, now: float) -> None:
+        for request, (change, until, due) in list(self._replica_changes.items()):
+            if now >= until:
+                del self._replica_changes[request]
+                reason = "no control leader answered"
+                self._effects.append(ReplicaChangeEnded(request, False, reason))
+            elif now >= due:
+                self._replica_changes[request] = (change, until, now + 1.0)
+                for node in sorted(self.settings.control):
+                    self._send(node, change)
+
+    def _update_own(self, now: float) -> None:
+        stopping = self._stopping_at < NEVER
+        status = MemberStatus.LEAVING if stopping else MemberStatus.ALIVE
+        own = self.members.own._replace(
+            status=status,
+            serving=self.entry is not None and not self.refusal(now),
+            version=self.view.version,
+        )
+        self.members.update_own(now, own)
+
+    # Stop
+
+    def _on_stop(self, now: float) -> None:
+        if self._stopping_at < NEVER:
+            return
+        self._stopping_at = now
+        self._effects.append(log("stop-begins", linger=self.settings.linger))
+        if self.control:
+            self.control.give_up_leadership(now)
+
+    def _tick_stop(self, now: float) -> None:
+        """Leave once the address answers have run out and nothing is open."""
+        if now < self._stopping_at + (self.settings.linger if self.entry else 0.0):
+            return
+        if self.entry and len(self.entry.requests):
+            return
+        if self.entry and not self._leave:
+            command = RemoveNode(self.settings.node, self.settings.incarnation)
+            self._leave_until = now + LEAVE_WAIT_SECONDS
+            self._leave = self.submitter.submit(now, command, self._leave_until)
+        if self._left or not self.entry or now >= self._leave_until:
+            self._effects.append(StopProcess())
+
+    # Sending
+
+    def _send(self, node: str, message: Message) -> None:
+        self._effects.append(ToNode(node, message))
+
+    def _gossip(self, outgoing: Outgoing) -> None:
+        self._effects.append(ToNode(outgoing.member.node, outgoing.message))
+
+    def _address_of(self, node: str) -> str:
+        member = self.members.find(node)
+        if member is not None and member.peer_address:
+            return member.peer_address
+        return self.settings.control.get(node, "")
+
+    def _deliver_local(
+        self, now: float, wall: float, effects: Sequence[Effect | ToNode]
+    ) -> list[Effect]:
+        """Hand messages to this node straight back to it."""
+        done: list[Effect | ToNode] = []
+        pending = list(effects)
+        while pending:
+            effect = pending.pop(0)
+            if isinstance(effect, ToNode) and effect.node == self.settings.node:
+                self._receive(now, wall, self.settings.node, effect.message)
+                if self.control:
+                    self._effects.extend(self.control.tick(now, wall))
+                pending.extend(self._effects)
+                self._effects = []
+            else:
+                done.append(effect)
+        return resolve(done, self._address_of)
+
+    def _make_control(
+        self, loaded: Loaded, rng: random.Random, now: float
+    ) -> ControlCore:
+        settings = ControlSettings(
+            node=self.settings.node,
+            initial=tuple(sorted(self.settings.control)),
+            timing=self.settings.timing,
+            uses_platform=self.settings.uses_platform,
+            compact_entries=self.settings.compact_entries,
+        )
+        return ControlCore(settings, loaded, rng, now, self.members.status)
+
+
+def _own_row(settings: NodeSettings, control: bool) -> MemberRow:
+    return MemberRow(
+        settings.node,
+        settings.started_ms,
+        MemberStatus.ALIVE,
+        settings.peer_address,
+        settings.caller_address,
+        settings.data_centre,
+        settings.entry,
+        control,
+    )
+
+
+def _seeds(settings: NodeSettings) -> list[MemberRow]:
+    known = {**settings.peers, **settings.control}
+    alive = MemberStatus.ALIVE
+    return [
+        MemberRow(node, 0, alive, address, "", "", entry=False, control=False)
+        for node, address in sorted(known.items())
+    ]
--- /dev/null
+++ b/hawthornshelf/operators.py
@@ -0,0 +1,192 @@
+"""Serve operators and collectors over HTTP."""
+
+import hmac
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import msgspec
+from sanic import Sanic
+from sanic.request import Request
+from sanic.response import HTTPResponse, raw
+
+from hawthornshelf.commands import (
+    Command,
+    DrainUpstream,
+    ProposeConfiguration,
+    ReleaseUpstream,
+    Result,
+)
+from hawthornshelf.declarations import check_configuration
+from hawthornshelf.messages import CODEC
+from hawthornshelf.metrics import WindowRow
+from hawthornshelf.status import ConfigurationReport, NodeReport
+
+__all__ = ["AddressAnswer", "Office", "OperatorServer", "ReplicaAnswer"]
+
+OPERATOR_DRAIN = "operator"
+TOKEN_HEADER = "x-operator-token"
+
+
+class AddressAnswer(msgspec.Struct):
+    """Hold the addresses for a caller; `max_age` is in seconds."""
+
+    addresses: list[str]
+    max_age: float
+
+
+class ReplicaAnswer(msgspec.Struct):
+    """Hold the outcome of a change of replicas."""
+
+    accepted: bool
+    reason: str
+
+
+class _UpstreamName(msgspec.Struct):
+    upstream: str
+
+
+class _ReplicaNode(msgspec.Struct):
+    node: str
+    admit: bool
+
+
+class Office(Protocol):
+    """Answer what operators ask; the shell provides it."""
+
+    def addresses_near(self, data_centre: str) -> AddressAnswer:
+        """Return where callers of a data centre should connect."""
+
+    def report(self) -> NodeReport:
+        """Return what this node knows."""
+
+    def report_configuration(self) -> ConfigurationReport:
+        """Return the configuration in force here and its history."""
+
+    def windows(self) -> list[WindowRow]:
+        """Return the minutes of outcomes that this node keeps."""
+
+    def export_metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+
+    def refusal(self) -> str:
+        """Return why this node takes no work, or nothing."""
+
+    async def run_command(self, command: Command) -> Result | None:
+        """Commit a command and return its result, or None if none came."""
+
+    async def change_replica(self, node: str, admit: bool) -> ReplicaAnswer:
+        """Admit or remove the replica of a node."""
+
+
+Handler = Callable[..., Awaitable[HTTPResponse]]
+
+
+class OperatorServer:
+    """Answer the operators' calls through the office."""
+
+    def __init__(self, app: Sanic, office: Office, token: str) -> None:
+        self._office = office
+        self._token = token
+        app.add_route(self._addresses, "/v1/addresses")
+        app.add_route(self._health, "/healthz")
+        app.add_route(self._metrics, "/metrics")
+        routes: tuple[tuple[Handler, str, str], ...] = (
+            (self._status, "status", "GET"),
+            (self._configuration, "configuration", "GET"),
+            (self._windows, "windows", "GET"),
+            (self._propose, "propose", "POST"),
+            (self._drain, "drain", "POST"),
+            (self._release, "release", "POST"),
+            (self._change_replica, "replicas", "POST"),
+        )
+        for handler, name, method in routes:
+            guarded = self._guard(handler, name)
+            app.add_route(guarded, f"/v1/operator/{name}", methods=[method])
+
+    def _guard(self, handler: Handler, name: str) -> Handler:
+        async def guarded(http: Request) -> HTTPResponse:
+            given = http.headers.get(TOKEN_HEADER, "")
+            if not hmac.compare_digest(given.encode(), self._token.encode()):
+                return _problem(401, "operator token is missing or wrong")
+            return await handler(http)
+
+        guarded.__name__ = f"operator_{name}"
+        return guarded
+
+    async def _addresses(self, http: Request) -> HTTPResponse:
+        answer = self._office.addresses_near(http.args.get("data_centre", ""))
+        headers = {"cache-control": f"max-age={int(answer.max_age)}"}
+        return _json(answer, headers=headers)
+
+    async def _health(self, http: Request) -> HTTPResponse:
+        reason = self._office.refusal()
+        return _problem(503, reason) if reason else _json({"status": "ok"})
+
+    async def _metrics(self, http: Request) -> HTTPResponse:
+        body = self._office.export_metrics()
+        return raw(body, content_type="text/plain; version=0.0.4; charset=utf-8")
+
+    async def _status(self, http: Request) -> HTTPResponse:
+        return _json(self._office.report())
+
+    async def _configuration(self, http: Request) -> HTTPResponse:
+        return _json(self._office.report_configuration())
+
+    async def _windows(self, http: Request) -> HTTPResponse:
+        return _json(self._office.windows())
+
+    async def _propose(self, http: Request) -> HTTPResponse:
+        try:
+            command = msgspec.json.decode(http.body, type=ProposeConfiguration)
+            check_configuration(command.configuration)
+        except msgspec.DecodeError as error:
+            return _problem(400, str(error))
+        except ExceptionGroup as group:
+            reasons = "; ".join(str(error) for error in group.exceptions)
+            return _problem(422, reasons)
+        return await self._run(command)
+
+    async def _drain(self, http: Request) -> HTTPResponse:
+        return await self._run_on_upstream(
+            http, lambda name: DrainUpstream(name, OPERATOR_DRAIN)
+        )
+
+    async def _release(self, http: Request) -> HTTPResponse:
+        return await self._run_on_upstream(http, ReleaseUpstream)
+
+    async def _change_replica(self, http: Request) -> HTTPResponse:
+        try:
+            wanted = msgspec.json.decode(http.body, type=_ReplicaNode)
+        except msgspec.DecodeError as error:
+            return _problem(400, str(error))
+        return _json(await self._office.change_replica(wanted.node, wanted.admit))
+
+    async def _run_on_upstream(
+        self, http: Request, make: Callable[[str], Command]
+    ) -> HTTPResponse:
+        try:
+            name = msgspec.json.decode(http.body, type=_UpstreamName).upstream
+        except msgspec.DecodeError as error:
+            return _problem(400, str(error))
+        known = self._office.report_configuration().configuration.runners()
+        if name not in known:
+            return _problem(404, f"no upstream is named {name}")
+        return await self._run(make(name))
+
+    async def _run(self, command: Command) -> HTTPResponse:
+        result = await self._office.run_command(command)
+        if result is None:
+            reason = "no control leader answered; it is safe to send this again"
+            return _problem(503, reason)
+        return raw(CODEC.encode(result), content_type="application/msgpack")
+
+
+def _json(body: object, headers: dict[str, str] | None = None) -> HTTPResponse:
+    data = msgspec.json.encode(body)
+    return raw(data, headers=headers, content_type="application/json")
+
+
+def _problem(status: int, reason: str) -> HTTPResponse:
+    body = {"type": "about:blank", "status": status, "detail": reason}
+    data = msgspec.json.encode(body)
+    return raw(data, status=status, content_type="application/problem+json")
--- /dev/null
+++ b/hawthornshelf/porcelain.py
@@ -0,0 +1,184 @@
+"""Offer what operators do as plain functions."""
+
+import asyncio
+import secrets
+from collections.abc import Sequence
+from datetime import UTC, datetime
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from hawthornshelf.commands import ProposeConfiguration, Result
+from hawthornshelf.configuration import Configuration
+from hawthornshelf.errors import ControlUnavailable, RequestRefused
+from hawthornshelf.messages import CODEC
+from hawthornshelf.operators import TOKEN_HEADER, AddressAnswer, ReplicaAnswer
+from hawthornshelf.status import ConfigurationReport, ControlReport, NodeReport
+from hawthornshelf.texttable import format_table
+
+__all__ = [
+    "change_replica",
+    "describe_status",
+    "drain_upstream",
+    "fetch_addresses",
+    "fetch_configuration",
+    "fetch_status",
+    "format_stamp",
+    "make_change_id",
+    "propose_configuration",
+    "release_upstream",
+]
+
+CALL_SECONDS = 15.0
+
+Answer = TypeVar("Answer")
+
+
+def make_change_id() -> str:
+    """Return a change id that no other change has."""
+    return secrets.token_hex(8)
+
+
+def fetch_addresses(at: Sequence[str], data_centre: str = "") -> AddressAnswer:
+    """Return the addresses for callers; raise ControlUnavailable."""
+    path = f"/v1/addresses?data_centre={data_centre}"
+    return _get(at, path, AddressAnswer)
+
+
+def fetch_status(at: Sequence[str], token: str = "") -> NodeReport:
+    """Return what the first node that answers knows; raise ControlUnavailable."""
+    return _get(at, "/v1/operator/status", NodeReport, token)
+
+
+def fetch_configuration(at: Sequence[str], token: str = "") -> ConfigurationReport:
+    """Return the configuration in force; raise ControlUnavailable."""
+    path = "/v1/operator/configuration"
+    return _get(at, path, ConfigurationReport, token)
+
+
+def propose_configuration(
+    at: Sequence[str],
+    configuration: Configuration,
+    base_version: int,
+    change_id: str,
+    operator: str,
+    token: str = "",
+) -> Result:
+    """Propose a configuration; sending the same change id again is safe."""
+    command = ProposeConfiguration(change_id, base_version, operator, configuration)
+    return _run(at, "/v1/operator/propose", command, token)
+
+
+def drain_upstream(at: Sequence[str], upstream: str, token: str = "") -> Result:
+    """Stop new work for an upstream; sending it again is safe."""
+    return _run(at, "/v1/operator/drain", {"upstream": upstream}, token)
+
+
+def release_upstream(at: Sequence[str], upstream: str, token: str = "") -> Result:
+    """End the drain of an upstream; sending it again is safe."""
+    return _run(at, "/v1/operator/release", {"upstream": upstream}, token)
+
+
+def change_replica(
+    at: Sequence[str], node: str, admit: bool, token: str = ""
+) -> ReplicaAnswer:
+    """Admit or remove the control replica of a node; sending it again is safe."""
+    body = msgspec.json.encode({"node": node, "admit": admit})
+    data = _call(at, "POST", "/v1/operator/replicas", body, token)
+    return msgspec.json.decode(data, type=ReplicaAnswer)
+
+
+def format_stamp(seconds: float) -> str:
+    """Return seconds since the epoch as an ISO time in UTC."""
+    return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="seconds")
+
+
+def describe_status(report: NodeReport) -> str:
+    """Return a status as tables."""
+    parts = [
+        f"node {report.node}: version {report.version}, "
+        f"word from control {report.age:.1f} s old, "
+        f"{report.refusal or 'serving'}, {report.open_requests} open requests"
+    ]
+    members = [
+        (m.node, m.status, m.caller_address, m.data_centre, m.serving, m.version)
+        for m in report.members
+    ]
+    heads = ("node", "status", "address", "data centre", "serving", "version")
+    parts.append(format_table(heads, members))
+    if report.control:
+        parts.extend(_describe_control(report.control))
+    return "\n\n".join(parts)
+
+
+def _describe_control(control: ControlReport) -> list[str]:
+    parts = [
+        f"control: {control.role} in term {control.term}, leader "
+        f"{control.leader or 'unknown'}, commit {control.commit}, "
+        f"{control.claims} claims"
+    ]
+    if control.stopped:
+        parts.append(f"this replica has stopped: {control.stopped}")
+    drains = [
+        (d.upstream, d.reason, ",".join(d.awaited) or "nobody") for d in control.drains
+    ]
+    if drains:
+        parts.append(format_table(("drained", "reason", "waits for"), drains))
+    orders = [(o.upstream, o.order, o.fence, o.finished) for o in control.orders]
+    if orders:
+        parts.append(format_table(("engine", "order", "fence", "done"), orders))
+    return parts
+
+
+def _get(at: Sequence[str], path: str, kind: type[Answer], token: str = "") -> Answer:
+    return msgspec.json.decode(_call(at, "GET", path, b"", token), type=kind)
+
+
+def _run(at: Sequence[str], path: str, body: object, token: str) -> Result:
+    data = _call(at, "POST", path, msgspec.json.encode(body), token)
+    return CODEC.decode(data, "operator interface")
+
+
+def _call(at: Sequence[str], method: str, path: str, body: bytes, token: str) -> bytes:
+    return asyncio.run(call_any(at, method, path, body, token))
+
+
+async def call_any(
+    at: Sequence[str], method: str, path: str, body: bytes, token: str
+) -> bytes:
+    """Call the nodes in turn until one answers; raise ControlUnavailable."""
+    faults: list[Exception] = []
+    timeout = aiohttp.ClientTimeout(total=CALL_SECONDS, sock_connect=2.0)
+    async with aiohttp.ClientSession(timeout=timeout, trust_env=False) as session:
+        for address in at:
+            try:
+                return await _call_one(session, address, method, path, body, token)
+            except RequestRefused as error:
+                if error.status != 503:
+                    raise
+                faults.append(error)
+            except (aiohttp.ClientError, TimeoutError) as error:
+                faults.append(error)
+    reasons = "; ".join(f"{type(e).__name__}: {e}" for e in faults)
+    step = f"{method} {path}"
+    raise ControlUnavailable(step, ",".join(at), reasons or "no address given")
+
+
+async def _call_one(
+    session: aiohttp.ClientSession,
+    address: str,
+    method: str,
+    path: str,
+    body: bytes,
+    token: str,
+) -> bytes:
+    headers = {TOKEN_HEADER: token}
+    url = f"http://{address}{path}"
+    async with session.request(method, url, data=body, headers=headers) as response:
+        data = await response.read()
+        if response.status != 200:
+            reason = data.decode(errors="replace")
+            step = f"{method} {path}"
+            raise RequestRefused(step, address, reason, response.status)
+        return data
--- /dev/null
+++ b/hawthornshelf/process.py
@@ -0,0 +1,357 @@
+"""Run one node: turn sockets, files and time into events, and effects into I/O."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+import secrets
+import signal
+from typing import Any
+
+import uvloop
+
+from hawthornshelf.callerapi import CallerRequest
+from hawthornshelf.callers import CallerServer, Reply, make_app
+from hawthornshelf.clock import Clock, SystemClock
+from hawthornshelf.commands import Command, Result
+from hawthornshelf.diskwriter import DiskWriter
+from hawthornshelf.effects import (
+    CancelAttempt,
+    CommandEnded,
+    Dispatch,
+    Effect,
+    Finish,
+    LogLine,
+    ReadEngine,
+    ReadLoad,
+    Refuse,
+    ReplicaChangeEnded,
+    Send,
+    SendChunk,
+    SendOrder,
+    StopProcess,
+)
+from hawthornshelf.events import (
+    AttemptRefused,
+    CallerGone,
+    CommandGiven,
+    Event,
+    Received,
+    ReplicaChangeGiven,
+    StopAsked,
+)
+from hawthornshelf.log import Persist
+from hawthornshelf.logs import start_logging, write_log
+from hawthornshelf.messages import Message
+from hawthornshelf.metrics import Metrics, WindowRow
+from hawthornshelf.node import NodeCore, NodeSettings
+from hawthornshelf.operators import AddressAnswer, OperatorServer, ReplicaAnswer
+from hawthornshelf.peers import PeerClient, PeerServer
+from hawthornshelf.raft import Timing
+from hawthornshelf.settings import Settings
+from hawthornshelf.status import (
+    ConfigurationReport,
+    NodeReport,
+    report_configuration,
+    report_node,
+)
+from hawthornshelf.storage import DiskStorage
+from hawthornshelf.upstreamclient import UpstreamClient
+
+__all__ = ["Process", "run_process"]
+
+TICK_SECONDS = 0.05
+PLATFORM_SECONDS = 1.0
+FLUSH_SECONDS = 1.0
+HEARTBEATS_PER_ELECTION = 6
+MAX_ADDRESSES = 4
+
+
+class _Exchange:
+    """Hold one open request of a caller."""
+
+    def __init__(self, request: CallerRequest, started: float) -> None:
+        self.request = request
+        self.started = started
+        self.replies: asyncio.Queue[Reply] = asyncio.Queue()
+
+
+class Process:
+    """Own the core, the clock and everything that does I/O."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = random.Random(settings.seed or None)
+        self._events: list[Event] = []
+        self._scheduled = False
+        self._stopped = asyncio.Event()
+        self._exchanges: dict[str, _Exchange] = {}
+        self._answers: dict[str, asyncio.Future[Any]] = {}
+        self._incarnation = secrets.token_hex(6)
+        self._numbers = itertools.count(1)
+        self._metrics = Metrics()
+        self._writer: DiskWriter | None = None
+        loaded = None
+        if "control" in settings.roles and settings.data is not None:
+            storage = DiskStorage(settings.data / "control", secrets.token_hex(8))
+            loaded = storage.load()
+            self._writer = DiskWriter(storage, self.post)
+        now = clock.monotonic()
+        self._core = NodeCore(self._node_settings(), loaded, self._rng, now)
+        self._upstreams = UpstreamClient(clock, self.post)
+        self._peer_server = PeerServer(settings.group, self._on_message)
+        self._peer_client = PeerClient(settings.group, settings.node)
+        self._http: Any = None
+
+    async def run(self) -> None:
+        """Serve until a graceful stop has ended."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.post, StopAsked())
+        await self._peer_server.start(self._settings.peer_listen)
+        await self._start_http()
+        write_log("started", incarnation=self._incarnation)
+        tasks = [asyncio.create_task(self._tick_forever())]
+        if self._settings.platform:
+            tasks.append(asyncio.create_task(self._poll_platform()))
+        await self._stopped.wait()
+        await self._close(tasks)
+
+    def post(self, event: Event) -> None:
+        """Queue an event and step the core soon."""
+        self._events.append(event)
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._step)
+
+    # What callers and operators need
+
+    def new_request(self) -> str:
+        """Return a request id that no other request has."""
+        number = next(self._numbers)
+        return f"{self._settings.node}-{self._incarnation}-{number}"
+
+    def open(self, request: CallerRequest) -> "asyncio.Queue[Reply]":
+        """Hand a request to the core and return where its replies arrive."""
+        exchange = _Exchange(request, self._clock.monotonic())
+        self._exchanges[request.event.request] = exchange
+        self.post(request.event)
+        return exchange.replies
+
+    def close(self, request: str, finished: bool) -> None:
+        """Forget a request; one that is not finished has lost its caller."""
+        if not finished:
+            self._exchanges.pop(request, None)
+            self.post(CallerGone(request))
+
+    def addresses(self) -> list[str]:
+        """Return the addresses that callers may use."""
+        return self.addresses_near("").addresses
+
+    def addresses_near(self, data_centre: str) -> AddressAnswer:
+        """Return where callers of a data centre should connect."""
+        rows = list(self._core.members.serving())
+        self._rng.shuffle(rows)
+        rows.sort(key=lambda row: row.data_centre != data_centre)
+        found = [row.caller_address for row in rows[:MAX_ADDRESSES]]
+        return AddressAnswer(found, self._settings.linger.total_seconds())
+
+    def report(self) -> NodeReport:
+        """Return what this node knows."""
+        return report_node(self._core, self._clock.monotonic())
+
+    def report_configuration(self) -> ConfigurationReport:
+        """Return the configuration in force here and its history."""
+        return report_configuration(self._core)
+
+    def windows(self) -> list[WindowRow]:
+        """Return the minutes of outcomes that this node keeps."""
+        return self._metrics.windows()
+
+    def export_metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        now = self._clock.monotonic()
+        core = self._core
+        gauges = {
+            "configuration_version": float(core.view.version),
+            "control_word_age_seconds": min(core.age(now), 1e9),
+            "open_requests": float(len(core.entry.requests) if core.entry else 0),
+            "leads_control_group": float(
+                core.control is not None and core.control.raft.is_leader
+            ),
+        }
+        return self._metrics.export(gauges)
+
+    def refusal(self) -> str:
+        """Return why this node takes no work, or nothing."""
+        return self._core.refusal(self._clock.monotonic()) if self._core.entry else ""
+
+    async def run_command(self, command: Command) -> Result | None:
+        """Commit a command and return its result, or None if none came."""
+        request = f"operator-{self.new_request()}"
+        return await self._ask(request, CommandGiven(request, command))
+
+    async def change_replica(self, node: str, admit: bool) -> ReplicaAnswer:
+        """Admit or remove the replica of a node."""
+        request = f"operator-{self.new_request()}"
+        return await self._ask(request, ReplicaChangeGiven(request, node, admit))
+
+    async def _ask(self, request: str, event: Event) -> Any:
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._answers[request] = future
+        self.post(event)
+        try:
+            return await future
+        finally:
+            self._answers.pop(request, None)
+
+    # Core
+
+    def _step(self) -> None:
+        self._scheduled = False
+        events, self._events = self._events, []
+        wall = self._clock.now().timestamp()
+        for effect in self._core.step(self._clock.monotonic(), wall, events):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(_, address, message):
+                self._peer_client.send(address, message)
+            case Persist():
+                if self._writer:
+                    self._writer.write(effect)
+            case SendChunk(request, _) | Finish(request=request):
+                self._reply(request, effect)
+            case Refuse(request=request):
+                self._reply(request, effect)
+            case Dispatch():
+                self._dispatch(effect)
+            case CancelAttempt(attempt):
+                self._upstreams.cancel(attempt)
+            case ReadLoad():
+                self._upstreams.read_load(effect)
+            case ReadEngine():
+                self._upstreams.read_engine(effect)
+            case SendOrder():
+                self._upstreams.send_order(effect)
+            case CommandEnded(request, result):
+                self._answer(request, result)
+            case ReplicaChangeEnded(request, accepted, reason):
+                self._answer(request, ReplicaAnswer(accepted, reason))
+            case LogLine(event, fields):
+                write_log(event, **{field.key: field.value for field in fields})
+            case StopProcess():
+                self._stopped.set()
+
+    def _reply(self, request: str, effect: Reply) -> None:
+        exchange = self._exchanges.get(request)
+        if exchange is None:
+            return
+        exchange.replies.put_nowait(effect)
+        if not isinstance(effect, SendChunk):
+            del self._exchanges[request]
+            self._record(exchange, effect)
+
+    def _record(self, exchange: _Exchange, end: Finish | Refuse) -> None:
+        outcome = end.outcome.value if isinstance(end, Refuse) else "complete"
+        seconds = self._clock.monotonic() - exchange.started
+        work = exchange.request.event.work or "default"
+        wall = self._clock.now().timestamp()
+        self._metrics.record(wall, work, outcome, seconds)
+        if isinstance(end, Refuse):
+            write_log(
+                "request-refused",
+                request=end.request,
+                outcome=outcome,
+                status=end.status,
+                reason=end.reason,
+            )
+
+    def _dispatch(self, effect: Dispatch) -> None:
+        exchange = self._exchanges.get(effect.request)
+        if exchange is None:
+            self.post(AttemptRefused(effect.attempt, "the caller is gone"))
+            return
+        self._upstreams.dispatch(effect, exchange.request.outbound)
+
+    def _answer(self, request: str, answer: Any) -> None:
+        future = self._answers.get(request)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    def _on_message(self, sender: str, message: Message) -> None:
+        self.post(Received(sender, message))
+
+    # Start and stop
+
+    def _node_settings(self) -> NodeSettings:
+        settings = self._settings
+        election = settings.election.total_seconds()
+        return NodeSettings(
+            node=settings.node,
+            incarnation=self._incarnation,
+            data_centre=settings.data_centre,
+            peer_address=settings.peer_listen,
+            caller_address=settings.listen,
+            entry="entry" in settings.roles,
+            control=settings.control,
+            peers=settings.peers,
+            timing=Timing(election / HEARTBEATS_PER_ELECTION, election),
+            uses_platform=bool(settings.platform),
+            linger=settings.linger.total_seconds(),
+            started_ms=int(self._clock.now().timestamp() * 1000),
+        )
+
+    async def _start_http(self) -> None:
+        app = make_app(self._settings.node)
+        OperatorServer(app, self, self._settings.operator_token)
+        if "entry" in self._settings.roles:
+            CallerServer(app, self)
+        host, _, port = self._settings.listen.rpartition(":")
+        server = await app.create_server(
+            host=host.strip("[]"),
+            port=int(port),
+            access_log=False,
+            return_asyncio_server=True,
+        )
+        await server.startup()
+        await server.start_serving()
+        self._http = server
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._step()
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _poll_platform(self) -> None:
+        while True:
+            self._upstreams.read_platform(self._settings.platform)
+            await asyncio.sleep(PLATFORM_SECONDS)
+
+    async def _close(self, tasks: list["asyncio.Task[None]"]) -> None:
+        await self._peer_client.drain(FLUSH_SECONDS)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._http.close()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._http.wait_closed(), FLUSH_SECONDS)
+        await self._upstreams.close()
+        await self._peer_server.stop()
+        await self._peer_client.stop()
+        if self._writer:
+            self._writer.close()
+        write_log("stopped")
+
+
+def run_process(settings: Settings) -> None:
+    """Run a node until it has stopped gracefully."""
+    start_logging(settings.node, settings.log_level)
+
+    async def main() -> None:
+        await Process(settings, SystemClock()).run()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
--- /dev/null
+++ b/hawthornshelf/state.py
@@ -0,0 +1,294 @@
+"""Apply committed commands to the replicated state."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from hawthornshelf.claims import ClaimRow, ClaimTable
+from hawthornshelf.commands import (
+    AckDrain,
+    ClearSuspects,
+    Command,
+    ConfigurationAccepted,
+    ConfigurationConflict,
+    Done,
+    DrainUpstream,
+    EndTrial,
+    FinishOrder,
+    JoinNode,
+    NotFound,
+    OpenClaim,
+    OpenTrial,
+    OrderPlaced,
+    PlaceOrder,
+    ProposeConfiguration,
+    RecordAnswer,
+    ReleaseClaim,
+    ReleaseUpstream,
+    RemoveNode,
+    ReportCrash,
+    Result,
+)
+from hawthornshelf.configuration import Configuration
+from hawthornshelf.suspects import SuspectRow, SuspectTable, TrialRow
+
+__all__ = [
+    "ChangeRow",
+    "DrainRow",
+    "NodeRow",
+    "OrderRow",
+    "SharedState",
+    "SharedView",
+]
+
+FENCE_TERM_SHIFT = 40
+MAX_CHANGE_OUTCOMES = 50_000
+MAX_HISTORY = 500
+
+
+class ChangeRow(NamedTuple):
+    """Hold one accepted change; `accepted` is in seconds since the epoch."""
+
+    version: int
+    change_id: str
+    operator: str
+    accepted: float
+
+
+class NodeRow(NamedTuple):
+    """Hold one entry node that may send work to upstreams."""
+
+    node: str
+    incarnation: str
+
+
+class DrainRow(NamedTuple):
+    """Hold a drain and the nodes that have confirmed it."""
+
+    upstream: str
+    index: int  # type: ignore[assignment]
+    reason: str
+    acks: tuple[NodeRow, ...] = ()
+
+
+class OrderRow(NamedTuple):
+    """Hold the last order placed for an engine."""
+
+    upstream: str
+    order: int
+    fence: int
+    command: PlaceOrder
+    finished: bool = False
+
+
+class SharedView(NamedTuple):
+    """Hold what every node must know; a higher revision replaces a lower one."""
+
+    revision: int = 0
+    version: int = 0
+    configuration: Configuration = Configuration()
+    drains: tuple[DrainRow, ...] = ()
+    suspects: tuple[SuspectRow, ...] = ()
+
+
+class _Image(NamedTuple):
+    revision: int
+    stamp: float
+    version: int
+    configuration: Configuration
+    outcomes: tuple[tuple[str, int, int], ...]
+    history: tuple[ChangeRow, ...]
+    nodes: tuple[NodeRow, ...]
+    drains: tuple[DrainRow, ...]
+    orders: tuple[OrderRow, ...]
+    claims: tuple[ClaimRow, ...]
+    released: tuple[str, ...]
+    suspects: tuple[SuspectRow, ...]
+    trials: tuple[TrialRow, ...]
+
+
+class SharedState:
+    """Hold the tables that all replicas agree on."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.stamp = 0.0
+        self.version = 0
+        self.configuration = Configuration()
+        self.outcomes: dict[str, tuple[int, int]] = {}
+        self.history: list[ChangeRow] = []
+        self.nodes: dict[str, NodeRow] = {}
+        self.drains: dict[str, DrainRow] = {}
+        self.orders: dict[str, OrderRow] = {}
+        self.claims = ClaimTable()
+        self.suspects = SuspectTable()
+
+    def apply(self, term: int, index: int, stamp: float, command: Command) -> Result:
+        """Apply one command; the same commands give the same state and results."""
+        self.stamp = max(self.stamp, stamp)
+        match command:
+            case ProposeConfiguration():
+                return self._propose(index, command)
+            case OpenClaim():
+                return self.claims.open(command, self.stamp)
+            case RecordAnswer():
+                return self.claims.record(command, index)
+            case ReleaseClaim():
+                return self.claims.release(command, index)
+            case PlaceOrder():
+                return self._place_order(term, index, command)
+            case FinishOrder():
+                return self._finish_order(index, command)
+            case JoinNode():
+                self.nodes[command.node] = NodeRow(command.node, command.incarnation)
+                return Done(index)
+            case RemoveNode():
+                return self._remove_node(index, command)
+            case _:
+                return self._apply_shared(index, command)
+
+    def view(self) -> SharedView:
+        """Return what is spread to every node."""
+        return SharedView(
+            self.revision,
+            self.version,
+            self.configuration,
+            tuple(self.drains.values()),
+            self.suspects.rows(),
+        )
+
+    def awaited(self, upstream: str) -> tuple[str, ...]:
+        """Return the nodes whose ack a drain still lacks."""
+        drain = self.drains[upstream]
+        missing = set(self.nodes.values()) - set(drain.acks)
+        return tuple(sorted(row.node for row in missing))
+
+    def dump(self) -> bytes:
+        """Return the state as bytes."""
+        image = _Image(
+            self.revision,
+            self.stamp,
+            self.version,
+            self.configuration,
+            tuple((key, *value) for key, value in self.outcomes.items()),
+            tuple(self.history),
+            tuple(self.nodes.values()),
+            tuple(self.drains.values()),
+            tuple(self.orders.values()),
+            self.claims.rows(),
+            self.claims.released(),
+            self.suspects.rows(),
+            self.suspects.trials(),
+        )
+        return msgspec.msgpack.encode(image)
+
+    @classmethod
+    def load(cls, data: bytes) -> "SharedState":
+        """Return the state that `dump` gave, or an empty one for no bytes."""
+        state = cls()
+        if not data:
+            return state
+        image = msgspec.msgpack.decode(data, type=_Image)
+        state.revision = image.revision
+        state.stamp = image.stamp
+        state.version = image.version
+        state.configuration = image.configuration
+        state.outcomes = {key: (base, got) for key, base, got in image.outcomes}
+        state.history = list(image.history)
+        state.nodes = {row.node: row for row in image.nodes}
+        state.drains = {row.upstream: row for row in image.drains}
+        state.orders = {row.upstream: row for row in image.orders}
+        state.claims = ClaimTable(image.claims, image.released)
+        state.suspects = SuspectTable(image.suspects, image.trials)
+        return state
+
+    def _apply_shared(self, index: int, command: Command) -> Result:
+        """Apply a command whose outcome every node must learn."""
+        match command:
+            case DrainUpstream():
+                return self._drain(index, command)
+            case AckDrain():
+                return self._ack_drain(index, command)
+            case ReleaseUpstream():
+                return self._release(index, command)
+            case ReportCrash():
+                self.revision = index
+                return self.suspects.report(command, index)
+            case ClearSuspects():
+                self.revision = index
+                return self.suspects.clear(command.digests, index)
+            case OpenTrial():
+                return self.suspects.open_trial(command, self.stamp)
+            case EndTrial():
+                return self.suspects.end_trial(command, index)
+            case _:
+                return NotFound(type(command).__name__)
+
+    def _propose(self, index: int, command: ProposeConfiguration) -> Result:
+        if command.change_id not in self.outcomes:
+            self._decide(index, command)
+        base, got = self.outcomes[command.change_id]
+        if base == got:
+            return ConfigurationConflict(command.base_version, got)
+        return ConfigurationAccepted(got)
+
+    def _decide(self, index: int, command: ProposeConfiguration) -> None:
+        """Record an outcome as (version before, version after); equal if refused."""
+        before = self.version
+        if command.base_version == before:
+            self.version = before + 1
+            self.configuration = command.configuration
+            self.revision = index
+            change = ChangeRow(
+                self.version, command.change_id, command.operator, self.stamp
+            )
+            self.history = [*self.history[-MAX_HISTORY + 1 :], change]
+        self.outcomes[command.change_id] = (before, self.version)
+        while len(self.outcomes) > MAX_CHANGE_OUTCOMES:
+            del self.outcomes[next(iter(self.outcomes))]
+
+    def _remove_node(self, index: int, command: RemoveNode) -> Result:
+        row = self.nodes.get(command.node)
+        if row is None or row.incarnation != command.incarnation:
+            return NotFound(command.node)
+        del self.nodes[command.node]
+        return Done(index)
+
+    def _drain(self, index: int, command: DrainUpstream) -> Result:
+        if command.upstream not in self.drains:
+            row = DrainRow(command.upstream, index, command.reason)
+            self.drains[command.upstream] = row
+            self.revision = index
+        return Done(self.drains[command.upstream].index)
+
+    def _ack_drain(self, index: int, command: AckDrain) -> Result:
+        drain = self.drains.get(command.upstream)
+        if drain is None or drain.index != command.drain:
+            return NotFound(command.upstream)
+        ack = NodeRow(command.node, command.incarnation)
+        acks = [row for row in drain.acks if row.node != command.node]
+        acks.append(ack)
+        self.drains[command.upstream] = drain._replace(acks=tuple(sorted(acks)))
+        return Done(index)
+
+    def _release(self, index: int, command: ReleaseUpstream) -> Result:
+        drain = self.drains.get(command.upstream)
+        if drain is None or command.drain not in (0, drain.index):
+            return NotFound(command.upstream)
+        del self.drains[command.upstream]
+        self.revision = index
+        return Done(index)
+
+    def _place_order(self, term: int, index: int, command: PlaceOrder) -> Result:
+        fence = (term << FENCE_TERM_SHIFT) | index
+        self.orders[command.upstream] = OrderRow(
+            command.upstream, index, fence, command
+        )
+        return OrderPlaced(index, fence)
+
+    def _finish_order(self, index: int, command: FinishOrder) -> Result:
+        row = self.orders.get(command.upstream)
+        if row is None or row.order != command.order:
+            return NotFound(command.upstream)
+        self.orders[command.upstream] = row._replace(finished=True)
+        return Done(index)
--- /dev/null
+++ b/hawthornshelf/storage.py
@@ -0,0 +1,223 @@
+"""Keep a replica's vote, log and snapshot: in memory and on disk."""
+
+import contextlib
+import os
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from hawthornshelf.errors import StorageCorrupt, StorageFailed
+from hawthornshelf.log import Loaded, LogEntry, Persist, Snapshot
+from hawthornshelf.logfile import frame_record, scan_records
+
+__all__ = ["DiskStorage", "MemoryStorage", "Storage"]
+
+
+class _Record(NamedTuple):
+    term: int
+    voted_for: str
+    entries: tuple[LogEntry, ...]
+
+
+class Storage(ABC):
+    """Write batches of a replica's state so that they last once written."""
+
+    @abstractmethod
+    def load(self) -> Loaded:
+        """Return what was last written; raise StorageCorrupt."""
+
+    @abstractmethod
+    def write(self, batches: Sequence[Persist]) -> None:
+        """Write and sync the batches in order; raise StorageFailed."""
+
+    def close(self) -> None:  # noqa: B027
+        """Release what the storage holds open."""
+
+
+def _add_entries(entries: list[LogEntry], added: Sequence[LogEntry]) -> None:
+    """Put the added entries in place of all that stand at or after the first."""
+    if not added:
+        return
+    first = added[0].index
+    while entries and entries[-1].index >= first:
+        entries.pop()
+    entries.extend(added)
+
+
+class MemoryStorage(Storage):
+    """Keep the state in memory; tests decide what a crash leaves of it."""
+
+    def __init__(self, replica: str) -> None:
+        self._loaded = Loaded(replica)
+
+    def load(self) -> Loaded:
+        """Return what was last written."""
+        return self._loaded
+
+    def write(self, batches: Sequence[Persist]) -> None:
+        """Write the batches in order."""
+        for batch in batches:
+            entries = [] if batch.snapshot else list(self._loaded.entries)
+            _add_entries(entries, batch.entries)
+            self._loaded = Loaded(
+                self._loaded.replica,
+                batch.term,
+                batch.voted_for,
+                batch.snapshot or self._loaded.snapshot,
+                tuple(entries),
+            )
+
+
+class DiskStorage(Storage):
+    """Keep the state in one data folder, each batch as one synced record."""
+
+    def __init__(self, folder: Path, new_replica: str) -> None:
+        self._folder = folder
+        self._new_replica = new_replica
+        self._log = -1
+        self._failed = False
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def load(self) -> Loaded:
+        """Return what was last synced; cut a torn tail; raise StorageCorrupt."""
+        replica = self._load_identity()
+        snapshot = self._load_snapshot()
+        records = self._load_records()
+        entries: list[LogEntry] = []
+        term, voted_for = 0, ""
+        for record in records:
+            term, voted_for = record.term, record.voted_for
+            _add_entries(entries, record.entries)
+        entries = [entry for entry in entries if entry.index > snapshot.index]
+        self._check_sequence(snapshot, entries)
+        self._log = os.open(self._path("log"), os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+        return Loaded(replica, term, voted_for, snapshot, tuple(entries))
+
+    def write(self, batches: Sequence[Persist]) -> None:
+        """Write the batches as one record and sync it; raise StorageFailed."""
+        if self._failed:
+            raise StorageFailed("write log", str(self._folder), "stopped earlier")
+        try:
+            self._write(batches)
+        except OSError as error:
+            self._failed = True
+            raise StorageFailed("write log", str(self._folder), str(error)) from error
+
+    def close(self) -> None:
+        """Close the log file."""
+        if self._log >= 0:
+            os.close(self._log)
+            self._log = -1
+
+    def _write(self, batches: Sequence[Persist]) -> None:
+        snapshot: Snapshot | None = None
+        entries: list[LogEntry] = []
+        for batch in batches:
+            if batch.snapshot:
+                snapshot = batch.snapshot
+                entries = []
+            _add_entries(entries, batch.entries)
+        last = batches[-1]
+        record = _Record(last.term, last.voted_for, tuple(entries))
+        if snapshot:
+            self._rewrite(snapshot, record)
+        else:
+            self._append(record)
+
+    def _append(self, record: _Record) -> None:
+        data = frame_record(msgspec.msgpack.encode(record))
+        if os.write(self._log, data) != len(data):
+            raise OSError("short write")
+        self._sync(self._log)
+
+    def _rewrite(self, snapshot: Snapshot, record: _Record) -> None:
+        self._replace("snapshot", msgspec.msgpack.encode(snapshot))
+        self._replace("log", msgspec.msgpack.encode(record))
+        os.close(self._log)
+        self._log = os.open(self._path("log"), os.O_WRONLY | os.O_APPEND)
+
+    def _replace(self, name: str, payload: bytes) -> None:
+        """Write a whole file beside the old one, sync it and rename it over."""
+        temporary = self._path(f"{name}.new")
+        file = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+        try:
+            data = frame_record(payload)
+            if os.write(file, data) != len(data):
+                raise OSError("short write")
+            self._sync(file)
+        finally:
+            os.close(file)
+        os.replace(temporary, self._path(name))
+        self._sync_folder()
+
+    def _sync(self, file: int) -> None:
+        os.fsync(file)
+
+    def _sync_folder(self) -> None:
+        folder = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def _load_identity(self) -> str:
+        path = self._path("replica-id")
+        if not path.exists():
+            if self._path("log").exists():
+                raise self._corrupt("replica-id", "log without a replica id")
+            self._replace("replica-id", self._new_replica.encode())
+        return self._read_single("replica-id").decode()
+
+    def _load_snapshot(self) -> Snapshot:
+        if not self._path("snapshot").exists():
+            return Snapshot()
+        data = self._read_single("snapshot")
+        try:
+            return msgspec.msgpack.decode(data, type=Snapshot)
+        except msgspec.DecodeError as error:
+            raise self._corrupt("snapshot", str(error)) from error
+
+    def _load_records(self) -> list[_Record]:
+        path = self._path("log")
+        if not path.exists():
+            return []
+        data = path.read_bytes()
+        scan = scan_records(data)
+        if scan.corrupt_middle:
+            raise self._corrupt("log", f"bad record at byte {scan.good_bytes}")
+        if scan.good_bytes < len(data):
+            self._cut_tail(path, scan.good_bytes)
+        try:
+            return [msgspec.msgpack.decode(r, type=_Record) for r in scan.records]
+        except msgspec.DecodeError as error:
+            raise self._corrupt("log", str(error)) from error
+
+    def _cut_tail(self, path: Path, length: int) -> None:
+        with open(path, "r+b") as file:
+            file.truncate(length)
+            self._sync(file.fileno())
+
+    def _read_single(self, name: str) -> bytes:
+        scan = scan_records(self._path(name).read_bytes())
+        if len(scan.records) != 1:
+            raise self._corrupt(name, "checksum does not match")
+        return scan.records[0]
+
+    def _check_sequence(self, snapshot: Snapshot, entries: list[LogEntry]) -> None:
+        for expected, entry in enumerate(entries, snapshot.index + 1):
+            if entry.index != expected:
+                reason = f"entry {expected} is missing"
+                raise self._corrupt("log", reason)
+
+    def _corrupt(self, name: str, reason: str) -> StorageCorrupt:
+        return StorageCorrupt("read data folder", str(self._path(name)), reason)
+
+    def _path(self, name: str) -> Path:
+        return self._folder / name
+
+    def __del__(self) -> None:
+        with contextlib.suppress(OSError):
+            self.close()
--- /dev/null
+++ b/hawthornshelf/upstreams.py
@@ -0,0 +1,185 @@
+"""Keep what an entry node knows of each upstream, and choose among them."""
+
+import math
+import random
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from hawthornshelf.configuration import Configuration, EngineService, Runner
+from hawthornshelf.effects import ReadLoad
+from hawthornshelf.events import LoadReport, LoadReported
+from hawthornshelf.prefixes import PrefixTable
+
+__all__ = ["Choice", "UpstreamRow", "UpstreamTable"]
+
+LOAD_READ_SECONDS = 1.0
+LOAD_HALF_LIFE_SECONDS = 2.0
+RETRY_DOWN_SECONDS = 1.0
+PREFILL_TOKENS_PER_SECOND = 8000.0
+TOKENS_PER_BLOCK = 16
+SLOT_SECONDS = 1.0
+SAMPLED_CHOICES = 3
+SMOOTHING = 0.2
+
+
+class UpstreamRow(NamedTuple):
+    """Hold one upstream; times are monotonic seconds."""
+
+    runner: Runner
+    service: str
+    is_engine: bool
+    boot: str = ""
+    in_flight: int = 0
+    tokens_in_flight: int = 0
+    report: LoadReport | None = None
+    reported_at: float = float("-inf")
+    asked_at: float = float("-inf")
+    down_until: float = float("-inf")
+
+
+class Choice(NamedTuple):
+    """Hold the upstream chosen and the seconds it is expected to need to start."""
+
+    row: UpstreamRow
+    estimate: float
+
+
+class UpstreamTable:
+    """Hold all upstreams of the configuration in force, indexed by service."""
+
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
+        self._data_centre = data_centre
+        self._rng = rng
+        self._rows: dict[str, UpstreamRow] = {}
+        self._by_service: dict[str, list[str]] = {}
+        self.prefixes = PrefixTable()
+        self.blocked: frozenset[str] = frozenset()
+
+    def load(self, configuration: Configuration) -> None:
+        """Take the runners of a configuration, keeping what is known of them."""
+        rows: dict[str, UpstreamRow] = {}
+        by_service: dict[str, list[str]] = {}
+        for deployment in configuration.deployments:
+            for service in deployment.all_services():
+                is_engine = isinstance(service, EngineService)
+                for runner in service.runners:
+                    fresh = UpstreamRow(runner, service.name, is_engine)
+                    known = self._rows.get(runner.name, fresh)
+                    rows[runner.name] = known._replace(
+                        runner=runner, service=service.name, is_engine=is_engine
+                    )
+                    by_service.setdefault(service.name, []).append(runner.name)
+        self._rows, self._by_service = rows, by_service
+
+    def find(self, name: str) -> UpstreamRow | None:
+        """Return one upstream, if it is declared."""
+        return self._rows.get(name)
+
+    def rows(self) -> tuple[UpstreamRow, ...]:
+        """Return all upstreams."""
+        return tuple(self._rows.values())
+
+    def in_service(self, service: str) -> list[UpstreamRow]:
+        """Return the upstreams of a service."""
+        return [self._rows[name] for name in self._by_service.get(service, ())]
+
+    def choose(
+        self,
+        now: float,
+        service: str,
+        nodes: int,
+        excluded: Iterable[str] = (),
+        blocks: tuple[str, ...] = (),
+        urgent: bool = False,
+    ) -> Choice | None:
+        """Return the best of a few sampled upstreams with room, or None."""
+        skip = self.blocked.union(excluded)
+        open_rows = [
+            row
+            for row in self.in_service(service)
+            if row.runner.name not in skip
+            and now >= row.down_until
+            and row.in_flight < _limit(row, nodes, urgent)
+        ]
+        if not open_rows:
+            return None
+        count = min(SAMPLED_CHOICES, len(open_rows))
+        sampled = self._rng.sample(open_rows, count)
+        choices = [Choice(row, self._estimate(now, row, blocks)) for row in sampled]
+        return min(choices, key=lambda choice: choice.estimate)
+
+    def add(self, name: str, tokens: int) -> None:
+        """Count a request that is sent to an upstream."""
+        self._count(name, 1, tokens)
+
+    def remove(self, name: str, tokens: int) -> None:
+        """Discount a request whose attempt has ended."""
+        self._count(name, -1, -tokens)
+
+    def note_boot(self, name: str, boot: str) -> None:
+        """Remember the boot id an upstream last told."""
+        row = self._rows.get(name)
+        if row is not None and boot:
+            self._rows[name] = row._replace(boot=boot)
+
+    def note_down(self, now: float, name: str) -> None:
+        """Leave out an upstream for a while after a failure."""
+        row = self._rows.get(name)
+        if row is not None:
+            self._rows[name] = row._replace(down_until=now + RETRY_DOWN_SECONDS)
+            self.prefixes.forget(name)
+
+    def on_load(self, now: float, event: LoadReported) -> None:
+        """Take in a load report; a failed one leaves the upstream out a while."""
+        row = self._rows.get(event.upstream)
+        if row is None:
+            return
+        if event.report is None:
+            self.note_down(now, event.upstream)
+            return
+        if row.boot and event.report.boot != row.boot:
+            self.prefixes.forget(event.upstream)
+        self._rows[event.upstream] = row._replace(
+            report=event.report,
+            boot=event.report.boot,
+            reported_at=now - event.report.age,
+        )
+
+    def tick(self, now: float) -> list[ReadLoad]:
+        """Return the load reports to ask for now."""
+        reads = []
+        for name, row in self._rows.items():
+            if row.is_engine and now >= row.asked_at + LOAD_READ_SECONDS:
+                self._rows[name] = row._replace(asked_at=now)
+                reads.append(ReadLoad(name, row.runner.address))
+        return reads
+
+    def _count(self, name: str, requests: int, tokens: int) -> None:
+        row = self._rows.get(name)
+        if row is not None:
+            self._rows[name] = row._replace(
+                in_flight=max(0, row.in_flight + requests),
+                tokens_in_flight=max(0, row.tokens_in_flight + tokens),
+            )
+
+    def _estimate(self, now: float, row: UpstreamRow, blocks: tuple[str, ...]) -> float:
+        """Return the seconds until the first token, as far as can be told."""
+        waiting = row.tokens_in_flight / PREFILL_TOKENS_PER_SECOND
+        busy = row.in_flight / max(1, row.runner.slots)
+        report = row.report
+        if report is not None:
+            age = max(0.0, now - row.reported_at)
+            weight = 0.5 ** (age / LOAD_HALF_LIFE_SECONDS)
+            others = max(0, report.running + report.waiting - row.in_flight)
+            busy += weight * others / max(1, row.runner.slots)
+            waiting += weight * report.waiting_tokens / PREFILL_TOKENS_PER_SECOND
+        cached = self.prefixes.match(row.runner.name, blocks)
+        prefill = (len(blocks) - cached) * TOKENS_PER_BLOCK / PREFILL_TOKENS_PER_SECOND
+        distance = 0.0 if row.runner.data_centre == self._data_centre else 0.003
+        return waiting + busy * SLOT_SECONDS + prefill + distance
+
+
+def _limit(row: UpstreamRow, nodes: int, urgent: bool) -> int:
+    """Return this node's share of an upstream's slots, with room for chance."""
+    share = math.ceil(2 * row.runner.slots / nodes)
+    return max(2, share) + (1 if urgent else 0)
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,156 @@
+"""Show the main job: a small fleet that serves on while processes die."""
+
+import asyncio
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from hawthornshelf.declarations import load_declaration, print_configuration
+from hawthornshelf.operators import AddressAnswer
+from hawthornshelf.porcelain import call_any
+from tests.client import complete
+from tests.fleet import ROOT, Fleet, NodeSpec, wait_until
+
+NODES = (
+    NodeSpec("tt-a1", "entry,control", "tt-north-a"),
+    NodeSpec("tt-b1", "entry,control", "tt-north-b"),
+    NodeSpec("tt-c1", "entry,control", "tt-north-c"),
+    NodeSpec("tt-a2", "entry", "tt-north-a"),
+    NodeSpec("tt-b2", "entry", "tt-north-b"),
+)
+MODEL = "lantern-chat"
+
+
+def say(text: str) -> None:
+    """Print a step with the time since the start."""
+    print(f"[{time.monotonic() - STARTED:5.1f} s] {text}", flush=True)
+
+
+STARTED = time.monotonic()
+"""Hold the second at which the demo started."""
+
+
+async def run_program(*arguments: str) -> str:
+    """Run a command of the program and return what it printed."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "hawthornshelf",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    if process.returncode:
+        raise RuntimeError(f"{arguments} ended with {process.returncode}")
+    return output.decode()
+
+
+async def find_addresses(fleet: Fleet, skip: str = "") -> list[str]:
+    """Ask any node for the addresses to use."""
+    import msgspec
+
+    at = [a for n, a in fleet.listen.items() if n != skip]
+    data = await call_any(at, "GET", "/v1/addresses?data_centre=tt-north-a", b"", "")
+    return msgspec.json.decode(data, type=AddressAnswer).addresses
+
+
+async def show(fleet: Fleet) -> None:
+    """Run the demo on a fleet."""
+    declaration = ROOT / "examples" / "bamboo_lantern.py"
+    print(print_configuration(load_declaration(declaration)))
+    for number in range(2):
+        name = f"lantern-llm-{number}"
+        fleet.addresses[name] = f"127.0.0.1:{9200 + number}"
+        fleet.start_engine(name, "--change=1.5")
+    fleet.addresses["lantern-app-0"] = "127.0.0.1:9300"
+    fleet.start_service("lantern-app-0")
+    fleet.start_nodes()
+    say("started 3 control+entry, 2 entry, 2 engines and 1 service")
+    at = ",".join(fleet.listen.values())
+    await wait_until(lambda: find_addresses(fleet), 20, "an address")
+    accepted = await run_program(
+        "config", "propose", str(declaration), "--base=0", f"--at={at}"
+    )
+    say(f"configuration {accepted.strip()}")
+    async with aiohttp.ClientSession() as session:
+        await serve_through_failures(fleet, session)
+
+
+async def serve_through_failures(fleet: Fleet, session: aiohttp.ClientSession) -> None:
+    """Stream, book, kill, and serve on."""
+
+    async def ask() -> bool:
+        address = (await find_addresses(fleet))[0]
+        reply = await complete(session, address, "Call Mrs Joseph today?", 8, MODEL)
+        return reply.outcome == "complete"
+
+    await wait_until(ask, 20, "a first answer")
+    say("both engines were ordered to load the model; a first answer came")
+    addresses = await find_addresses(fleet)
+    say(f"addresses for callers near tt-north-a: {', '.join(addresses)}")
+    reply = await complete(
+        session, addresses[0], "Suggest a gentle next line", 24, MODEL, "next-line"
+    )
+    say(f"streamed {reply.pieces} tokens, the first after {reply.first * 1000:.0f} ms")
+    booked = await book_visit(session, addresses[0])
+    say(f"booked a visit: {booked}")
+    again = await book_visit(session, addresses[-1])
+    say(f"sent again through another node, the same answer came: {again == booked}")
+    children = [pid for name in fleet.nodes for pid in fleet.children(name)]
+    say(f"child processes of all nodes: {len(children)}")
+    fleet.kill("tt-a2")
+    fleet.kill("tt-a1")
+    say("killed entry node tt-a2 and control node tt-a1")
+    survivors = ("tt-b1", "tt-c1", "tt-b2")
+    for name in survivors:
+        reply = await complete(session, fleet.listen[name], f"via {name}", 12, MODEL)
+        say(f"{name} answered: {reply.outcome}, {reply.pieces} tokens")
+
+    async def rebook() -> bool:
+        return await book_visit(session, fleet.listen["tt-b2"]) == booked
+
+    await wait_until(rebook, 20, "the first booking's answer")
+    say("the booking sent once more still has its first answer")
+    runs = [r for r in fleet.records() if r["kind"] == "booked"]
+    say(f"the service's own record has {len(runs)} booking")
+    for name in survivors:
+        fleet.terminate(name)
+    codes = {n: await asyncio.to_thread(fleet.processes[n].wait, 30) for n in survivors}
+    say(f"stopped gracefully with exit codes {codes}")
+    if len(runs) != 1 or any(codes.values()) or children:
+        raise RuntimeError("the demo did not go as it should")
+
+
+async def book_visit(session: aiohttp.ClientSession, address: str) -> str:
+    """Book one visit under one key and return the answer."""
+    async with session.post(
+        f"http://{address}/v1/services/lantern-app/bookings",
+        data="Mrs Joseph, Thursday 10:00",
+        headers={"idempotency-key": "visit-4711", "x-work": "visit"},
+    ) as response:
+        return await response.text()
+
+
+def main() -> None:
+    """Run the demo and print the logs if it fails."""
+    with tempfile.TemporaryDirectory() as folder:
+        extra = ("--linger=2",)
+        fleet = Fleet(Path(folder), NODES, extra=extra)
+        try:
+            asyncio.run(show(fleet))
+        except Exception:
+            for name in fleet.processes:
+                print(f"--- {name}\n{fleet.log(name)[-3000:]}", file=sys.stderr)
+            raise
+        finally:
+            fleet.stop()
+    say("done")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,232 @@
+"""Start and stop a fleet of real processes on the loopback addresses."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+import aiohttp
+
+from hawthornshelf.configuration import (
+    CallRule,
+    Configuration,
+    Deployment,
+    EngineService,
+    Model,
+    PlainService,
+    Runner,
+)
+from hawthornshelf.errors import HawthornshelfError
+
+__all__ = ["Fleet", "NodeSpec", "wait_until"]
+
+ROOT = Path(__file__).resolve().parent.parent
+PROGRAM = (sys.executable, "-m", "hawthornshelf")
+
+
+class NodeSpec(NamedTuple):
+    """Describe one node of a fleet."""
+
+    name: str
+    roles: str
+    data_centre: str
+
+
+def free_port(host: str = "127.0.0.1") -> int:
+    """Return a port that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+async def wait_until(
+    check: Callable[[], object], seconds: float, what: str, pause: float = 0.05
+) -> None:
+    """Wait for a condition, which may be a coroutine function."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        with contextlib.suppress(
+            aiohttp.ClientError, OSError, TimeoutError, HawthornshelfError
+        ):
+            found = check()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return
+        await asyncio.sleep(pause)
+    raise TimeoutError(f"{what} did not come about within {seconds} s")
+
+
+class Fleet:
+    """Hold the processes of a fleet, their addresses and their records."""
+
+    def __init__(
+        self,
+        folder: Path,
+        nodes: Sequence[NodeSpec],
+        program: Sequence[str] = PROGRAM,
+        extra: Sequence[str] = (),
+    ) -> None:
+        self.folder = folder
+        self.nodes = {node.name: node for node in nodes}
+        self.program = tuple(program)
+        self.extra = tuple(extra)
+        self.listen = {n: f"127.0.0.1:{free_port()}" for n in self.nodes}
+        self.peer = {n: f"127.0.0.1:{free_port()}" for n in self.nodes}
+        self.platform = ""
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.addresses: dict[str, str] = {}
+        self.record = folder / "record.jsonl"
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def start_node(self, name: str) -> None:
+        """Start one node."""
+        node = self.nodes[name]
+        control = [n for n, spec in self.nodes.items() if "control" in spec.roles]
+        arguments = [
+            *self.program,
+            "serve",
+            f"--node={name}",
+            f"--roles={node.roles}",
+            f"--data-centre={node.data_centre}",
+            f"--listen={self.listen[name]}",
+            f"--peer-listen={self.peer[name]}",
+            f"--control={','.join(f'{n}={self.peer[n]}' for n in control)}",
+            f"--data={self.folder / name}",
+            f"--platform={self.platform}",
+            *self.extra,
+        ]
+        self._spawn(name, arguments)
+
+    def start_nodes(self) -> None:
+        """Start all nodes."""
+        for name in self.nodes:
+            self.start_node(name)
+
+    def start_engine(self, name: str, *options: str) -> str:
+        """Start a stand-in engine and return its address; one restarts in place."""
+        return self._start_standin("engine", name, ("--name", name, *options))
+
+    def start_service(self, name: str, *options: str) -> str:
+        """Start a stand-in service and return its address."""
+        return self._start_standin("service", name, ("--name", name, *options))
+
+    def start_platform(self, lag: float = 0.5) -> str:
+        """Start the stand-in platform and return its address."""
+        address = self._start_standin("platform", "platform", ("--lag", str(lag)))
+        self.platform = f"http://{address}"
+        return address
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process from running."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def wake(self, name: str) -> None:
+        """Let a frozen process run on."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop gracefully."""
+        self.processes[name].terminate()
+
+    def stop(self) -> None:
+        """Kill whatever still runs."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def children(self, name: str) -> list[int]:
+        """Return the child processes of a process."""
+        pid = self.processes[name].pid
+        found = []
+        for task in Path(f"/proc/{pid}/task").iterdir():
+            found.extend(int(c) for c in (task / "children").read_text().split())
+        return found
+
+    def records(self) -> list[dict[str, object]]:
+        """Return what the stand-ins recorded."""
+        if not self.record.exists():
+            return []
+        return [json.loads(line) for line in self.record.read_text().splitlines()]
+
+    def log(self, name: str) -> str:
+        """Return what a process logged."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def _start_standin(self, kind: str, name: str, options: Sequence[str]) -> str:
+        if name not in self.addresses:
+            self.addresses[name] = f"127.0.0.1:{free_port()}"
+        arguments = [
+            sys.executable,
+            "-m",
+            f"tests.standins.{kind}",
+            f"--listen={self.addresses[name]}",
+            *options,
+        ]
+        if kind != "platform":
+            arguments.append(f"--record={self.record}")
+        self._spawn(name, arguments)
+        return self.addresses[name]
+
+    def _spawn(self, name: str, arguments: Sequence[str]) -> None:
+        environment = {
+            k: v for k, v in os.environ.items() if not k.startswith("HAWTHORNSHELF_")
+        }
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                arguments, cwd=ROOT, stdout=log, stderr=log, env=environment
+            )
+
+
+def make_configuration(
+    engines: dict[str, str],
+    services: dict[str, str],
+    version: str = "1",
+    checks: Callable[[str], bool] = lambda name: True,
+    slots: int = 8,
+) -> Configuration:
+    """Return a configuration for stand-ins, each name with its address."""
+    from datetime import timedelta
+
+    from hawthornshelf.configuration import Objective, WorkClass
+
+    engine_rows = tuple(
+        Runner(n, a, f"dc-{i % 3}", slots=slots, checks_fencing=checks(n))
+        for i, (n, a) in enumerate(engines.items())
+    )
+    service_rows = tuple(
+        Runner(n, a, f"dc-{i % 3}", slots=32)
+        for i, (n, a) in enumerate(services.items())
+    )
+    calls = (
+        CallRule("GET", "/schedule", idempotent=True),
+        CallRule("POST", "/bookings", idempotent=False),
+    )
+    work = (
+        WorkClass("urgent", urgent=True, deadline=timedelta(seconds=5)),
+        WorkClass("bulk", urgent=False, deadline=timedelta(seconds=60)),
+    )
+    deployment = Deployment(
+        "trial",
+        "region",
+        engines=(EngineService("llm", Model("chat", version), engine_rows),),
+        services=(PlainService("app", service_rows, calls),),
+        work=work,
+        objectives=(Objective("urgent", 0.99, timedelta(seconds=2)),),
+    )
+    return Configuration((deployment,))
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the outside systems: engines, plain services and the platform."""
