Drain per reason, and run node cores in a small virtual world

Change: a drain is kept per (upstream, reason); an order is committed only with its own drain fully acknowledged; changes proposed in one tick count against the limit.

--- a/hawthornshelf/commands.py
+++ b/hawthornshelf/commands.py
@@ -1,6 +1,7 @@
 """Define the commands of the replicated state and their results."""
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import NamedTuple
 
 from hawthornshelf.configuration import Configuration
@@ -21,6 +22,7 @@
     "ConfigurationAccepted",
     "ConfigurationConflict",
     "Done",
+    "DrainReason",
     "DrainUpstream",
     "EndTrial",
     "FinishOrder",
@@ -42,6 +44,14 @@
 ]
 
 
+class DrainReason(Enum):
+    """Name who wants a drain; each reason is drained and released by itself."""
+
+    OPERATOR = "operator"
+    ORDER = "order"
+    LEAVING = "leaving"
+
+
 class Answer(NamedTuple):
     """Hold a whole answer of an upstream to a non-idempotent request."""
 
@@ -110,7 +120,7 @@
     """Stop new work for an upstream until it is released."""
 
     upstream: str
-    reason: str
+    reason: DrainReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,10 +135,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseUpstream:
-    """End the drain of an upstream."""
+    """End the drain that has a reason."""
 
     upstream: str
-    drain: int = 0
+    reason: DrainReason
 
 
 @dataclass(frozen=True, slots=True)
--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -9,6 +9,7 @@
 
 from hawthornshelf.commands import (
     Command,
+    DrainReason,
     DrainUpstream,
     ReleaseUpstream,
     RemoveNode,
@@ -55,7 +56,6 @@
 MAX_PENDING = 20_000
 PLATFORM_FRESH_SECONDS = 5.0
 NEVER = float("inf")
-LEAVING_DRAIN = "leaving"
 
 
 class ControlSettings(NamedTuple):
@@ -373,12 +373,13 @@
         if listed is None or now > self._listed_at + PLATFORM_FRESH_SECONDS:
             return
         runners = self.state.configuration.runners()
+        leaving = DrainReason.LEAVING
         for name in sorted(listed.leaving):
-            if name in runners and name not in self.state.drains:
-                self._propose_own(DrainUpstream(name, LEAVING_DRAIN))
+            if name in runners and not self.state.find_drain(name, leaving):
+                self._propose_own(DrainUpstream(name, leaving))
         for drain in list(self.state.drains.values()):
-            if drain.reason == LEAVING_DRAIN and drain.upstream in listed.live:
-                self._propose_own(ReleaseUpstream(drain.upstream, drain.index))
+            if drain.reason is leaving and drain.upstream in listed.live:
+                self._propose_own(ReleaseUpstream(drain.upstream, leaving))
         present = listed.live | listed.leaving
         for row in list(self.state.nodes.values()):
             dead = self._status_of(row.node) in (MemberStatus.DEAD, None)
--- a/hawthornshelf/engineorders.py
+++ b/hawthornshelf/engineorders.py
@@ -5,6 +5,7 @@
 
 from hawthornshelf.commands import (
     Command,
+    DrainReason,
     DrainUpstream,
     FinishOrder,
     PlaceOrder,
@@ -15,9 +16,8 @@
 from hawthornshelf.events import EngineRead, EngineReading, OrderEnded
 from hawthornshelf.state import OrderRow, SharedState
 
-__all__ = ["ORDER_DRAIN", "OrderReconciler"]
+__all__ = ["OrderReconciler"]
 
-ORDER_DRAIN = "order"
 READ_SECONDS = 1.0
 RESEND_SECONDS = 3.0
 MAX_CHANGES_OF_SERVING_ENGINES = 1
@@ -44,6 +44,7 @@
         self._propose = propose
         self._rows: dict[str, _EngineRow] = {}
         self._proposed_at: dict[tuple[str, type], float] = {}
+        self._started = 0
 
     def reset(self) -> None:
         """Forget all readings, so that a new leader reads before it orders."""
@@ -84,6 +85,7 @@
         runners = state.configuration.runners()
         models = state.configuration.models()
         self._rows = {n: self._rows.get(n, _EngineRow()) for n in models}
+        self._started = 0
         effects: list[Effect] = []
         for name, model in models.items():
             runner = runners[name]
@@ -113,7 +115,7 @@
         row = self._rows[runner.name]
         if row.reading is None or now > row.read_at + 2 * READ_SECONDS:
             return []
-        drain = state.drains.get(runner.name)
+        drain = state.find_drain(runner.name, DrainReason.ORDER)
         order = state.orders.get(runner.name)
         if row.reading.changing:
             return []
@@ -122,9 +124,10 @@
             return []
         if drain is None:
             if self._may_start(now, state, row.reading):
-                self._propose_once(now, DrainUpstream(runner.name, ORDER_DRAIN))
+                self._started += 1
+                self._propose_once(now, DrainUpstream(runner.name, DrainReason.ORDER))
             return []
-        if drain.reason != ORDER_DRAIN or state.awaited(runner.name):
+        if state.awaited(drain):
             return []
         wanted = PlaceOrder(
             runner.name, model.name, model.version, model.adapters, runner.role
@@ -153,11 +156,11 @@
 
     def _finish(self, now: float, state: SharedState, upstream: str) -> None:
         order = state.orders.get(upstream)
-        drain = state.drains.get(upstream)
+        drain = state.find_drain(upstream, DrainReason.ORDER)
         if order is not None and not order.finished:
             self._propose_once(now, FinishOrder(upstream, order.order))
-        elif drain is not None and drain.reason == ORDER_DRAIN:
-            self._propose_once(now, ReleaseUpstream(upstream, drain.index))
+        elif drain is not None:
+            self._propose_once(now, ReleaseUpstream(upstream, DrainReason.ORDER))
 
     def _release_removed(
         self, now: float, state: SharedState, configuration: Configuration
@@ -166,7 +169,7 @@
         declared = configuration.runners()
         for drain in list(state.drains.values()):
             if drain.upstream not in declared:
-                self._propose_once(now, ReleaseUpstream(drain.upstream, drain.index))
+                self._propose_once(now, ReleaseUpstream(drain.upstream, drain.reason))
 
     def _may_start(
         self, now: float, state: SharedState, reading: EngineReading
@@ -179,9 +182,10 @@
         under_way = [
             drain
             for drain in state.drains.values()
-            if drain.reason == ORDER_DRAIN and self._is_in_reach(now, drain.upstream)
+            if drain.reason is DrainReason.ORDER
+            and self._is_in_reach(now, drain.upstream)
         ]
-        return len(under_way) < limit
+        return len(under_way) + self._started < limit
 
     def _is_in_reach(self, now: float, upstream: str) -> bool:
         row = self._rows.get(upstream, _EngineRow())
--- a/hawthornshelf/operators.py
+++ b/hawthornshelf/operators.py
@@ -11,6 +11,7 @@
 
 from hawthornshelf.commands import (
     Command,
+    DrainReason,
     DrainUpstream,
     ProposeConfiguration,
     ReleaseUpstream,
@@ -23,7 +24,6 @@
 
 __all__ = ["AddressAnswer", "Office", "OperatorServer", "ReplicaAnswer"]
 
-OPERATOR_DRAIN = "operator"
 TOKEN_HEADER = "x-operator-token"
 
 
@@ -148,11 +148,13 @@
 
     async def _drain(self, http: Request) -> HTTPResponse:
         return await self._run_on_upstream(
-            http, lambda name: DrainUpstream(name, OPERATOR_DRAIN)
+            http, lambda name: DrainUpstream(name, DrainReason.OPERATOR)
         )
 
     async def _release(self, http: Request) -> HTTPResponse:
-        return await self._run_on_upstream(http, ReleaseUpstream)
+        return await self._run_on_upstream(
+            http, lambda name: ReleaseUpstream(name, DrainReason.OPERATOR)
+        )
 
     async def _change_replica(self, http: Request) -> HTTPResponse:
         try:
--- a/hawthornshelf/state.py
+++ b/hawthornshelf/state.py
@@ -12,6 +12,7 @@
     ConfigurationAccepted,
     ConfigurationConflict,
     Done,
+    DrainReason,
     DrainUpstream,
     EndTrial,
     FinishOrder,
@@ -67,7 +68,7 @@
 
     upstream: str
     index: int  # type: ignore[assignment]
-    reason: str
+    reason: DrainReason
     acks: tuple[NodeRow, ...] = ()
 
 
@@ -118,7 +119,7 @@
         self.outcomes: dict[str, tuple[int, int]] = {}
         self.history: list[ChangeRow] = []
         self.nodes: dict[str, NodeRow] = {}
-        self.drains: dict[str, DrainRow] = {}
+        self.drains: dict[tuple[str, DrainReason], DrainRow] = {}
         self.orders: dict[str, OrderRow] = {}
         self.claims = ClaimTable()
         self.suspects = SuspectTable()
@@ -157,9 +158,12 @@
             self.suspects.rows(),
         )
 
-    def awaited(self, upstream: str) -> tuple[str, ...]:
+    def find_drain(self, upstream: str, reason: DrainReason) -> DrainRow | None:
+        """Return the drain of an upstream that has a reason, if any."""
+        return self.drains.get((upstream, reason))
+
+    def awaited(self, drain: DrainRow) -> tuple[str, ...]:
         """Return the nodes whose ack a drain still lacks."""
-        drain = self.drains[upstream]
         missing = set(self.nodes.values()) - set(drain.acks)
         return tuple(sorted(row.node for row in missing))
 
@@ -196,7 +200,7 @@
         state.outcomes = {key: (base, got) for key, base, got in image.outcomes}
         state.history = list(image.history)
         state.nodes = {row.node: row for row in image.nodes}
-        state.drains = {row.upstream: row for row in image.drains}
+        state.drains = {(row.upstream, row.reason): row for row in image.drains}
         state.orders = {row.upstream: row for row in image.orders}
         state.claims = ClaimTable(image.claims, image.released)
         state.suspects = SuspectTable(image.suspects, image.trials)
@@ -255,31 +259,32 @@
         return Done(index)
 
     def _drain(self, index: int, command: DrainUpstream) -> Result:
-        if command.upstream not in self.drains:
-            row = DrainRow(command.upstream, index, command.reason)
-            self.drains[command.upstream] = row
+        key = (command.upstream, command.reason)
+        if key not in self.drains:
+            self.drains[key] = DrainRow(command.upstream, index, command.reason)
             self.revision = index
-        return Done(self.drains[command.upstream].index)
+        return Done(self.drains[key].index)
 
     def _ack_drain(self, index: int, command: AckDrain) -> Result:
-        drain = self.drains.get(command.upstream)
-        if drain is None or drain.index != command.drain:
-            return NotFound(command.upstream)
         ack = NodeRow(command.node, command.incarnation)
-        acks = [row for row in drain.acks if row.node != command.node]
-        acks.append(ack)
-        self.drains[command.upstream] = drain._replace(acks=tuple(sorted(acks)))
-        return Done(index)
+        for key, drain in self.drains.items():
+            if drain.upstream == command.upstream and drain.index == command.drain:
+                acks = [row for row in drain.acks if row.node != command.node]
+                acks.append(ack)
+                self.drains[key] = drain._replace(acks=tuple(sorted(acks)))
+                return Done(index)
+        return NotFound(command.upstream)
 
     def _release(self, index: int, command: ReleaseUpstream) -> Result:
-        drain = self.drains.get(command.upstream)
-        if drain is None or command.drain not in (0, drain.index):
+        if self.drains.pop((command.upstream, command.reason), None) is None:
             return NotFound(command.upstream)
-        del self.drains[command.upstream]
         self.revision = index
         return Done(index)
 
     def _place_order(self, term: int, index: int, command: PlaceOrder) -> Result:
+        drain = self.find_drain(command.upstream, DrainReason.ORDER)
+        if drain is None or self.awaited(drain):
+            return NotFound(command.upstream)
         fence = (term << FENCE_TERM_SHIFT) | index
         self.orders[command.upstream] = OrderRow(
             command.upstream, index, fence, command
--- a/hawthornshelf/status.py
+++ b/hawthornshelf/status.py
@@ -178,7 +178,7 @@
             for m in control.membership().members
         ),
         tuple(
-            DrainReport(d.upstream, d.reason, state.awaited(d.upstream))
+            DrainReport(d.upstream, d.reason.value, state.awaited(d))
             for d in state.drains.values()
         ),
         tuple(
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,432 @@
+"""Run node cores on a virtual clock, network and disk, with fake upstreams."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from hawthornshelf.commands import (
+    Command,
+    ConfigurationAccepted,
+    ProposeConfiguration,
+    Result,
+)
+from hawthornshelf.configuration import Configuration
+from hawthornshelf.effects import (
+    CancelAttempt,
+    CommandEnded,
+    Dispatch,
+    Effect,
+    Finish,
+    ReadEngine,
+    ReadLoad,
+    Refuse,
+    Send,
+    SendChunk,
+    SendOrder,
+    StopProcess,
+)
+from hawthornshelf.events import (
+    AttemptBroken,
+    AttemptRefused,
+    CommandGiven,
+    EngineRead,
+    Event,
+    LoadReported,
+    OrderEnded,
+    Persisted,
+    PlatformListed,
+    Received,
+    RequestArrived,
+    StopAsked,
+)
+from hawthornshelf.log import Loaded, Persist
+from hawthornshelf.messages import CODEC
+from hawthornshelf.node import NodeCore, NodeSettings
+from hawthornshelf.storage import MemoryStorage
+from tests.upstreams import FakeEngine, FakeService
+
+__all__ = ["Call", "CallerRequest", "SimNode", "World"]
+
+TICK_SECONDS = 0.05
+MAX_SYNC_SECONDS = 0.01
+MAX_DELAY_SECONDS = 0.005
+MAX_ORDER_DELAY_SECONDS = 0.9
+PLATFORM_SECONDS = 1.0
+
+
+@dataclass
+class SimNode:
+    """Hold one process: its core, its disk and whether it runs."""
+
+    name: str
+    entry: bool
+    control: bool
+    disk: MemoryStorage | None = None
+    core: NodeCore | None = None
+    epoch: int = 0
+    frozen: bool = False
+    backlog: list[Callable[[], None]] = field(default_factory=list)
+    stopped: bool = False
+    versions: list[int] = field(default_factory=list)
+    synced_at: float = 0.0
+
+
+class Call(NamedTuple):
+    """Hold an operator's command with its times and result."""
+
+    node: str
+    command: Command
+    began: float
+    ended: float
+    result: Result | None
+
+
+@dataclass
+class CallerRequest:
+    """Hold one request of a caller and what it got."""
+
+    event: RequestArrived
+    node: str
+    began: float
+    pieces: list[str] = field(default_factory=list)
+    ended: float | None = None
+    end: Finish | Refuse | None = None
+
+
+class World:
+    """Hold all nodes, upstreams and callers, and the one queue of events."""
+
+    def __init__(
+        self, seed: int, control: int = 3, entries: int = 1, compact: int = 1000
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 1000.0
+        self.compact = compact
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self.nodes: dict[str, SimNode] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.drop = 0.0
+        self.engines: dict[str, FakeEngine] = {}
+        self.services: dict[str, FakeService] = {}
+        self.calls: list[Call] = []
+        self.pending: dict[str, tuple[str, Command, float]] = {}
+        self.requests: dict[str, CallerRequest] = {}
+        self.listed: dict[str, str] = {}
+        self.uses_platform = False
+        self.control = {f"c{n}": f"sim:c{n}" for n in range(control)}
+        for name in self.control:
+            self.nodes[name] = SimNode(name, entry=True, control=True)
+        for number in range(entries):
+            self.nodes[f"e{number}"] = SimNode(f"e{number}", True, False)
+
+    # Processes
+
+    def start_all(self) -> None:
+        """Start all nodes."""
+        for name in self.nodes:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start a node with what its disk holds."""
+        node = self.nodes[name]
+        node.epoch += 1
+        node.frozen, node.backlog, node.stopped = False, [], False
+        loaded: Loaded | None = None
+        if node.control:
+            if node.disk is None:
+                node.disk = MemoryStorage(f"{name}-{self.rng.randrange(10**9)}")
+            loaded = node.disk.load()
+        settings = NodeSettings(
+            node=name,
+            incarnation=f"{name}.{node.epoch}",
+            data_centre="dc",
+            peer_address=f"sim:{name}",
+            caller_address=f"call:{name}",
+            entry=node.entry,
+            control=self.control,
+            peers={n: f"sim:{n}" for n in self.nodes},
+            uses_platform=self.uses_platform,
+            started_ms=int(self.now * 1000),
+            compact_entries=self.compact,
+        )
+        rng = random.Random(self.rng.random())
+        node.core = NodeCore(settings, loaded, rng, self.now)
+        node.versions = []
+        self._tick(name, node.epoch)
+
+    def kill(self, name: str) -> None:
+        """Kill a node; what was not synced is lost."""
+        node = self.nodes[name]
+        node.core = None
+        node.epoch += 1
+        for request in self.requests.values():
+            if request.node == name and request.end is None:
+                request.ended = self.now
+        for engine in self.engines.values():
+            engine.drop_author(name)
+
+    def wipe(self, name: str) -> None:
+        """Kill a node and lose its disk."""
+        self.kill(name)
+        self.nodes[name].disk = None
+
+    def freeze(self, name: str) -> None:
+        """Stop a node from running; what reaches it waits."""
+        self.nodes[name].frozen = True
+
+    def wake(self, name: str) -> None:
+        """Let a frozen node run on with all that waited."""
+        node = self.nodes[name]
+        node.frozen = False
+        backlog, node.backlog = node.backlog, []
+        for action in backlog:
+            action()
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut the network between two nodes, or a node and an upstream."""
+        self.cuts.add(frozenset((one, other)))
+
+    def isolate(self, name: str, names: Iterable[str] | None = None) -> None:
+        """Cut a node off from all others, or from those named."""
+        for other in names or self.nodes:
+            if other != name:
+                self.cut(name, other)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cuts.clear()
+
+    def stop(self, name: str) -> None:
+        """Ask a node to stop gracefully."""
+        self._post(name, StopAsked())
+
+    # Time
+
+    def after(self, seconds: float, action: Callable[[], None]) -> None:
+        """Run an action later."""
+        entry = (self.now + seconds, next(self.numbers), action)
+        heapq.heappush(self.queue, entry)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, action = heapq.heappop(self.queue)
+            action()
+        self.now = until
+
+    def run_until(self, check: Callable[[], Any], seconds: float, what: str) -> float:
+        """Let time pass until a condition holds; return the seconds it took."""
+        began = self.now
+        while not check():
+            assert self.now < began + seconds, f"no {what} within {seconds} s"
+            self.run(0.02)
+        return self.now - began
+
+    def leader(self) -> str:
+        """Return the node that leads with a committed entry of its term."""
+        leading = [
+            (node.core.control.raft.term, name)
+            for name, node in self.nodes.items()
+            if node.core and node.core.control and not node.frozen
+            if node.core.control.raft.is_ready
+        ]
+        return max(leading)[1] if leading else ""
+
+    # Operators and callers
+
+    def give(self, node: str, command: Command) -> str:
+        """Hand an operator's command to a node and return its id."""
+        request = f"op-{next(self.numbers)}"
+        self.pending[request] = (node, command, self.now)
+        self._post(node, CommandGiven(request, command))
+        return request
+
+    def run_command(self, node: str, command: Command) -> Result | None:
+        """Hand a command to a node and wait for its result."""
+        count = len(self.calls)
+        self.give(node, command)
+        self.run_until(lambda: len(self.calls) > count, 15, "result")
+        return self.calls[-1].result
+
+    def configure(self, configuration: Configuration, change: str = "first") -> None:
+        """Have a configuration accepted and in force on all running nodes."""
+        self.run_until(self.leader, 20, "leader")
+        base = self.nodes[self.leader()].core.view.version
+        command = ProposeConfiguration(change, base, "op", configuration)
+        result = self.run_command(self.leader(), command)
+        assert isinstance(result, ConfigurationAccepted), result
+        running = [n for n in self.nodes.values() if n.core and not n.frozen]
+        self.run_until(
+            lambda: all(n.core.view.version >= result.version for n in running),
+            10,
+            "configuration everywhere",
+        )
+
+    def ask(self, node: str, event: RequestArrived) -> CallerRequest:
+        """Send a caller's request to a node."""
+        request = CallerRequest(event, node, self.now)
+        self.requests[event.request] = request
+        self._post(node, event)
+        return request
+
+    # Effects
+
+    def _tick(self, name: str, epoch: int) -> None:
+        node = self.nodes[name]
+        if node.epoch != epoch or node.core is None:
+            return
+        self._guard(name, epoch, lambda: self._step(name, []))
+        seconds = TICK_SECONDS * self.rng.uniform(0.9, 1.1)
+        self.after(seconds, lambda: self._tick(name, epoch))
+        if self.uses_platform and self.rng.random() < TICK_SECONDS / PLATFORM_SECONDS:
+            self._list_platform(name)
+
+    def _list_platform(self, name: str) -> None:
+        if frozenset((name, "platform")) in self.cuts:
+            return
+        live = frozenset(n for n, s in self.listed.items() if s == "live")
+        leaving = frozenset(n for n, s in self.listed.items() if s == "leaving")
+        self._post(name, PlatformListed(live, leaving))
+
+    def _post(self, name: str, event: Event) -> None:
+        epoch = self.nodes[name].epoch
+        self._guard(name, epoch, lambda: self._step(name, [event]))
+
+    def post_later(self, name: str, epoch: int, event: Event, seconds: float) -> None:
+        """Hand an event to a node later, unless it was killed meanwhile."""
+        action = lambda: self._step(name, [event])  # noqa: E731
+        self.after(seconds, lambda: self._guard(name, epoch, action))
+
+    def _guard(self, name: str, epoch: int, action: Callable[[], None]) -> None:
+        node = self.nodes[name]
+        if node.epoch != epoch or node.core is None:
+            return
+        if node.frozen:
+            node.backlog.append(lambda: self._guard(name, epoch, action))
+            return
+        action()
+
+    def _step(self, name: str, events: list[Event]) -> None:
+        node = self.nodes[name]
+        assert node.core is not None
+        effects = node.core.step(self.now, self.now, events)
+        version = node.core.view.version
+        if not node.versions or node.versions[-1] != version:
+            node.versions.append(version)
+        for effect in effects:
+            self._carry_out(node, effect)
+
+    def _carry_out(self, node: SimNode, effect: Effect) -> None:
+        match effect:
+            case Send(target, _, message):
+                self._send(node.name, target, message)
+            case Persist():
+                self._persist(node, effect)
+            case Dispatch():
+                self._dispatch(node, effect)
+            case CancelAttempt(attempt):
+                for engine in self.engines.values():
+                    engine.cancel(attempt)
+            case ReadLoad(upstream, _):
+                self._read_load(node, upstream)
+            case ReadEngine(upstream, _):
+                self._read_engine(node, upstream)
+            case SendOrder():
+                self._send_order(node, effect)
+            case CommandEnded(request, result):
+                entered, command, began = self.pending.pop(request)
+                self.calls.append(Call(entered, command, began, self.now, result))
+            case SendChunk(request, text):
+                self.requests[request].pieces.append(text)
+            case Finish(request=request) | Refuse(request=request):
+                found = self.requests[request]
+                if found.end is None:
+                    found.end, found.ended = effect, self.now
+            case StopProcess():
+                self.kill(node.name)
+                node.stopped = True
+
+    def _send(self, sender: str, target: str, message: Any) -> None:
+        lost = self.rng.random() < self.drop
+        delay = self.rng.uniform(0.0005, MAX_DELAY_SECONDS)
+        if lost or target not in self.nodes:
+            return
+        data = CODEC.encode(message)
+        epoch = self.nodes[target].epoch
+
+        def deliver() -> None:
+            if frozenset((sender, target)) not in self.cuts:
+                event = Received(sender, CODEC.decode(data))
+                self._guard(target, epoch, lambda: self._step(target, [event]))
+
+        self.after(delay, deliver)
+
+    def _persist(self, node: SimNode, batch: Persist) -> None:
+        epoch = node.epoch
+
+        def sync() -> None:
+            if node.epoch == epoch and node.disk is not None:
+                node.disk.write([batch])
+                self._post(node.name, Persisted(batch.sequence))
+
+        at = self.now + self.rng.uniform(0.0005, MAX_SYNC_SECONDS)
+        node.synced_at = max(node.synced_at, at)
+        self.after(node.synced_at - self.now, sync)
+
+    def _dispatch(self, node: SimNode, effect: Dispatch) -> None:
+        epoch = node.epoch
+        upstream = self.engines.get(effect.upstream) or self.services[effect.upstream]
+        event = self.requests[effect.request].event
+
+        def write() -> None:
+            if self.now >= effect.not_after:
+                refused = AttemptRefused(effect.attempt, "too late")
+                self._step(node.name, [refused])
+                return
+            cut = frozenset((node.name, effect.upstream)) in self.cuts
+            if cut or not upstream.up:
+                broken = AttemptBroken(effect.attempt, False, "no connection")
+                self._step(node.name, [broken])
+                return
+            upstream.take(self, node.name, epoch, effect, event)
+
+        delay = self.rng.uniform(0.0005, 0.003)
+        self.after(delay, lambda: self._guard(node.name, epoch, write))
+
+    def _read_load(self, node: SimNode, upstream: str) -> None:
+        engine = self.engines.get(upstream)
+        cut = frozenset((node.name, upstream)) in self.cuts
+        if engine is None or cut:
+            event = LoadReported(upstream, None)
+        elif not engine.up:
+            event = LoadReported(upstream, None, refused=True)
+        else:
+            event = LoadReported(upstream, engine.load())
+        self.post_later(node.name, node.epoch, event, 0.003)
+
+    def _read_engine(self, node: SimNode, upstream: str) -> None:
+        engine = self.engines.get(upstream)
+        cut = frozenset((node.name, upstream)) in self.cuts
+        reachable = engine is not None and engine.up and not cut
+        reading = engine.read(self.now) if engine and reachable else None
+        self.post_later(node.name, node.epoch, EngineRead(upstream, reading), 0.003)
+
+    def _send_order(self, node: SimNode, effect: SendOrder) -> None:
+        epoch = node.epoch
+        engine = self.engines.get(effect.upstream)
+
+        def write() -> None:
+            cut = frozenset((node.name, effect.upstream)) in self.cuts
+            if self.now < effect.not_after and engine and engine.up and not cut:
+                flight = self.rng.uniform(0.001, MAX_ORDER_DELAY_SECONDS)
+                self.after(flight, lambda: engine.order(self, node.name, effect))
+            ended = OrderEnded(effect.upstream, effect.order, True, "")
+            self.post_later(node.name, epoch, ended, 1.0)
+
+        delay = self.rng.uniform(0.001, 0.003)
+        self.after(delay, lambda: self._guard(node.name, epoch, write))
