Wait until an order has settled before the next one to its engine

Change: after an order that was not answered, nothing is sent to that engine until the lease and the order time-out have passed, and only a reading asked for after that counts. A change id keeps its first answer with a digest of its content; other content under the same id is refused as such.

--- a/hawthornshelf/commands.py
+++ b/hawthornshelf/commands.py
@@ -10,6 +10,7 @@
     "COMMAND_TYPES",
     "AckDrain",
     "Answer",
+    "ChangeIdReused",
     "ClaimAnswered",
     "ClaimGranted",
     "ClaimInProgress",
@@ -242,6 +243,13 @@
     current_version: int
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeIdReused:
+    """Refuse a change id that was used for another proposal."""
+
+    change_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class ClaimGranted:
     """Allow one attempt to run the request."""
@@ -318,6 +326,7 @@
     | NotFound
     | ConfigurationAccepted
     | ConfigurationConflict
+    | ChangeIdReused
     | ClaimGranted
     | ClaimInProgress
     | ClaimAnswered
--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -114,7 +114,7 @@
         self.stopped = ""
         self._genesis = Genesis(settings.node, loaded.replica, settings.initial)
         self._replicas = ReplicaKeeper(self.raft)
-        self._reconciler = OrderReconciler(self._propose_own)
+        self._reconciler = OrderReconciler(self._propose_own, settings.order_timeout)
         self._status_of = status_of
         self._waiting: dict[int, _Waiting] = {}
         self._effects: list[Effect | ToNode] = []
@@ -166,7 +166,7 @@
             case EngineRead():
                 self._reconciler.on_read(now, event)
             case OrderEnded():
-                self._effects.append(self._reconciler.on_order_ended(event))
+                self._effects.append(self._reconciler.on_order_ended(now, event))
             case PlatformListed():
                 self._listed, self._listed_at = event, now
 
--- a/hawthornshelf/engineorders.py
+++ b/hawthornshelf/engineorders.py
@@ -19,19 +19,25 @@
 __all__ = ["OrderReconciler"]
 
 READ_SECONDS = 1.0
-RESEND_SECONDS = 3.0
+FRESH_READ_SECONDS = 3.0
+LOST_READ_SECONDS = 5.0
+NEVER = float("-inf")
 MAX_CHANGES_OF_SERVING_ENGINES = 1
 MAX_CHANGES_OF_EMPTY_ENGINES = 3
 
 
 class _EngineRow(NamedTuple):
-    """Hold what this leader knows of one engine; times are monotonic seconds."""
+    """Hold what this leader knows of one engine; times are monotonic seconds.
+
+    `read_at` is when the reading was asked for. An order may still arrive at
+    the engine until `settled_at`.
+    """
 
     reading: EngineReading | None = None
-    read_at: float = float("-inf")
-    asked_at: float = float("-inf")
-    sent_order: int = 0
-    sent_at: float = float("-inf")
+    read_at: float = NEVER
+    asked_at: float = NEVER
+    asking: bool = False
+    settled_at: float = NEVER
 
 
 Propose = Callable[[Command], None]
@@ -40,8 +46,9 @@
 class OrderReconciler:
     """Compare readings with the configuration while this replica leads."""
 
-    def __init__(self, propose: Propose) -> None:
+    def __init__(self, propose: Propose, order_timeout: float) -> None:
         self._propose = propose
+        self._order_timeout = order_timeout
         self._rows: dict[str, _EngineRow] = {}
         self._proposed_at: dict[tuple[str, type], float] = {}
         self._started = 0
@@ -54,23 +61,23 @@
     def on_read(self, now: float, event: EngineRead) -> None:
         """Take in an engine's reading."""
         row = self._rows.get(event.upstream)
-        if row is not None and event.reading is not None:
-            self._rows[event.upstream] = row._replace(
-                reading=event.reading, read_at=now
-            )
-
-    def on_order_ended(self, event: OrderEnded) -> Effect:
-        """Ask for a new reading after an order's answer."""
+        if row is None:
+            return
+        row = row._replace(asking=False)
+        if event.reading is not None:
+            row = row._replace(reading=event.reading, read_at=row.asked_at)
+        self._rows[event.upstream] = row
+
+    def on_order_ended(self, now: float, event: OrderEnded) -> Effect:
+        """Note that an order has arrived, if the engine answered it."""
         row = self._rows.get(event.upstream)
-        if row is not None:
-            self._rows[event.upstream] = row._replace(
-                asked_at=float("-inf"), read_at=float("-inf")
-            )
+        if row is not None and event.answered:
+            self._rows[event.upstream] = row._replace(settled_at=now)
         return log(
             "order-ended",
             upstream=event.upstream,
             order=event.order,
-            accepted=event.accepted,
+            answered=event.answered,
             reason=event.reason,
         )
 
@@ -90,17 +97,20 @@
         for name, model in models.items():
             runner = runners[name]
             effects.extend(self._ask(now, runner))
-            allowed = now if runner.checks_fencing else unchecked_from
+            allowed = NEVER if runner.checks_fencing else unchecked_from
             if now >= allowed and now < lease_until:
-                effects.extend(self._advance(now, state, runner, model, lease_until))
+                effects.extend(
+                    self._advance(now, state, runner, model, lease_until, allowed)
+                )
         self._release_removed(now, state, state.configuration)
         return effects
 
     def _ask(self, now: float, runner: Runner) -> list[Effect]:
         row = self._rows[runner.name]
-        if now < row.asked_at + READ_SECONDS:
+        wait = LOST_READ_SECONDS if row.asking else READ_SECONDS
+        if now < row.asked_at + wait:
             return []
-        self._rows[runner.name] = row._replace(asked_at=now)
+        self._rows[runner.name] = row._replace(asked_at=now, asking=True)
         return [ReadEngine(runner.name, runner.address)]
 
     def _advance(
@@ -110,15 +120,16 @@
         runner: Runner,
         model: Model,
         lease_until: float,
+        allowed: float,
     ) -> list[Effect]:
-        """Decide by the last reading: drain, order, resend, or release."""
+        """Decide by a reading that no order can have outrun."""
         row = self._rows[runner.name]
-        if row.reading is None or now > row.read_at + 2 * READ_SECONDS:
+        settled = max(row.settled_at, allowed)
+        fresh = settled < row.read_at and now <= row.read_at + FRESH_READ_SECONDS
+        if row.reading is None or not fresh or row.reading.changing:
             return []
         drain = state.find_drain(runner.name, DrainReason.ORDER)
         order = state.orders.get(runner.name)
-        if row.reading.changing:
-            return []
         if _matches(row.reading, runner, model):
             self._finish(now, state, runner.name)
             return []
@@ -141,9 +152,8 @@
         self, now: float, runner: Runner, order: OrderRow, lease_until: float
     ) -> list[Effect]:
         row = self._rows[runner.name]
-        if row.sent_order == order.order and now < row.sent_at + RESEND_SECONDS:
-            return []
-        self._rows[runner.name] = row._replace(sent_order=order.order, sent_at=now)
+        arrives_by = lease_until + self._order_timeout
+        self._rows[runner.name] = row._replace(settled_at=arrives_by)
         send = SendOrder(
             runner.name,
             runner.address,
@@ -189,7 +199,7 @@
 
     def _is_in_reach(self, now: float, upstream: str) -> bool:
         row = self._rows.get(upstream, _EngineRow())
-        return now <= row.read_at + 5 * READ_SECONDS
+        return now <= row.read_at + LOST_READ_SECONDS
 
     def _propose_once(self, now: float, command: Command) -> None:
         """Propose a command unless the same was proposed a moment ago."""
--- a/hawthornshelf/events.py
+++ b/hawthornshelf/events.py
@@ -110,11 +110,11 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderEnded:
-    """Report the answer to an order; it says nothing of its effect."""
+    """Report the end of an order's call; unanswered ones may still arrive."""
 
     upstream: str
     order: int
-    accepted: bool
+    answered: bool
     reason: str
 
 
--- a/hawthornshelf/state.py
+++ b/hawthornshelf/state.py
@@ -1,5 +1,6 @@
 """Apply committed commands to the replicated state."""
 
+import hashlib
 from typing import NamedTuple
 
 import msgspec
@@ -7,6 +8,7 @@
 from hawthornshelf.claims import ClaimRow, ClaimTable
 from hawthornshelf.commands import (
     AckDrain,
+    ChangeIdReused,
     ClearSuspects,
     Command,
     ConfigurationAccepted,
@@ -56,6 +58,16 @@
     accepted: float
 
 
+class OutcomeRow(NamedTuple):
+    """Hold the first answer to a change id, and a digest of what it proposed."""
+
+    change_id: str
+    digest: str
+    base: int
+    version: int
+    accepted: bool
+
+
 class NodeRow(NamedTuple):
     """Hold one entry node that may send work to upstreams."""
 
@@ -97,7 +109,7 @@
     stamp: float
     version: int
     configuration: Configuration
-    outcomes: tuple[tuple[str, int, int], ...]
+    outcomes: tuple[OutcomeRow, ...]
     history: tuple[ChangeRow, ...]
     nodes: tuple[NodeRow, ...]
     drains: tuple[DrainRow, ...]
@@ -116,7 +128,7 @@
         self.stamp = 0.0
         self.version = 0
         self.configuration = Configuration()
-        self.outcomes: dict[str, tuple[int, int]] = {}
+        self.outcomes: dict[str, OutcomeRow] = {}
         self.history: list[ChangeRow] = []
         self.nodes: dict[str, NodeRow] = {}
         self.drains: dict[tuple[str, DrainReason], DrainRow] = {}
@@ -174,7 +186,7 @@
             self.stamp,
             self.version,
             self.configuration,
-            tuple((key, *value) for key, value in self.outcomes.items()),
+            tuple(self.outcomes.values()),
             tuple(self.history),
             tuple(self.nodes.values()),
             tuple(self.drains.values()),
@@ -197,7 +209,7 @@
         state.stamp = image.stamp
         state.version = image.version
         state.configuration = image.configuration
-        state.outcomes = {key: (base, got) for key, base, got in image.outcomes}
+        state.outcomes = {row.change_id: row for row in image.outcomes}
         state.history = list(image.history)
         state.nodes = {row.node: row for row in image.nodes}
         state.drains = {(row.upstream, row.reason): row for row in image.drains}
@@ -229,25 +241,29 @@
                 return NotFound(type(command).__name__)
 
     def _propose(self, index: int, command: ProposeConfiguration) -> Result:
+        digest = _digest(command)
         if command.change_id not in self.outcomes:
-            self._decide(index, command)
-        base, got = self.outcomes[command.change_id]
-        if base == got:
-            return ConfigurationConflict(command.base_version, got)
-        return ConfigurationAccepted(got)
-
-    def _decide(self, index: int, command: ProposeConfiguration) -> None:
-        """Record an outcome as (version before, version after); equal if refused."""
-        before = self.version
-        if command.base_version == before:
-            self.version = before + 1
+            self._decide(index, command, digest)
+        row = self.outcomes[command.change_id]
+        if row.digest != digest:
+            return ChangeIdReused(command.change_id)
+        if row.accepted:
+            return ConfigurationAccepted(row.version)
+        return ConfigurationConflict(row.base, row.version)
+
+    def _decide(self, index: int, command: ProposeConfiguration, digest: str) -> None:
+        accepted = command.base_version == self.version
+        if accepted:
+            self.version += 1
             self.configuration = command.configuration
             self.revision = index
             change = ChangeRow(
                 self.version, command.change_id, command.operator, self.stamp
             )
             self.history = [*self.history[-MAX_HISTORY + 1 :], change]
-        self.outcomes[command.change_id] = (before, self.version)
+        self.outcomes[command.change_id] = OutcomeRow(
+            command.change_id, digest, command.base_version, self.version, accepted
+        )
         while len(self.outcomes) > MAX_CHANGE_OUTCOMES:
             del self.outcomes[next(iter(self.outcomes))]
 
@@ -297,3 +313,8 @@
             return NotFound(command.upstream)
         self.orders[command.upstream] = row._replace(finished=True)
         return Done(index)
+
+
+def _digest(command: ProposeConfiguration) -> str:
+    body = msgspec.msgpack.encode((command.base_version, command.configuration))
+    return hashlib.blake2b(body, digest_size=12).hexdigest()
--- a/hawthornshelf/upstreamclient.py
+++ b/hawthornshelf/upstreamclient.py
@@ -236,13 +236,12 @@
         )
         try:
             async with self._orders.post(url, data=body, timeout=timeout) as response:
-                accepted = response.status == 202
-                reason = f"status {response.status}"
+                answered, reason = True, f"status {response.status}"
         except _SendTooLate:
-            accepted, reason = False, "lease ran out before it was sent"
+            answered, reason = True, "lease ran out before it was sent"
         except (aiohttp.ClientError, TimeoutError) as error:
-            accepted, reason = False, f"{type(error).__name__}: {error}"
-        self._post(OrderEnded(effect.upstream, effect.order, accepted, reason))
+            answered, reason = False, f"{type(error).__name__}: {error}"
+        self._post(OrderEnded(effect.upstream, effect.order, answered, reason))
 
     async def _read_platform(self, url: str) -> None:
         timeout = aiohttp.ClientTimeout(total=READ_SECONDS)
--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from hawthornshelf.commands import (
+    ChangeIdReused,
     ConfigurationAccepted,
     ConfigurationConflict,
     ProposeConfiguration,
@@ -15,6 +16,10 @@
 __all__ = ["check_all", "is_linearizable"]
 
 
+Known = dict[str, tuple[object, object]]
+"""Hold the content and the first result of each change id."""
+
+
 def check_all(world: World) -> None:
     """Assert every invariant on what a world recorded."""
     check_configuration(world)
@@ -41,7 +46,7 @@
     return _search(tuple(proposals), 0, {})
 
 
-def _search(left: tuple[Call, ...], version: int, known: dict[str, object]) -> bool:
+def _search(left: tuple[Call, ...], version: int, known: Known) -> bool:
     open_calls = [call for call in left if call.result is not None]
     if not open_calls:
         return True
@@ -58,19 +63,20 @@
     return False
 
 
-def _apply(
-    call: Call, version: int, known: dict[str, object]
-) -> tuple[int, dict[str, object]] | None:
+def _apply(call: Call, version: int, known: Known) -> tuple[int, Known] | None:
     command = call.command
     assert isinstance(command, ProposeConfiguration)
-    result: object = known.get(command.change_id)
-    if result is None:
+    content = (command.base_version, command.configuration)
+    if command.change_id not in known:
         if command.base_version == version:
             version += 1
-            result = ConfigurationAccepted(version)
+            first: object = ConfigurationAccepted(version)
         else:
-            result = ConfigurationConflict(command.base_version, version)
-        known = {**known, command.change_id: result}
+            first = ConfigurationConflict(command.base_version, version)
+        known = {**known, command.change_id: (content, first)}
+    before, result = known[command.change_id]
+    if before != content:
+        result = ChangeIdReused(command.change_id)
     if call.result is not None and call.result != result:
         return None
     return version, known
--- a/tests/world.py
+++ b/tests/world.py
@@ -416,6 +416,17 @@
         reading = engine.read(self.now) if engine and reachable else None
         self.post_later(node.name, node.epoch, EngineRead(upstream, reading), 0.003)
 
+    def _deliver_order(
+        self, node: SimNode, epoch: int, engine: FakeEngine, effect: SendOrder
+    ) -> None:
+        """Let an order arrive, its answer lost or so late that the call ends first."""
+        flight = self.rng.uniform(0.001, MAX_ORDER_DELAY_SECONDS)
+        answered = self.rng.random() < 0.7
+        wait = flight + 0.002 if answered else self.rng.uniform(0.001, flight)
+        self.after(flight, lambda: engine.order(self, node.name, effect))
+        ended = OrderEnded(effect.upstream, effect.order, answered, "")
+        self.post_later(node.name, epoch, ended, wait)
+
     def _send_order(self, node: SimNode, effect: SendOrder) -> None:
         epoch = node.epoch
         engine = self.engines.get(effect.upstream)
@@ -423,10 +434,10 @@
         def write() -> None:
             cut = frozenset((node.name, effect.upstream)) in self.cuts
             if self.now < effect.not_after and engine and engine.up and not cut:
-                flight = self.rng.uniform(0.001, MAX_ORDER_DELAY_SECONDS)
-                self.after(flight, lambda: engine.order(self, node.name, effect))
-            ended = OrderEnded(effect.upstream, effect.order, True, "")
-            self.post_later(node.name, epoch, ended, 1.0)
+                self._deliver_order(node, epoch, engine, effect)
+            else:
+                ended = OrderEnded(effect.upstream, effect.order, False, "not sent")
+                self.post_later(node.name, epoch, ended, 0.002)
 
         delay = self.rng.uniform(0.001, 0.003)
         self.after(delay, lambda: self._guard(node.name, epoch, write))
