Let a replica on a new disk vote again, and replace an order that failed

A learner's replies went nowhere, because it knew no members yet and so no address of its leader; the soak had not looked at the membership. An engine that crashed in a change remembered the order's number and took no resend of it. Change: a replica answers to the node a message came from; an order that the engine says it took, but whose state is not there, is placed anew under a new number. The soak now ends by checking that every disk's replica votes. Tests: scenarios, storage on memory and disk, one replica's answers, the checkers themselves, drawn fault schedules.

--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -117,6 +117,7 @@
         self._reconciler = OrderReconciler(self._propose_own, settings.order_timeout)
         self._status_of = status_of
         self._waiting: dict[int, _Waiting] = {}
+        self._heard_from: dict[str, str] = {}
         self._effects: list[Effect | ToNode] = []
         self._hello_due = 0.0
         self._reconcile_due = 0.0
@@ -147,6 +148,7 @@
                 if self.state.revision > message.revision:
                     self._reply(sender, ViewUpdate(self.state.view()))
             case _ if isinstance(message, RaftMessage):
+                self._heard_from[message.sender] = sender
                 self.raft.step(now, message)
 
     def handle(
@@ -294,7 +296,7 @@
 
     def _send_to_replica(self, message: RaftMessage) -> None:
         member = self.raft.membership.find(message.target)
-        node = member.node if member else self._replicas.node_of(message.target)
+        node = member.node if member else self._heard_from.get(message.target)
         if node:
             self._effects.append(ToNode(node, message))
 
--- a/hawthornshelf/engineorders.py
+++ b/hawthornshelf/engineorders.py
@@ -143,7 +143,8 @@
         wanted = PlaceOrder(
             runner.name, model.name, model.version, model.adapters, runner.role
         )
-        if order is None or order.finished or order.command != wanted:
+        failed = order is not None and row.reading.last_order == order.order
+        if order is None or order.finished or failed or order.command != wanted:
             self._propose_once(now, wanted)
             return []
         return self._send(now, runner, order, lease_until)
--- a/hawthornshelf/replicas.py
+++ b/hawthornshelf/replicas.py
@@ -43,13 +43,6 @@
         self._admitted.discard(node)
         return ""
 
-    def node_of(self, replica: str) -> str:
-        """Return the node of a replica that is not yet a member."""
-        for node, candidate in self._candidates.items():
-            if candidate == replica:
-                return node
-        return ""
-
     def tick(self, now: float) -> None:
         """Take at most one step towards the wanted membership."""
         if not self._remove_one() and not self._promote_one():
--- a/tests/chaos.py
+++ b/tests/chaos.py
@@ -219,3 +219,14 @@
     check_all(world)
     versions = {n.core.view.version for n in world.nodes.values() if n.core}
     assert len(versions) == 1, versions
+    _check_replicas(world)
+
+
+def _check_replicas(world: World) -> None:
+    """Assert that every control node's own replica votes again."""
+    core = world.nodes[world.leader()].core
+    assert core is not None
+    assert core.control is not None
+    disks = [world.nodes[name].disk for name in world.control]
+    replicas = {disk.load().replica for disk in disks if disk}
+    assert set(core.control.membership().voters()) == replicas
--- /dev/null
+++ b/tests/test_chaos.py
@@ -0,0 +1,35 @@
+"""Drive the whole fleet through drawn faults, alone and in combination."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.chaos import FAULTS, Fault, run_chaos
+
+faults = st.builds(
+    Fault,
+    at=st.floats(0, 35),
+    kind=st.sampled_from(FAULTS),
+    target=st.integers(0, 4),
+    seconds=st.floats(0.2, 12),
+)
+
+
+@settings(max_examples=25, derandomize=True, deadline=None, database=None)
+@given(seed=st.integers(0, 10_000), schedule=st.lists(faults, max_size=6))
+def test_all_holds_under_faults(seed: int, schedule: list[Fault]) -> None:
+    run_chaos(seed, schedule)
+
+
+def test_an_operators_release_does_not_end_the_drain_of_an_order() -> None:
+    run_chaos(7, [Fault(25.94, "freeze", 2, 5.55)])
+
+
+def test_orders_to_one_engine_wait_until_the_last_has_settled() -> None:
+    schedule = [
+        Fault(6.22, "crash-engine", 3, 5.29),
+        Fault(10.5, "stop", 4, 7.0),
+        Fault(12.85, "stop", 3, 7.4),
+        Fault(12.86, "isolate", 3, 6.04),
+        Fault(20.67, "isolate", 0, 6.75),
+    ]
+    run_chaos(18, schedule)
--- /dev/null
+++ b/tests/test_raft.py
@@ -0,0 +1,152 @@
+"""Check one replica's answers, where scenarios would not tell why they hold."""
+
+import random
+
+from hawthornshelf.log import Loaded, LogEntry, Member, Membership, Persist, Snapshot
+from hawthornshelf.raft import Raft, Role, Timing
+from hawthornshelf.raftmessages import (
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    RaftSend,
+    VoteReply,
+    VoteRequest,
+)
+
+MEMBERS = Membership(tuple(Member(name, name, voter=True) for name in "abc"))
+START = Snapshot(1, 1, MEMBERS)
+
+
+def make(name: str = "a", term: int = 1, voted_for: str = "") -> Raft:
+    loaded = Loaded(name, term, voted_for, START)
+    return Raft(loaded, Timing(0.1, 1.0), random.Random(1), 0.0)
+
+
+def sent(raft: Raft, now: float) -> list:
+    return [e.message for e in raft.take(now) if isinstance(e, RaftSend)]
+
+
+def sync(raft: Raft, now: float) -> list:
+    """Persist what is pending and return the messages that waited for it."""
+    effects = raft.take(now)
+    for effect in effects:
+        if isinstance(effect, Persist):
+            raft.persisted(effect.sequence)
+    messages = [e.message for e in effects if isinstance(e, RaftSend)]
+    return messages + sent(raft, now)
+
+
+def elect(raft: Raft, now: float = 3.0) -> None:
+    raft.tick(now)
+    sync(raft, now)
+    raft.step(now, VoteReply("b", raft.replica, raft.term + 1, True, pre=True))
+    for message in sync(raft, now):
+        if message.target == raft.replica:
+            raft.step(now, message)
+    raft.step(now, VoteReply("b", raft.replica, raft.term, True))
+    assert raft.role is Role.LEADER
+
+
+def test_a_vote_leaves_only_after_it_is_synced() -> None:
+    raft = make()
+    raft.step(5.0, VoteRequest("b", "a", 2, 1, 1))
+    effects = raft.take(5.0)
+    assert [type(effect) for effect in effects] == [Persist]
+    raft.persisted(effects[0].sequence)
+    assert sent(raft, 5.0) == [VoteReply("a", "b", 2, True)]
+
+
+def test_one_vote_a_term() -> None:
+    raft = make()
+    raft.step(5.0, VoteRequest("b", "a", 2, 1, 1))
+    raft.step(5.0, VoteRequest("c", "a", 2, 1, 1))
+    replies = {message.target: message.granted for message in sync(raft, 5.0)}
+    assert replies == {"b": True, "c": False}
+
+
+def test_no_vote_for_a_shorter_log() -> None:
+    raft = make()
+    raft.step(5.0, VoteRequest("b", "a", 2, 0, 0))
+    assert [m.granted for m in sync(raft, 5.0)] == [False]
+
+
+def test_no_vote_while_a_leader_is_heard() -> None:
+    raft = make(term=2)
+    raft.step(5.0, Append("c", "a", 2, 1, 1, (), 1, 4.9))
+    raft.step(5.5, VoteRequest("b", "a", 9, 5, 5))
+    assert raft.term == 2
+    assert [m.granted for m in sync(raft, 5.5) if isinstance(m, VoteReply)] == [False]
+
+
+def test_no_vote_right_after_a_restart() -> None:
+    raft = make()
+    raft.step(0.5, VoteRequest("b", "a", 2, 1, 1))
+    assert [m.granted for m in sync(raft, 0.5)] == [False]
+
+
+def test_a_message_for_a_former_replica_id_is_ignored() -> None:
+    raft = make()
+    raft.step(5.0, VoteRequest("b", "old-a", 2, 1, 1))
+    assert raft.take(5.0) == []
+
+
+def test_the_lease_counts_from_when_heartbeats_were_sent() -> None:
+    raft = make()
+    elect(raft, 3.0)
+    assert raft.lease_until() < 3.0
+    raft.step(3.8, AppendReply("b", "a", raft.term, True, 2, sent=3.0))
+    assert raft.lease_until() == 3.9
+
+
+def test_a_leader_without_a_quorum_steps_down() -> None:
+    raft = make()
+    elect(raft, 3.0)
+    raft.tick(4.5)
+    assert raft.role is Role.FOLLOWER
+
+
+def test_an_entry_of_an_older_term_is_not_committed_by_counting() -> None:
+    loaded = Loaded("a", 1, "", START, (LogEntry(1, 2, 1, b"x"),))
+    raft = Raft(loaded, Timing(0.1, 1.0), random.Random(1), 0.0)
+    elect(raft, 3.0)
+    raft.step(3.1, AppendReply("b", "a", raft.term, True, 2, 3.0))
+    assert raft.commit_index == 1
+    sync(raft, 3.1)
+    raft.step(3.1, AppendReply("b", "a", raft.term, True, 3, 3.0))
+    assert raft.commit_index == 3
+
+
+def test_a_conflicting_tail_is_replaced() -> None:
+    loaded = Loaded("a", 2, "", START, (LogEntry(1, 2, 1), LogEntry(1, 3, 1)))
+    raft = Raft(loaded, Timing(0.1, 1.0), random.Random(1), 0.0)
+    entry = LogEntry(2, 2, 1, b"new")
+    raft.step(1.0, Append("b", "a", 2, 1, 1, (entry,), 2, 0.9))
+    assert raft.entries == [entry]
+    assert raft.commit_index == 2
+
+
+def test_a_replica_reports_a_match_only_for_what_it_has_synced() -> None:
+    raft = make(term=2)
+    entry = LogEntry(2, 2, 1, b"new")
+    raft.step(1.0, Append("b", "a", 2, 1, 1, (entry,), 1, 0.9))
+    assert sent(raft, 1.0) == []
+
+
+def test_membership_changes_one_voter_at_a_time() -> None:
+    raft = make()
+    elect(raft, 3.0)
+    sync(raft, 3.0)
+    raft.step(3.1, AppendReply("b", "a", raft.term, True, raft.last_index, 3.0))
+    two = Membership((Member("a", "a", voter=True),))
+    assert raft.change_membership(two) is None
+    assert raft.change_membership(MEMBERS.without("c")) is not None
+    assert raft.change_membership(MEMBERS.without("b")) is None
+
+
+def test_a_snapshot_replaces_what_was_compacted_away() -> None:
+    raft = make(term=2)
+    snapshot = Snapshot(2, 50, MEMBERS, b"state")
+    raft.step(1.0, InstallSnapshot("b", "a", 2, snapshot, 0.9))
+    assert raft.take_snapshot() == snapshot
+    assert raft.last_index == 50
+    assert sync(raft, 1.0) == [AppendReply("a", "b", 2, True, 50, 0.9)]
