--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the scripts that demonstrate and measure."""
