--- a/hawthornshelf/entry.py
+++ b/hawthornshelf/entry.py
@@ -180,6 +180,10 @@
         for service in self.requests.services():
             self._pump(now, service)
         self._ack_drains(now)
+        return self.take_effects()
+
+    def take_effects(self) -> list[Effect]:
+        """Return the effects gathered since the last call."""
         effects, self._effects = self._effects, []
         return effects
 
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -56,6 +56,7 @@
 
 ASK_SECONDS = 1.0
 STALE_SECONDS = 5.0
+SWEEP_SECONDS = 0.04
 JOIN_WAIT_SECONDS = 5.0
 LEAVE_WAIT_SECONDS = 10.0
 OPERATOR_WAIT_SECONDS = 10.0
@@ -115,6 +116,7 @@
         self._word_at = -NEVER
         self._listed_at = -NEVER
         self._ask_due = 0.0
+        self._sweep_due = 0.0
         self._join = ""
         self._joined_index = 0
         self._joined = False
@@ -131,7 +133,10 @@
         """Take in events, run what is due and return the effects."""
         for event in events:
             self._handle(now, wall, event)
-        self._tick(now, wall)
+        self._react(now, wall)
+        if now >= self._sweep_due:
+            self._sweep_due = now + SWEEP_SECONDS
+            self._sweep(now)
         effects, self._effects = self._effects, []
         return self._deliver_local(now, wall, effects)
 
@@ -272,12 +277,21 @@
 
     # What is due
 
-    def _tick(self, now: float, wall: float) -> None:
+    def _react(self, now: float, wall: float) -> None:
+        """Run what must follow an event at once; its cost depends on that alone."""
         if self.control:
             self._effects.extend(self.control.tick(now, wall))
-            self._note_age(now, self.control.age(now))
             if self.control.state.revision > self.view.revision:
                 self._load_view(now, self.control.view())
+        if self.entry:
+            self._effects.extend(self.entry.take_effects())
+        for node, message in self.submitter.take_new(now):
+            self._send(node, message)
+
+    def _sweep(self, now: float) -> None:
+        """Run what may wait a little; its cost grows with the tables."""
+        if self.control:
+            self._note_age(now, self.control.age(now))
         self.members.age = self.age(now)
         self._update_own(now)
         for outgoing in self.members.tick(now):
@@ -305,10 +319,12 @@
 
     def _tick_submissions(self, now: float) -> None:
         messages, ended = self.submitter.tick(now)
-        for node, message in messages:
-            self._send(node, message)
         for item in ended:
             self._on_result(now, item.request, None)
+        for node, message in (*messages, *self.submitter.take_new(now)):
+            self._send(node, message)
+        if self.entry:
+            self._effects.extend(self.entry.take_effects())
 
     def _tick_replica_changes(self, now: float) -> None:
         for request, (change, until, due) in list(self._replica_changes.items()):
--- a/hawthornshelf/settings.py
+++ b/hawthornshelf/settings.py
@@ -23,6 +23,8 @@
     data_centre: str
     listen: str
     peer_listen: str
+    advertise: str
+    peer_advertise: str
     control: dict[str, str]
     peers: dict[str, str]
     data: Path | None
@@ -132,6 +134,10 @@
     return text
 
 
+def _parse_optional_address(text: str) -> str:
+    return _parse_address(text) if text else ""
+
+
 def _parse_addresses(text: str) -> dict[str, str]:
     pairs = [item.partition("=") for item in text.split(",") if item]
     found = {_parse_name(name): _parse_address(a) for name, _, a in pairs}
@@ -200,6 +206,20 @@
         "listen", _parse_address, "ip:port", None, "address for callers and operators"
     ),
     Setting("peer-listen", _parse_address, "ip:port", None, "address for other nodes"),
+    Setting(
+        "advertise",
+        _parse_optional_address,
+        "ip:port",
+        "",
+        "address that callers are told, if not the one listened on",
+    ),
+    Setting(
+        "peer-advertise",
+        _parse_optional_address,
+        "ip:port",
+        "",
+        "address that other nodes are told, if not the one listened on",
+    ),
     Setting(
         "control", _parse_some_addresses, _ADDRESSES, None, "peer addresses of control"
     ),
--- a/hawthornshelf/submission.py
+++ b/hawthornshelf/submission.py
@@ -39,7 +39,7 @@
         self._leader = 0
         self._pending: dict[str, Submission] = {}
         self._numbers = itertools.count(1)
-        self._due: list[Submission] = []
+        self._fresh: list[str] = []
 
     def submit(self, now: float, command: Command, until: float) -> str:
         """Enter a command and return its request id."""
@@ -50,6 +50,7 @@
     def submit_as(self, request: str, command: Command, until: float) -> None:
         """Enter a command under a request id of the caller's."""
         self._pending[request] = Submission(request, CODEC.encode(command), until)
+        self._fresh.append(request)
 
     def abandon(self, request: str) -> None:
         """Forget a command; it may still take effect."""
@@ -72,31 +73,35 @@
         self._pending[reply.request] = pending._replace(
             resend_at=now + wait, unanswered=False
         )
+        if not wait:
+            self._fresh.append(reply.request)
 
     def target(self) -> str:
         """Return the control node believed to lead."""
         return self._control[self._leader % len(self._control)]
 
+    def take_new(self, now: float) -> list[tuple[str, Submit]]:
+        """Return the messages that are to go out at once, with their node."""
+        fresh, self._fresh = self._fresh, []
+        found = [self._pending[r] for r in fresh if r in self._pending]
+        return [self._send(now, pending) for pending in found]
+
     def tick(self, now: float) -> tuple[list[tuple[str, Submit]], list[Ended]]:
-        """Return the messages to send now, with their node, and what timed out."""
-        sends = []
-        ended = []
-        timed_out = False
-        for pending in list(self._pending.values()):
-            if now >= pending.until:
-                del self._pending[pending.request]
-                ended.append(Ended(pending.request, None))
-            elif now >= pending.resend_at:
-                timed_out = timed_out or pending.unanswered
-                self._pending[pending.request] = pending._replace(
-                    resend_at=now + RESEND_SECONDS, unanswered=True
-                )
-                sends.append(pending)
-        if timed_out:
+        """Return the messages to send again, with their node, and what timed out."""
+        ended = [p for p in self._pending.values() if now >= p.until]
+        for pending in ended:
+            del self._pending[pending.request]
+        due = [p for p in self._pending.values() if now >= p.resend_at]
+        if any(pending.unanswered for pending in due):
             self._leader += 1
-        target = self.target()
-        messages = [(target, Submit(p.request, p.command)) for p in sends]
-        return messages, ended
+        messages = [self._send(now, pending) for pending in due]
+        return messages, [Ended(pending.request, None) for pending in ended]
+
+    def _send(self, now: float, pending: Submission) -> tuple[str, Submit]:
+        self._pending[pending.request] = pending._replace(
+            resend_at=now + RESEND_SECONDS, unanswered=True
+        )
+        return self.target(), Submit(pending.request, pending.command)
 
     def _follow(self, leader: str) -> None:
         if leader in self._control:
--- a/scripts/rig.py
+++ b/scripts/rig.py
@@ -24,9 +24,11 @@
 ]
 
 
-def make_nodes(control: int, entries: int) -> list[NodeSpec]:
-    """Return nodes: `control` with both roles, then `entries` more."""
-    nodes = [NodeSpec(f"c{n}", "entry,control", f"dc-{n % 3}") for n in range(control)]
+def make_nodes(
+    control: int, entries: int, roles: str = "entry,control"
+) -> list[NodeSpec]:
+    """Return nodes: some that run control with the roles given, then entry nodes."""
+    nodes = [NodeSpec(f"c{n}", roles, f"dc-{n % 3}") for n in range(control)]
     nodes += [NodeSpec(f"e{n}", "entry", f"dc-{n % 3}") for n in range(entries)]
     return nodes
 
@@ -100,7 +102,8 @@
     at = list(fleet.listen.values())
     data = await call_any(at, "GET", "/v1/addresses", b"", "")
     addresses = msgspec.json.decode(data, type=AddressAnswer).addresses
-    return len(addresses) >= min(4, len(fleet.nodes))
+    entries = [node for node in fleet.nodes.values() if "entry" in node.roles]
+    return len(addresses) >= min(4, len(entries))
 
 
 async def _all_loaded(fleet: Fleet, engines: int) -> bool:
--- /dev/null
+++ b/tests/ablations.py
@@ -0,0 +1,165 @@
+"""Take one mechanism out at a time, to show that the checks notice."""
+
+from collections.abc import Callable
+
+import pytest
+
+from hawthornshelf import claims, control, engineorders, entry, node, raft, state
+from hawthornshelf.commands import ClaimGranted
+from tests import world
+
+__all__ = ["ABLATIONS"]
+
+Patch = Callable[[pytest.MonkeyPatch], None]
+NEVER = float("-inf")
+FOREVER = float("inf")
+
+
+def _send_before_sync(patch: pytest.MonkeyPatch) -> None:
+    """Send votes and acknowledgements before they are synced."""
+    ready = property(lambda s: 10**9, lambda s, v: None)
+    all_held = property(lambda s: s.last_index, lambda s, v: None)
+    patch.setattr(raft.Raft, "_persisted_sequence", ready, raising=False)
+    patch.setattr(raft.Raft, "persisted_index", all_held, raising=False)
+
+
+def _keep_replica_id(patch: pytest.MonkeyPatch) -> None:
+    """Let an empty disk come back under its old replica id."""
+
+    def wipe(self: world.World, name: str) -> None:
+        disk = self.nodes[name].disk
+        assert disk is not None
+        self.kill(name)
+        self.nodes[name].disk = world.MemoryStorage(disk.load().replica)
+
+    patch.setattr(world.World, "wipe", wipe)
+    blank = raft.Raft._find_membership
+    members: dict[str, object] = {}
+
+    def find(self: raft.Raft, upto: int | None = None) -> object:
+        found = blank(self, upto)
+        if found.members:
+            members["last"] = found
+        return found if found.members else members.get("last", found)
+
+    patch.setattr(raft.Raft, "_find_membership", find)
+
+
+def _no_lease(patch: pytest.MonkeyPatch) -> None:
+    """Send orders whether or not the lease still holds, and wait for none."""
+    patch.setattr(raft.Raft, "lease_until", lambda self: FOREVER)
+    patch.setattr(control.ControlCore, "orders_from", lambda self: NEVER)
+
+
+def _no_settling(patch: pytest.MonkeyPatch) -> None:
+    """Send an order while the last one may still be on its way."""
+    patch.setattr(
+        engineorders,
+        "_EngineRow",
+        type(
+            "Row",
+            (engineorders._EngineRow,),
+            {"settled_at": property(lambda self: NEVER)},
+        ),
+    )
+
+
+def _no_acks(patch: pytest.MonkeyPatch) -> None:
+    """Order without waiting for the nodes that still have work in flight."""
+    patch.setattr(state.SharedState, "awaited", lambda self, drain: ())
+
+
+def _no_claims(patch: pytest.MonkeyPatch) -> None:
+    """Grant every claim."""
+    patch.setattr(
+        claims.ClaimTable, "open", lambda self, c, now: ClaimGranted(c.attempt)
+    )
+
+
+def _retry_unknown(patch: pytest.MonkeyPatch) -> None:
+    """Send a claimed request again when its connection broke."""
+    original = entry.EntryCore._on_broken
+
+    def on_broken(self: entry.EntryCore, now: float, event: object) -> None:
+        object.__setattr__(event, "sent", False)
+        original(self, now, event)  # type: ignore[arg-type]
+
+    patch.setattr(entry.EntryCore, "_on_broken", on_broken)
+
+
+def _no_staleness_limit(patch: pytest.MonkeyPatch) -> None:
+    """Serve on without fresh word of who is leaving."""
+    patch.setattr(node, "STALE_SECONDS", FOREVER)
+
+
+def _no_compare_and_set(patch: pytest.MonkeyPatch) -> None:
+    """Accept a configuration whatever its base."""
+    original = state.SharedState._decide
+
+    def decide(
+        self: state.SharedState, index: int, command: object, digest: str
+    ) -> None:
+        object.__setattr__(command, "base_version", self.version)
+        original(self, index, command, digest)  # type: ignore[arg-type]
+
+    patch.setattr(state.SharedState, "_decide", decide)
+
+
+def _no_offsets(patch: pytest.MonkeyPatch) -> None:
+    """Pass on every piece of a stream as it comes."""
+    original = entry.EntryCore._on_chunk
+
+    def on_chunk(self: entry.EntryCore, now: float, event: object) -> None:
+        row = self.requests.by_attempt(event.attempt)  # type: ignore[attr-defined]
+        if row is not None:
+            object.__setattr__(event, "offset", row.offset)
+        original(self, now, event)  # type: ignore[arg-type]
+
+    patch.setattr(entry.EntryCore, "_on_chunk", on_chunk)
+
+
+def _retry_at_start(patch: pytest.MonkeyPatch) -> None:
+    """Resume a broken stream from its start."""
+    original = entry.EntryCore._retry
+
+    def retry(self: entry.EntryCore, now: float, row: object, reason: str) -> None:
+        original(self, now, row._replace(offset=0), reason)  # type: ignore[attr-defined]
+
+    patch.setattr(entry.EntryCore, "_retry", retry)
+
+
+def _no_linger(patch: pytest.MonkeyPatch) -> None:
+    """Stop at once with requests open."""
+    patch.setattr(
+        node.NodeCore,
+        "_tick_stop",
+        lambda self, now: (
+            self._effects.append(node.StopProcess())
+            if now >= self._stopping_at
+            else None
+        ),
+    )
+
+
+def _no_quarantine(patch: pytest.MonkeyPatch) -> None:
+    """Let a request run on after any number of crashes."""
+    from hawthornshelf import suspects
+
+    patch.setattr(suspects, "CRASHES_TO_QUARANTINE", 10**9)
+
+
+ABLATIONS: dict[str, Patch] = {
+    "send-before-sync": _send_before_sync,
+    "keep-replica-id": _keep_replica_id,
+    "no-lease": _no_lease,
+    "no-settling": _no_settling,
+    "no-acks": _no_acks,
+    "no-claims": _no_claims,
+    "retry-unknown": _retry_unknown,
+    "no-staleness-limit": _no_staleness_limit,
+    "no-compare-and-set": _no_compare_and_set,
+    "no-offsets": _no_offsets,
+    "resume-at-start": _retry_at_start,
+    "no-linger": _no_linger,
+    "no-quarantine": _no_quarantine,
+}
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -81,6 +81,7 @@
         self.extra = tuple(extra)
         self.listen = {n: f"127.0.0.1:{free_port()}" for n in self.nodes}
         self.peer = {n: f"127.0.0.1:{free_port()}" for n in self.nodes}
+        self.behind: dict[str, str] = {}
         self.platform = ""
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.addresses: dict[str, str] = {}
@@ -99,11 +100,13 @@
             f"--data-centre={node.data_centre}",
             f"--listen={self.listen[name]}",
             f"--peer-listen={self.peer[name]}",
-            f"--control={','.join(f'{n}={self.peer[n]}' for n in control)}",
+            f"--control={','.join(f'{n}={self._reach(n)}' for n in control)}",
             f"--data={self.folder / name}",
             f"--platform={self.platform}",
             *self.extra,
         ]
+        if name in self.behind:
+            arguments.append(f"--peer-advertise={self.behind[name]}")
         self._spawn(name, arguments)
 
     def start_nodes(self) -> None:
@@ -168,6 +171,9 @@
         """Return what a process logged."""
         return (self.folder / f"{name}.log").read_text()
 
+    def _reach(self, name: str) -> str:
+        return self.behind.get(name, self.peer[name])
+
     def _start_standin(self, kind: str, name: str, options: Sequence[str]) -> str:
         if name not in self.addresses:
             self.addresses[name] = f"127.0.0.1:{free_port()}"
--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -22,6 +22,7 @@
 TOKEN_SECONDS = 0.02
 CHANGE_SECONDS = 1.0
 BOOKING_SECONDS = 0.05
+DUPLICATE_SHARE = 0.05
 POISON = "poison"
 
 
@@ -187,6 +188,8 @@
                 return
             chunk = ChunkReceived(attempt, offset, token(event.digest, offset))
             world.post_later(node, epoch, chunk, 0.002)
+            if world.rng.random() < DUPLICATE_SHARE:
+                world.post_later(node, epoch, chunk, world.rng.uniform(0.002, 0.5))
             self._go_on(world, node, epoch, attempt, event, offset + 1)
 
         world.after(TOKEN_SECONDS, give)
