--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -23,6 +23,7 @@
 CHANGE_SECONDS = 1.0
 BOOKING_SECONDS = 0.05
 DUPLICATE_SHARE = 0.05
+BREAK_SHARE = 0.05
 POISON = "poison"
 
 
@@ -215,6 +216,10 @@
         self.runs.append(
             RunRecord(world.now, effect.request, effect.attempt, event.key)
         )
+        if world.rng.random() < BREAK_SHARE:
+            broken = AttemptBroken(effect.attempt, True, "connection reset")
+            world.post_later(node, epoch, broken, BOOKING_SECONDS)
+            return
         body = f"{event.key} by {effect.request}".encode()
         answer = Answer(201, "text/plain", body)
         completed = AttemptCompleted(effect.attempt, answer)
--- a/tests/world.py
+++ b/tests/world.py
@@ -110,6 +110,7 @@
         self.nodes: dict[str, SimNode] = {}
         self.cuts: set[frozenset[str]] = set()
         self.drop = 0.0
+        self.max_sync = MAX_SYNC_SECONDS
         self.engines: dict[str, FakeEngine] = {}
         self.services: dict[str, FakeService] = {}
         self.calls: list[Call] = []
@@ -219,12 +220,18 @@
             action()
         self.now = until
 
-    def run_until(self, check: Callable[[], Any], seconds: float, what: str) -> float:
+    def run_until(
+        self,
+        check: Callable[[], Any],
+        seconds: float,
+        what: str,
+        pause: float = 0.02,
+    ) -> float:
         """Let time pass until a condition holds; return the seconds it took."""
         began = self.now
         while not check():
             assert self.now < began + seconds, f"no {what} within {seconds} s"
-            self.run(0.02)
+            self.run(pause)
         return self.now - began
 
     def leader(self) -> str:
@@ -250,7 +257,7 @@
         """Hand a command to a node and wait for its result."""
         count = len(self.calls)
         self.give(node, command)
-        self.run_until(lambda: len(self.calls) > count, 15, "result")
+        self.run_until(lambda: len(self.calls) > count, 15, "result", 0.001)
         return self.calls[-1].result
 
     def configure(self, configuration: Configuration, change: str = "first") -> None:
@@ -374,7 +381,7 @@
                 node.disk.write([batch])
                 self._post(node.name, Persisted(batch.sequence))
 
-        at = self.now + self.rng.uniform(0.0005, MAX_SYNC_SECONDS)
+        at = self.now + self.rng.uniform(0.0005, self.max_sync)
         node.synced_at = max(node.synced_at, at)
         self.after(node.synced_at - self.now, sync)
 
