Choose engines and admit work by what was measured; report burn

Change: speeds are learnt from answers; urgent work goes straight to the engine, whose own queue ranks it; bulk work keeps to 85 % of a node's share less its urgent work, a little more once half its time has passed; two sampled engines; refusal only if 0.6 of the expected wait is too long.

--- a/hawthornshelf/admission.py
+++ b/hawthornshelf/admission.py
@@ -1,55 +1,63 @@
 """Decide which requests an entry node takes, and when others may come back."""
 
+import math
 from typing import NamedTuple
 
-__all__ = ["Admission", "Verdict"]
+from hawthornshelf.rates import Pace
+
+__all__ = ["Admission", "Backlog", "Verdict", "bulk_limit"]
 
 MAX_QUEUED_PER_SERVICE = 256
-MAX_OPEN_PER_WORKSPACE_SHARE = 0.5
-FIRST_GUESS_SECONDS = 0.5
-SMOOTHING = 0.1
+BULK_SHARE = 0.85
+CERTAINTY = 0.6
 MIN_RETRY_AFTER_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 30.0
 
 
+class Backlog(NamedTuple):
+    """Hold what a request would find: work ahead, and this node's slots."""
+
+    urgent: bool
+    ahead: int
+    queued: int
+    slots: int
+    estimate: float
+
+
 class Verdict(NamedTuple):
-    """Hold the expected wait, and a reason if the request is refused."""
+    """Hold the expected wait in seconds, and a reason if the request is refused."""
 
     wait: float
     refusal: str = ""
 
 
 class Admission:
-    """Estimate the wait of each service's queue from the work that completed."""
+    """Refuse at once what can't start in time."""
 
-    def __init__(self) -> None:
-        self._seconds: dict[str, float] = {}
-
-    def note_completed(self, service: str, seconds: float) -> None:
-        """Take in how long an attempt held its slot."""
-        known = self._seconds.get(service, seconds)
-        self._seconds[service] = known + SMOOTHING * (seconds - known)
-
-    def estimate_wait(self, service: str, ahead: int, slots: int) -> float:
-        """Return the seconds until a slot is free behind the requests ahead."""
-        if slots <= 0:
-            return MIN_RETRY_AFTER_SECONDS
-        if ahead <= 0:
-            return 0.0
-        return ahead * self._seconds.get(service, FIRST_GUESS_SECONDS) / slots
-
-    def judge(
-        self, service: str, ahead: int, queued: int, slots: int, left: float
-    ) -> Verdict:
+    def judge(self, backlog: Backlog, pace: Pace, left: float) -> Verdict:
         """Refuse what can't start within the seconds left."""
-        wait = self.estimate_wait(service, ahead, slots)
-        if queued >= MAX_QUEUED_PER_SERVICE:
+        wait = max(self._wait(backlog, pace), backlog.estimate)
+        if backlog.queued >= MAX_QUEUED_PER_SERVICE:
             return Verdict(wait, "queue is full")
-        if wait > left:
+        if wait * CERTAINTY > left:
             return Verdict(wait, "deadline can't be met")
         return Verdict(wait)
 
-    def retry_after(self, service: str, queued: int, slots: int) -> float:
-        """Return when to come back, from the queue as it stands, in seconds."""
-        wait = self.estimate_wait(service, queued, slots)
-        return min(max(wait, MIN_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
+    def retry_after(self, backlog: Backlog, pace: Pace, left: float) -> float:
+        """Return when to come back: once the excess is worked off, in seconds."""
+        excess = max(self._wait(backlog, pace), backlog.estimate) - left
+        return min(max(excess, MIN_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
+
+    def _wait(self, backlog: Backlog, pace: Pace) -> float:
+        if backlog.ahead <= 0:
+            return 0.0
+        seconds = pace.urgent if backlog.urgent else pace.bulk
+        return backlog.ahead * seconds / max(1, backlog.slots)
+
+
+def bulk_limit(slots: int, nodes: int) -> int:
+    """Return how much bulk work a node may have in flight on a service's slots.
+
+    The rest of the slots stays free, so that an urgent request finds one.
+    """
+    return max(1, math.floor(BULK_SHARE * slots / max(1, nodes)))
--- /dev/null
+++ b/hawthornshelf/burn.py
@@ -0,0 +1,130 @@
+"""Work out how fast objectives burn their error budgets."""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from hawthornshelf.configuration import Configuration, Objective
+from hawthornshelf.metrics import SLOT_SECONDS, WindowRow, new_histogram
+from hawthornshelf.texttable import format_table
+
+__all__ = ["BurnReport", "BurnRow", "WINDOWS", "describe_burn", "plot_burn", "work_out"]
+
+WINDOWS = (("5m", 5), ("1h", 60), ("6h", 360))
+PLOT_WIDTH = 60
+PLOT_HEIGHT = 12
+
+
+class BurnRow(NamedTuple):
+    """Hold one objective over one window; p99 is in seconds.
+
+    A burn rate of 1 spends the error budget exactly; 14 spends a month's
+    budget in two days.
+    """
+
+    deployment: str
+    work: str
+    window: str
+    requests: int
+    bad: int
+    p99: float
+    burn: float
+
+
+class BurnReport(NamedTuple):
+    """Hold all rows, and the nodes that were and were not reached."""
+
+    rows: tuple[BurnRow, ...]
+    reached: tuple[str, ...]
+    unreached: tuple[str, ...]
+
+
+def work_out(
+    configuration: Configuration,
+    windows: Iterable[WindowRow],
+    wall: float,
+    reached: Sequence[str],
+    unreached: Sequence[str],
+) -> BurnReport:
+    """Merge the nodes' minutes and return the burn of each objective."""
+    minutes = list(windows)
+    rows = []
+    for deployment in configuration.deployments:
+        for objective in deployment.objectives:
+            for name, length in WINDOWS:
+                first = int(wall) // SLOT_SECONDS - length + 1
+                chosen = [
+                    row
+                    for row in minutes
+                    if row.work == objective.work and row.slot >= first
+                ]
+                rows.append(_measure(deployment.name, objective, name, chosen))
+    return BurnReport(tuple(rows), tuple(reached), tuple(unreached))
+
+
+def describe_burn(report: BurnReport) -> str:
+    """Return the report as a table."""
+    heads = ("deployment", "work", "window", "requests", "bad", "p99", "burn")
+    rows = [
+        (
+            row.deployment,
+            row.work,
+            row.window,
+            row.requests,
+            row.bad,
+            f"{row.p99:.3f} s",
+            f"{row.burn:.2f}",
+        )
+        for row in report.rows
+    ]
+    reached = ", ".join(report.reached) or "none"
+    unreached = ", ".join(report.unreached) or "none"
+    return (
+        f"{format_table(heads, rows)}\n\n"
+        f"nodes reached: {reached}\nnodes not reached: {unreached}"
+    )
+
+
+def plot_burn(report: BurnReport) -> str:
+    """Return the burn rates as a bar chart in text."""
+    import plotext
+
+    names = [f"{row.work} {row.window}" for row in report.rows]
+    plotext.clear_figure()
+    plotext.theme("clear")
+    plotext.plot_size(PLOT_WIDTH, max(PLOT_HEIGHT, len(names) + 4))
+    plotext.bar(names, [row.burn for row in report.rows], orientation="horizontal")
+    plotext.title("burn rate")
+    return plotext.build()
+
+
+def _measure(
+    deployment: str, objective: Objective, window: str, rows: Sequence[WindowRow]
+) -> BurnRow:
+    merged = new_histogram()
+    for row in rows:
+        merged.add(HdrHistogram.decode(row.latencies.encode()))
+    failed = sum(row.failed for row in rows)
+    slow = _count_above(merged, objective.latency.total_seconds())
+    total = merged.get_total_count() + failed
+    bad = failed + slow
+    share = bad / total if total else 0.0
+    return BurnRow(
+        deployment,
+        objective.work,
+        window,
+        total,
+        bad,
+        merged.get_value_at_percentile(99.0) / 1e6,
+        share / (1.0 - objective.target),
+    )
+
+
+def _count_above(histogram: HdrHistogram, seconds: float) -> int:
+    limit = int(seconds * 1e6)
+    return sum(
+        item.count_added_in_this_iter_step
+        for item in histogram.get_recorded_iterator()
+        if item.value_iterated_to > limit
+    )
--- a/hawthornshelf/callerapi.py
+++ b/hawthornshelf/callerapi.py
@@ -19,6 +19,7 @@
     "build_problem",
     "parse_completion",
     "parse_service_call",
+    "split_blocks",
 ]
 
 MAX_PROMPT_CHARACTERS = 1_000_000
@@ -72,7 +73,7 @@
         is_engine=True,
         method="POST",
         path="/v1/completions",
-        prompt_blocks=_split_blocks(completion.prompt),
+        prompt_blocks=split_blocks(completion.prompt),
         prompt_tokens=len(completion.prompt) // CHARACTERS_PER_TOKEN + 1,
         max_tokens=completion.max_tokens,
     )
@@ -178,7 +179,7 @@
     return DEFAULT_URGENCY
 
 
-def _split_blocks(prompt: str) -> tuple[str, ...]:
+def split_blocks(prompt: str) -> tuple[str, ...]:
     """Return a digest for each whole block, which covers all before it."""
     running = hashlib.blake2b(digest_size=8)
     blocks = []
--- a/hawthornshelf/cli.py
+++ b/hawthornshelf/cli.py
@@ -16,6 +16,7 @@
 from cleo.io.inputs.option import Option
 
 from hawthornshelf import porcelain
+from hawthornshelf.burn import describe_burn, plot_burn
 from hawthornshelf.commands import (
     ConfigurationAccepted,
     ConfigurationConflict,
@@ -28,7 +29,7 @@
     load_declaration,
     print_configuration,
 )
-from hawthornshelf.errors import HawthornshelfError, RequestRefused
+from hawthornshelf.errors import DeclarationError, HawthornshelfError, RequestRefused
 from hawthornshelf.settings import SETTINGS, read_settings
 from hawthornshelf.texttable import format_table
 
@@ -67,6 +68,9 @@
         """Run the command and turn errors into exit codes."""
         try:
             return self.run_command()
+        except* DeclarationError as group:
+            self._print_errors(group)
+            status = EXIT_BAD_INPUT
         except* RequestRefused as group:
             self._print_errors(group)
             status = EXIT_REFUSED
@@ -250,6 +254,8 @@
     def _find_base(self) -> int:
         text = self.option("base")
         if text is not None:
+            if not text.isdigit():
+                raise DeclarationError("--base", f"{text!r} is not a version number")
             return int(text)
         return porcelain.fetch_configuration(self.at, self.token).version
 
@@ -389,6 +395,35 @@
     admit = False
 
 
+class _ReportBurn(_OperatorCommand):
+    name = "report burn"
+    description = "Print how fast objectives burn their error budgets"
+    help = _help("hawthornshelf report burn --at 127.0.0.1:8001 --plot")
+    extra_options: ClassVar[list[Option]] = [
+        option("plot", None, "add a bar chart", True)
+    ]
+
+    def run_command(self) -> int:
+        """Print the report."""
+        report = porcelain.report_burn(self.at, self.token)
+        text = describe_burn(report)
+        if self.option("plot"):
+            text = f"{text}\n\n{plot_burn(report)}"
+        self.show(report, text)
+        return EXIT_OK
+
+
+class _Version(Command):
+    name = "version"
+    description = "Print the version"
+    help = _help("hawthornshelf version")
+
+    def handle(self) -> int:
+        """Print the version."""
+        print(f"hawthornshelf {version('hawthornshelf')}")
+        return EXIT_OK
+
+
 _COMMANDS = (
     _Serve,
     _Addresses,
@@ -404,6 +439,8 @@
     _ReplicaList,
     _ReplicaAdd,
     _ReplicaRemove,
+    _ReportBurn,
+    _Version,
 )
 
 
--- a/hawthornshelf/declarations.py
+++ b/hawthornshelf/declarations.py
@@ -200,12 +200,15 @@
 
 
 def _find_repeats(configuration: Configuration) -> Iterator[DeclarationError]:
-    names: dict[str, list[str]] = {"deployment": [], "service": [], "runner": []}
+    names: dict[str, list[str]] = {
+        "deployment": [],
+        "service": [],
+        "runner": [],
+        "work": [],
+    }
     for deployment in configuration.deployments:
         names["deployment"].append(deployment.name)
-        names.setdefault(f"work of {deployment.name}", []).extend(
-            work.name for work in deployment.work
-        )
+        names["work"].extend(work.name for work in deployment.work)
         for service in deployment.all_services():
             names["service"].append(service.name)
             names["runner"].extend(runner.name for runner in service.runners)
--- a/hawthornshelf/entry.py
+++ b/hawthornshelf/entry.py
@@ -4,7 +4,7 @@
 import random
 from typing import NamedTuple
 
-from hawthornshelf.admission import Admission
+from hawthornshelf.admission import Admission, Backlog, bulk_limit
 from hawthornshelf.catalogue import Catalogue, Route
 from hawthornshelf.commands import (
     AckDrain,
@@ -51,7 +51,7 @@
 from hawthornshelf.retries import RetryBudget
 from hawthornshelf.state import SharedView
 from hawthornshelf.submission import Submitter
-from hawthornshelf.upstreams import UpstreamRow, UpstreamTable
+from hawthornshelf.upstreams import UpstreamRow, UpstreamTable, Wanted
 
 __all__ = ["EntryCore", "EntryEvent"]
 
@@ -66,6 +66,7 @@
 MAX_ATTEMPTS = 4
 MAX_OPEN_REQUESTS = 2000
 MAX_STREAM_SECONDS = 900.0
+LATE_SHARE = 0.5
 
 EntryEvent = (
     RequestArrived
@@ -217,29 +218,49 @@
         if self._suspects.get(row.digest):
             self._effects.append(_quarantined(row))
             return
-        slots = self._slots(route.service)
-        ahead = self.requests.queued_before(row)
-        queued = self.requests.queued(route.service)
-        verdict = self.admission.judge(
-            route.service, ahead, queued, slots, route.deadline
-        )
+        backlog = self._backlog(now, row)
+        pace = self.upstreams.rates.find(row.service)
+        verdict = self.admission.judge(backlog, pace, route.deadline)
         if verdict.refusal:
-            retry_after = self.admission.retry_after(route.service, queued, slots)
-            self.refuse(event.request, verdict.refusal, retry_after)
+            wait = self.admission.retry_after(backlog, pace, route.deadline)
+            self.refuse(event.request, verdict.refusal, wait)
             return
         self._budget.earn()
         self.requests.put(row)
         heapq.heappush(self._deadlines, (row.deadline, row.id))
         self._pump(now, route.service)
 
-    def _slots(self, service: str) -> int:
-        open_rows = [
-            row
-            for row in self.upstreams.in_service(service)
-            if row.runner.name not in self.upstreams.blocked
-        ]
-        total = sum(row.runner.slots for row in open_rows)
-        return -(-total // max(1, self.node_count))
+    def _backlog(self, now: float, row: RequestRow) -> Backlog:
+        """Return what a request would find if it were queued now."""
+        wanted = self._wanted(now, row)
+        choice = self.upstreams.choose(now, wanted._replace(urgent=True))
+        estimate = 0.0
+        if choice is not None and row.urgent:
+            estimate = choice.estimate
+        slots = bulk_limit(self.upstreams.slots(row.service), self.node_count)
+        return Backlog(
+            row.urgent,
+            self.requests.queued_before(row),
+            self.requests.queued(row.service),
+            slots,
+            estimate,
+        )
+
+    def _wanted(self, now: float, row: RequestRow) -> Wanted:
+        waited = now - row.arrived_at
+        return Wanted(
+            row.service,
+            self.node_count,
+            row.urgent,
+            waited > LATE_SHARE * (row.deadline - row.arrived_at),
+            row.tokens,
+            row.arrived.prompt_blocks,
+            row.excluded,
+        )
+
+    def _note_first(self, now: float, row: RequestRow) -> None:
+        seconds = now - row.claimed_at
+        self.upstreams.rates.note_first(row.service, row.tokens, seconds)
 
     # Sending
 
@@ -256,14 +277,7 @@
             self.requests.push_back(row)
 
     def _start(self, now: float, row: RequestRow) -> bool:
-        choice = self.upstreams.choose(
-            now,
-            row.service,
-            self.node_count,
-            row.excluded,
-            row.arrived.prompt_blocks,
-            row.urgent,
-        )
+        choice = self.upstreams.choose(now, self._wanted(now, row))
         if choice is None:
             if row.excluded and not self._has_other(row):
                 self.requests.put(row._replace(excluded=()))
@@ -294,7 +308,7 @@
             claimed_at=now,
         )
         self.requests.put(row)
-        self.upstreams.add(name, row.tokens)
+        self.upstreams.add(name, row.tokens, row.urgent)
         self.upstreams.prefixes.add(name, row.arrived.prompt_blocks)
         self._effects.append(
             Dispatch(
@@ -343,9 +357,8 @@
 
     def _send_claimed(self, now: float, row: RequestRow) -> None:
         bound = min(row.claimed_at + CLAIM_WAIT_SECONDS, row.deadline)
-        choice = self.upstreams.choose(
-            now, row.service, 1, row.excluded, urgent=row.urgent
-        )
+        wanted = self._wanted(now, row)._replace(urgent=True)
+        choice = self.upstreams.choose(now, wanted)
         if now >= bound or choice is None:
             self._give_back(now, row, "no upstream is free")
             return
@@ -428,6 +441,8 @@
             self._effects.append(CancelAttempt(event.attempt))
             self._retry(now, self._leave(row), "gap in the stream")
             return
+        if row.offset == 0:
+            self._note_first(now, row)
         self.requests.put(row._replace(offset=row.offset + 1, sent=True))
         self._effects.append(SendChunk(row.id, event.text))
 
@@ -439,7 +454,8 @@
         if row.arrived.is_engine and event.pieces != row.offset:
             self._retry(now, row, "stream ended early")
             return
-        self.admission.note_completed(row.service, now - row.claimed_at)
+        seconds = now - row.claimed_at
+        self.upstreams.rates.note_completed(row.service, row.urgent, seconds)
         self._clear_suspect(now, row)
         if row.idempotent:
             self._finish(now, row)
@@ -493,7 +509,7 @@
 
     def _leave(self, row: RequestRow) -> RequestRow:
         """Discount a request's attempt, which has ended."""
-        self.upstreams.remove(row.upstream, row.tokens)
+        self.upstreams.remove(row.upstream, row.tokens, row.urgent)
         left = row._replace(attempt="", upstream="", phase=Phase.RUNNING)
         self.requests.put(left)
         return left
@@ -556,9 +572,8 @@
         if row.offset > 0 and now < streams_until:
             heapq.heappush(self._deadlines, (streams_until, row.id))
             return
-        retry_after = self.admission.retry_after(
-            row.service, self.requests.queued(row.service), self._slots(row.service)
-        )
+        pace = self.upstreams.rates.find(row.service)
+        retry_after = self.admission.retry_after(self._backlog(now, row), pace, 0.0)
         if row.phase is Phase.RUNNING:
             reason = "no answer by the deadline"
             refusal = Refuse(row.id, 504, Outcome.UNKNOWN, reason, retry_after)
--- a/hawthornshelf/metrics.py
+++ b/hawthornshelf/metrics.py
@@ -8,7 +8,7 @@
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector, CollectorRegistry
 
-__all__ = ["Metrics", "WindowRow", "new_histogram"]
+__all__ = ["Ended", "Metrics", "WindowRow", "new_histogram"]
 
 MIN_LATENCY_US = 1
 MAX_LATENCY_US = 600_000_000
@@ -28,6 +28,15 @@
     outcome: str
 
 
+class Ended(NamedTuple):
+    """Hold how a request ended; a caller's own mistake is not our fault."""
+
+    work: str
+    outcome: str
+    seconds: float
+    is_our_fault: bool = False
+
+
 class WindowRow(NamedTuple):
     """Hold the outcomes of one class of work in one minute."""
 
@@ -53,13 +62,14 @@
         self._latencies: dict[str, HdrHistogram] = {}
         self._slots: dict[tuple[int, str], _Slot] = {}
 
-    def record(self, wall: float, work: str, outcome: str, seconds: float) -> None:
+    def record(self, wall: float, ended: Ended) -> None:
         """Count one request that has ended; only complete ones have a latency."""
+        work, outcome, seconds = ended.work, ended.outcome, ended.seconds
         key = _Key(work, outcome)
         self._outcomes[key] = self._outcomes.get(key, 0) + 1
         slot = self._slot(wall, work)
         if outcome != "complete":
-            slot.failed += 1
+            slot.failed += ended.is_our_fault
             return
         microseconds = min(max(int(seconds * 1e6), MIN_LATENCY_US), MAX_LATENCY_US)
         if work not in self._latencies:
--- a/hawthornshelf/porcelain.py
+++ b/hawthornshelf/porcelain.py
@@ -9,15 +9,18 @@
 import aiohttp
 import msgspec
 
+from hawthornshelf.burn import BurnReport, work_out
 from hawthornshelf.commands import ProposeConfiguration, Result
 from hawthornshelf.configuration import Configuration
 from hawthornshelf.errors import ControlUnavailable, RequestRefused
 from hawthornshelf.messages import CODEC
+from hawthornshelf.metrics import WindowRow
 from hawthornshelf.operators import TOKEN_HEADER, AddressAnswer, ReplicaAnswer
 from hawthornshelf.status import ConfigurationReport, ControlReport, NodeReport
 from hawthornshelf.texttable import format_table
 
 __all__ = [
+    "call_any",
     "change_replica",
     "describe_status",
     "drain_upstream",
@@ -28,6 +31,7 @@
     "make_change_id",
     "propose_configuration",
     "release_upstream",
+    "report_burn",
 ]
 
 CALL_SECONDS = 15.0
@@ -89,6 +93,25 @@
     return msgspec.json.decode(data, type=ReplicaAnswer)
 
 
+def report_burn(at: Sequence[str], token: str = "") -> BurnReport:
+    """Return the burn of all objectives, merged from every node that answers."""
+    configuration = fetch_configuration(at, token).configuration
+    members = fetch_status(at, token).members
+    known = [m.caller_address for m in members if m.entry and m.caller_address]
+    addresses = list(dict.fromkeys(known or at))
+    path = "/v1/operator/windows"
+    answers = asyncio.run(_call_each(addresses, path, token))
+    found = {a: data for a, data in answers.items() if data is not None}
+    rows = [
+        row
+        for data in found.values()
+        for row in msgspec.json.decode(data, type=list[WindowRow])
+    ]
+    unreached = [address for address in addresses if address not in found]
+    wall = datetime.now(UTC).timestamp()
+    return work_out(configuration, rows, wall, list(found), unreached)
+
+
 def format_stamp(seconds: float) -> str:
     """Return seconds since the epoch as an ISO time in UTC."""
     return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="seconds")
@@ -144,6 +167,18 @@
     return asyncio.run(call_any(at, method, path, body, token))
 
 
+async def _call_each(
+    addresses: Sequence[str], path: str, token: str
+) -> dict[str, bytes | None]:
+    """Call all nodes at once; None stands for one that gave no answer."""
+    calls = (call_any([address], "GET", path, b"", token) for address in addresses)
+    answers = await asyncio.gather(*calls, return_exceptions=True)
+    return {
+        address: answer if isinstance(answer, bytes) else None
+        for address, answer in zip(addresses, answers, strict=True)
+    }
+
+
 async def call_any(
     at: Sequence[str], method: str, path: str, body: bytes, token: str
 ) -> bytes:
--- a/hawthornshelf/process.py
+++ b/hawthornshelf/process.py
@@ -43,7 +43,7 @@
 from hawthornshelf.log import Persist
 from hawthornshelf.logs import start_logging, write_log
 from hawthornshelf.messages import Message
-from hawthornshelf.metrics import Metrics, WindowRow
+from hawthornshelf.metrics import Ended, Metrics, WindowRow
 from hawthornshelf.node import NodeCore, NodeSettings
 from hawthornshelf.operators import AddressAnswer, OperatorServer, ReplicaAnswer
 from hawthornshelf.peers import PeerClient, PeerServer
@@ -259,7 +259,8 @@
         seconds = self._clock.monotonic() - exchange.started
         work = exchange.request.event.work or "default"
         wall = self._clock.now().timestamp()
-        self._metrics.record(wall, work, outcome, seconds)
+        is_our_fault = isinstance(end, Refuse) and end.status >= 500
+        self._metrics.record(wall, Ended(work, outcome, seconds, is_our_fault))
         if isinstance(end, Refuse):
             write_log(
                 "request-refused",
--- a/hawthornshelf/upstreams.py
+++ b/hawthornshelf/upstreams.py
@@ -1,25 +1,27 @@
 """Keep what an entry node knows of each upstream, and choose among them."""
 
-import math
 import random
-from collections.abc import Iterable
 from typing import NamedTuple
 
+from hawthornshelf.admission import bulk_limit
 from hawthornshelf.configuration import Configuration, EngineService, Runner
 from hawthornshelf.effects import ReadLoad
 from hawthornshelf.events import LoadReport, LoadReported
 from hawthornshelf.prefixes import PrefixTable
+from hawthornshelf.rates import Rates
 
-__all__ = ["Choice", "UpstreamRow", "UpstreamTable"]
+__all__ = ["Choice", "UpstreamRow", "UpstreamTable", "Wanted"]
 
 LOAD_READ_SECONDS = 1.0
-LOAD_HALF_LIFE_SECONDS = 2.0
+LOAD_HALF_LIFE_SECONDS = 0.5
 RETRY_DOWN_SECONDS = 1.0
-PREFILL_TOKENS_PER_SECOND = 8000.0
 TOKENS_PER_BLOCK = 16
-SLOT_SECONDS = 1.0
-SAMPLED_CHOICES = 3
-SMOOTHING = 0.2
+BUSY_SECONDS = 0.1
+HOP_SECONDS = 0.003
+MAX_LATE_EXTRA = 2
+MAX_URGENT_BESIDE_LATE = 1
+SAMPLED_CHOICES = 2
+MAX_IN_FLIGHT_PER_SLOT = 4
 
 
 class UpstreamRow(NamedTuple):
@@ -30,6 +32,7 @@
     is_engine: bool
     boot: str = ""
     in_flight: int = 0
+    urgent: int = 0
     tokens_in_flight: int = 0
     report: LoadReport | None = None
     reported_at: float = float("-inf")
@@ -37,6 +40,18 @@
     down_until: float = float("-inf")
 
 
+class Wanted(NamedTuple):
+    """Hold what a request needs of an upstream."""
+
+    service: str
+    nodes: int
+    urgent: bool = False
+    late: bool = False
+    tokens: int = 0
+    blocks: tuple[str, ...] = ()
+    excluded: tuple[str, ...] = ()
+
+
 class Choice(NamedTuple):
     """Hold the upstream chosen and the seconds it is expected to need to start."""
 
@@ -53,6 +68,7 @@
         self._rows: dict[str, UpstreamRow] = {}
         self._by_service: dict[str, list[str]] = {}
         self.prefixes = PrefixTable()
+        self.rates = Rates()
         self.blocked: frozenset[str] = frozenset()
 
     def load(self, configuration: Configuration) -> None:
@@ -83,38 +99,50 @@
         """Return the upstreams of a service."""
         return [self._rows[name] for name in self._by_service.get(service, ())]
 
-    def choose(
-        self,
-        now: float,
-        service: str,
-        nodes: int,
-        excluded: Iterable[str] = (),
-        blocks: tuple[str, ...] = (),
-        urgent: bool = False,
-    ) -> Choice | None:
+    def choose(self, now: float, wanted: Wanted) -> Choice | None:
         """Return the best of a few sampled upstreams with room, or None."""
-        skip = self.blocked.union(excluded)
+        skip = self.blocked.union(wanted.excluded)
         open_rows = [
             row
-            for row in self.in_service(service)
+            for row in self.in_service(wanted.service)
             if row.runner.name not in skip
             and now >= row.down_until
-            and row.in_flight < _limit(row, nodes, urgent)
+            and row.in_flight < MAX_IN_FLIGHT_PER_SLOT * row.runner.slots
         ]
-        if not open_rows:
+        if not open_rows or (not wanted.urgent and self._is_bulk_full(wanted)):
             return None
         count = min(SAMPLED_CHOICES, len(open_rows))
         sampled = self._rng.sample(open_rows, count)
-        choices = [Choice(row, self._estimate(now, row, blocks)) for row in sampled]
+        choices = [Choice(row, self.estimate(now, row, wanted)) for row in sampled]
         return min(choices, key=lambda choice: choice.estimate)
 
-    def add(self, name: str, tokens: int) -> None:
+    def slots(self, service: str) -> int:
+        """Return the slots of a service's upstreams that take work."""
+        return sum(
+            row.runner.slots
+            for row in self.in_service(service)
+            if row.runner.name not in self.blocked
+        )
+
+    def _is_bulk_full(self, wanted: Wanted) -> bool:
+        """Tell if bulk work would use more than this node's share of the slots.
+
+        Urgent work counts against the share, so that bulk work gives way to it.
+        """
+        rows = self.in_service(wanted.service)
+        urgent = sum(row.urgent for row in rows)
+        limit = bulk_limit(self.slots(wanted.service), wanted.nodes)
+        if wanted.late and urgent <= MAX_URGENT_BESIDE_LATE:
+            limit += MAX_LATE_EXTRA
+        return sum(row.in_flight for row in rows) >= limit
+
+    def add(self, name: str, tokens: int, urgent: bool) -> None:
         """Count a request that is sent to an upstream."""
-        self._count(name, 1, tokens)
+        self._count(name, 1, tokens, urgent)
 
-    def remove(self, name: str, tokens: int) -> None:
+    def remove(self, name: str, tokens: int, urgent: bool) -> None:
         """Discount a request whose attempt has ended."""
-        self._count(name, -1, -tokens)
+        self._count(name, -1, -tokens, urgent)
 
     def note_boot(self, name: str, boot: str) -> None:
         """Remember the boot id an upstream last told."""
@@ -154,32 +182,41 @@
                 reads.append(ReadLoad(name, row.runner.address))
         return reads
 
-    def _count(self, name: str, requests: int, tokens: int) -> None:
+    def _count(self, name: str, requests: int, tokens: int, urgent: bool) -> None:
         row = self._rows.get(name)
         if row is not None:
             self._rows[name] = row._replace(
                 in_flight=max(0, row.in_flight + requests),
+                urgent=max(0, row.urgent + (requests if urgent else 0)),
                 tokens_in_flight=max(0, row.tokens_in_flight + tokens),
             )
 
-    def _estimate(self, now: float, row: UpstreamRow, blocks: tuple[str, ...]) -> float:
+    def estimate(self, now: float, row: UpstreamRow, wanted: Wanted) -> float:
         """Return the seconds until the first token, as far as can be told."""
-        waiting = row.tokens_in_flight / PREFILL_TOKENS_PER_SECOND
-        busy = row.in_flight / max(1, row.runner.slots)
-        report = row.report
-        if report is not None:
-            age = max(0.0, now - row.reported_at)
-            weight = 0.5 ** (age / LOAD_HALF_LIFE_SECONDS)
-            others = max(0, report.running + report.waiting - row.in_flight)
-            busy += weight * others / max(1, row.runner.slots)
-            waiting += weight * report.waiting_tokens / PREFILL_TOKENS_PER_SECOND
-        cached = self.prefixes.match(row.runner.name, blocks)
-        prefill = (len(blocks) - cached) * TOKENS_PER_BLOCK / PREFILL_TOKENS_PER_SECOND
-        distance = 0.0 if row.runner.data_centre == self._data_centre else 0.003
-        return waiting + busy * SLOT_SECONDS + prefill + distance
-
-
-def _limit(row: UpstreamRow, nodes: int, urgent: bool) -> int:
-    """Return this node's share of an upstream's slots, with room for chance."""
-    share = math.ceil(2 * row.runner.slots / nodes)
-    return max(2, share) + (1 if urgent else 0)
+        pace = self.rates.find(wanted.service)
+        others, tokens = _discount_report(now, row)
+        cached = self.prefixes.match(row.runner.name, wanted.blocks)
+        own = wanted.tokens - cached * TOKENS_PER_BLOCK
+        waiting = tokens + row.tokens_in_flight
+        queue = row.in_flight + others - row.runner.slots
+        seconds = pace.bulk
+        if wanted.urgent:
+            waiting = 0.0
+            queue = min(queue, row.urgent * wanted.nodes - row.runner.slots)
+            seconds = pace.urgent
+        slot = max(0.0, queue) * seconds / row.runner.slots
+        prefill = (waiting + max(1.0, own)) / pace.prefill
+        busy = (row.in_flight + others) / row.runner.slots * BUSY_SECONDS
+        distance = 0.0 if row.runner.data_centre == self._data_centre else HOP_SECONDS
+        return slot + prefill + busy + distance
+
+
+def _discount_report(now: float, row: UpstreamRow) -> tuple[float, float]:
+    """Return others' requests and tokens, weighted by the age of the report."""
+    report = row.report
+    if report is None:
+        return 0.0, 0.0
+    age = max(0.0, now - row.reported_at)
+    weight = 0.5 ** (age / LOAD_HALF_LIFE_SECONDS)
+    others = max(0, report.running + report.waiting - row.in_flight)
+    return weight * others, weight * report.waiting_tokens
--- /dev/null
+++ b/tests/test_burn.py
@@ -0,0 +1,64 @@
+from datetime import timedelta
+
+from hawthornshelf.burn import describe_burn, plot_burn, work_out
+from hawthornshelf.configuration import Configuration, Deployment, Objective
+from hawthornshelf.metrics import Ended, Metrics
+
+OBJECTIVE = Objective("urgent", 0.99, timedelta(seconds=2))
+CONFIGURATION = Configuration(
+    (Deployment("veil", "region", (), objectives=(OBJECTIVE,)),)
+)
+WALL = 1_000_000.0
+
+
+def record(metrics: Metrics, count: int, seconds: float, outcome: str = "complete"):
+    for _ in range(count):
+        fault = outcome != "complete"
+        metrics.record(WALL, Ended("urgent", outcome, seconds, fault))
+
+
+def report(*nodes: Metrics):
+    windows = [row for node in nodes for row in node.windows()]
+    return work_out(CONFIGURATION, windows, WALL, ["a"], ["b"])
+
+
+def test_failed_and_slow_requests_burn_the_budget() -> None:
+    metrics = Metrics()
+    record(metrics, 97, 0.5)
+    record(metrics, 2, 3.0)
+    record(metrics, 1, 0.1, "not-run")
+    row = report(metrics).rows[0]
+    assert (row.requests, row.bad) == (100, 3)
+    assert abs(row.burn - 3.0) < 1e-6
+
+
+def test_nodes_are_merged_by_histogram() -> None:
+    one, other = Metrics(), Metrics()
+    record(one, 99, 0.1)
+    record(other, 1, 1.9)
+    row = report(one, other).rows[0]
+    assert row.requests == 100
+    assert row.p99 < 1.0
+
+
+def test_a_callers_mistake_burns_nothing() -> None:
+    metrics = Metrics()
+    metrics.record(WALL, Ended("urgent", "not-run", 0.0, is_our_fault=False))
+    assert report(metrics).rows[0].requests == 0
+
+
+def test_old_minutes_count_in_long_windows_only() -> None:
+    metrics = Metrics()
+    metrics.record(WALL - 1800, Ended("urgent", "complete", 0.1))
+    record(metrics, 1, 0.1)
+    assert [row.requests for row in report(metrics).rows] == [1, 2, 2]
+
+
+def test_the_report_says_which_nodes_it_did_not_reach() -> None:
+    assert "nodes not reached: b" in describe_burn(report(Metrics()))
+
+
+def test_the_plot_has_a_bar_for_each_row() -> None:
+    metrics = Metrics()
+    record(metrics, 1, 5.0)
+    assert "urgent 6h" in plot_burn(report(metrics))
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,91 @@
+import pytest
+
+from hawthornshelf import claims
+from hawthornshelf.claims import ClaimTable
+from hawthornshelf.commands import (
+    Answer,
+    ClaimAnswered,
+    ClaimGranted,
+    ClaimInProgress,
+    ClaimMismatch,
+    ClaimReleased,
+    ClaimsFull,
+    ClaimUnknown,
+    OpenClaim,
+    RecordAnswer,
+    ReleaseClaim,
+)
+
+ANSWER = Answer(201, "text/plain", b"booked")
+
+
+def claim(attempt: str, key: str = "k", digest: str = "d") -> OpenClaim:
+    return OpenClaim("w", key, digest, attempt)
+
+
+def test_the_first_attempt_gets_the_claim_and_keeps_it() -> None:
+    table = ClaimTable()
+    assert table.open(claim("a"), 0) == ClaimGranted("a")
+    assert table.open(claim("a"), 1) == ClaimGranted("a")
+    assert table.open(claim("b"), 1) == ClaimInProgress(1)
+
+
+def test_an_old_claim_without_an_answer_is_unknown_for_ever() -> None:
+    table = ClaimTable()
+    table.open(claim("a"), 0)
+    assert table.open(claim("b"), 1e9) == ClaimUnknown("a")
+
+
+def test_a_resend_gets_the_recorded_answer() -> None:
+    table = ClaimTable()
+    table.open(claim("a"), 0)
+    table.record(RecordAnswer("w", "k", "a", ANSWER), 1)
+    assert table.open(claim("b"), 1e9) == ClaimAnswered(ANSWER)
+
+
+def test_another_body_under_the_same_key_is_refused() -> None:
+    table = ClaimTable()
+    table.open(claim("a"), 0)
+    assert table.open(claim("b", digest="other"), 1) == ClaimMismatch("k")
+
+
+def test_a_release_frees_the_key_for_another_attempt() -> None:
+    table = ClaimTable()
+    table.open(claim("a"), 0)
+    table.release(ReleaseClaim("w", "k", "a"), 1)
+    assert table.open(claim("b"), 1) == ClaimGranted("b")
+
+
+def test_a_release_beats_the_claim_that_lands_after_it() -> None:
+    table = ClaimTable()
+    table.release(ReleaseClaim("w", "k", "a"), 1)
+    assert table.open(claim("a"), 2) == ClaimReleased("a")
+
+
+def test_a_release_by_another_attempt_changes_nothing() -> None:
+    table = ClaimTable()
+    table.open(claim("a"), 0)
+    table.release(ReleaseClaim("w", "k", "b"), 1)
+    assert isinstance(table.open(claim("c"), 1), ClaimInProgress)
+
+
+def test_a_full_table_refuses_rather_than_forgets(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(claims, "MAX_CLAIMS", 1)
+    table = ClaimTable()
+    table.open(claim("a"), 0)
+    assert table.open(claim("b", key="k2"), 1) == ClaimsFull(1)
+    assert isinstance(table.open(claim("b"), 1), ClaimInProgress)
+
+
+def test_old_answers_go_but_their_claims_stay(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(claims, "MAX_ANSWER_BYTES", 10)
+    table = ClaimTable()
+    for key in ("k1", "k2"):
+        table.open(claim("a", key), 0)
+        table.record(RecordAnswer("w", key, "a", ANSWER), 1)
+    assert table.open(claim("b", "k1"), 1) == ClaimAnswered(None)
+    assert table.open(claim("b", "k2"), 1) == ClaimAnswered(ANSWER)
+    again = ClaimTable(table.rows(), table.released())
+    assert again.open(claim("b", "k1"), 1) == ClaimAnswered(None)
