--- a/hawthornshelf/admission.py
+++ b/hawthornshelf/admission.py
@@ -5,11 +5,13 @@
 
 from hawthornshelf.rates import Pace
 
-__all__ = ["Admission", "Backlog", "Verdict", "bulk_limit"]
+__all__ = ["Admission", "Backlog", "Verdict", "bulk_limit", "late_extra"]
 
 MAX_QUEUED_PER_SERVICE = 256
 BULK_SHARE = 0.85
 CERTAINTY = 0.6
+LATE_FROM = 0.3
+EXTRA_PER_LATENESS = 20.0
 MIN_RETRY_AFTER_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 30.0
 
@@ -55,6 +57,15 @@
         return backlog.ahead * seconds / max(1, backlog.slots)
 
 
+def late_extra(lateness: float) -> int:
+    """Return how far bulk work may go beyond its share.
+
+    Lateness is the part of its time that a request has waited. Nodes with more
+    work wait longer, so this moves slots to them from nodes with less.
+    """
+    return int(max(0.0, lateness - LATE_FROM) * EXTRA_PER_LATENESS)
+
+
 def bulk_limit(slots: int, nodes: int) -> int:
     """Return how much bulk work a node may have in flight on a service's slots.
 
--- a/hawthornshelf/entry.py
+++ b/hawthornshelf/entry.py
@@ -66,7 +66,6 @@
 MAX_ATTEMPTS = 4
 MAX_OPEN_REQUESTS = 2000
 MAX_STREAM_SECONDS = 900.0
-LATE_SHARE = 0.5
 
 EntryEvent = (
     RequestArrived
@@ -252,7 +251,7 @@
             row.service,
             self.node_count,
             row.urgent,
-            waited > LATE_SHARE * (row.deadline - row.arrived_at),
+            waited / max(row.deadline - row.arrived_at, 1e-3),
             row.tokens,
             row.arrived.prompt_blocks,
             row.excluded,
--- a/hawthornshelf/upstreams.py
+++ b/hawthornshelf/upstreams.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-from hawthornshelf.admission import bulk_limit
+from hawthornshelf.admission import bulk_limit, late_extra
 from hawthornshelf.configuration import Configuration, EngineService, Runner
 from hawthornshelf.effects import ReadLoad
 from hawthornshelf.events import LoadReport, LoadReported
@@ -18,10 +18,9 @@
 TOKENS_PER_BLOCK = 16
 BUSY_SECONDS = 0.1
 HOP_SECONDS = 0.003
-MAX_LATE_EXTRA = 2
-MAX_URGENT_BESIDE_LATE = 1
 SAMPLED_CHOICES = 2
 MAX_IN_FLIGHT_PER_SLOT = 4
+MAX_URGENT_BESIDE_LATE = 1
 
 
 class UpstreamRow(NamedTuple):
@@ -46,7 +45,7 @@
     service: str
     nodes: int
     urgent: bool = False
-    late: bool = False
+    lateness: float = 0.0
     tokens: int = 0
     blocks: tuple[str, ...] = ()
     excluded: tuple[str, ...] = ()
@@ -130,10 +129,9 @@
         Urgent work counts against the share, so that bulk work gives way to it.
         """
         rows = self.in_service(wanted.service)
-        urgent = sum(row.urgent for row in rows)
         limit = bulk_limit(self.slots(wanted.service), wanted.nodes)
-        if wanted.late and urgent <= MAX_URGENT_BESIDE_LATE:
-            limit += MAX_LATE_EXTRA
+        if sum(row.urgent for row in rows) <= MAX_URGENT_BESIDE_LATE:
+            limit += late_extra(wanted.lateness)
         return sum(row.in_flight for row in rows) >= limit
 
     def add(self, name: str, tokens: int, urgent: bool) -> None:
--- /dev/null
+++ b/scripts/build_binary.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Build one file that runs hawthornshelf in place, without a child process.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p dist
+rm -rf build
+.venv/bin/pex . --constraints constraints.txt --console-script hawthornshelf \
+  --python .venv/bin/python --output-file dist/hawthornshelf
