Hear the engines' cache events, bound a workspace, drop an unused setting

Cause: a node knew only the prefixes it had sent itself; nothing kept one workspace from filling a node; role_change_weight was read by nothing. Change: load reports bring the engine's cache events since the last number, late and with gaps, as hints; 500 open requests a workspace and node (429); the setting is gone until something reads it. Baselines that split the engines by role are added to the policy measurement.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/installed
+SEED ?= 1
+ROUNDS ?= 100
 
-.PHONY: demo check soak measure binary clean
+.PHONY: demo check soak measure trials binary clean
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -18,5 +20,20 @@
 	$(VENV)/bin/mypy
 	$(PYTHON) scripts/run_tests.py
 
+soak: $(STAMP)
+	$(PYTHON) scripts/soak.py --seed $(SEED) --rounds $(ROUNDS)
+
+measure: $(STAMP)
+	$(PYTHON) scripts/measure_entry.py
+	$(PYTHON) scripts/measure_control.py
+	$(PYTHON) scripts/measure_slopes.py
+	$(PYTHON) scripts/measure_policy.py
+
+trials: $(STAMP)
+	$(PYTHON) scripts/trials.py
+
+binary: $(STAMP)
+	scripts/build_binary.sh
+
 clean:
 	rm -rf $(VENV) build dist
--- a/examples/bamboo_lantern.py
+++ b/examples/bamboo_lantern.py
@@ -57,7 +57,6 @@
                 Objective("next-line", 0.99, timedelta(seconds=2)),
                 Objective("visit", 0.999, timedelta(seconds=5)),
             ),
-            role_change_weight=4.0,
         ),
     )
 )
--- a/examples/southern_veil.py
+++ b/examples/southern_veil.py
@@ -58,7 +58,6 @@
                 WorkClass("summary", urgent=False, deadline=timedelta(seconds=120)),
             ),
             objectives=(Objective("sighting", 0.99, timedelta(seconds=3)),),
-            role_change_weight=1.0,
         ),
     )
 )
--- a/hawthornshelf/configuration.py
+++ b/hawthornshelf/configuration.py
@@ -84,7 +84,6 @@
     services: tuple[PlainService, ...] = ()
     work: tuple[WorkClass, ...] = ()
     objectives: tuple[Objective, ...] = ()
-    role_change_weight: float = 1.0
 
     def all_services(self) -> tuple[EngineService | PlainService, ...]:
         """Return the engine services, then the plain ones."""
--- a/hawthornshelf/declarations.py
+++ b/hawthornshelf/declarations.py
@@ -83,7 +83,6 @@
 def _print_deployment(deployment: Deployment) -> Iterator[str]:
     yield f"deployment {deployment.name}"
     yield f"  region {deployment.region}"
-    yield f"  role-change-weight {deployment.role_change_weight:g}"
     for work in sorted(deployment.work):
         urgent = "urgent" if work.urgent else "bulk"
         yield f"  work {work.name}: {urgent}, deadline {_seconds(work.deadline)}"
@@ -136,8 +135,6 @@
     for deployment in configuration.deployments:
         path = f"deployment {deployment.name}"
         yield from _check_names(path, (deployment.name, deployment.region))
-        if not deployment.role_change_weight >= 0:
-            yield DeclarationError(f"{path}.role_change_weight", "must be 0 or more")
         yield from _check_work(path, deployment)
         for service in deployment.all_services():
             yield from _check_service(f"{path}.{service.name}", service)
--- a/hawthornshelf/effects.py
+++ b/hawthornshelf/effects.py
@@ -54,10 +54,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadLoad:
-    """Fetch an engine's load report."""
+    """Fetch an engine's load report and its cache events after a number."""
 
     upstream: str
     address: str
+    after: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/hawthornshelf/engineapi.py
+++ b/hawthornshelf/engineapi.py
@@ -12,6 +12,7 @@
     "NOT_RUN_STATUSES",
     "StreamPiece",
     "encode_order",
+    "parse_cache_events",
     "parse_load",
     "parse_piece",
     "parse_platform",
@@ -50,6 +51,16 @@
     age: float
 
 
+class _CacheEvent(msgspec.Struct):
+    number: int
+    block: str
+
+
+class _CacheEvents(msgspec.Struct):
+    boot: str
+    events: list[_CacheEvent]
+
+
 class _Reading(msgspec.Struct):
     boot: str
     model: str
@@ -93,6 +104,19 @@
     )
 
 
+def parse_cache_events(data: bytes, report: LoadReport, after: int) -> LoadReport:
+    """Return the report with the cache events; raise msgspec.DecodeError.
+
+    Events of another boot than the report's are left out.
+    """
+    found = msgspec.json.decode(data, type=_CacheEvents)
+    if found.boot != report.boot:
+        return report
+    last = max((event.number for event in found.events), default=after)
+    cached = tuple(event.block for event in found.events)
+    return report._replace(cached=cached, last_event=last)
+
+
 def parse_reading(data: bytes) -> EngineReading:
     """Return an engine's own state; raise msgspec.DecodeError."""
     reading = msgspec.json.decode(data, type=_Reading)
--- a/hawthornshelf/entry.py
+++ b/hawthornshelf/entry.py
@@ -65,6 +65,7 @@
 SEND_SECONDS = 5.0
 MAX_ATTEMPTS = 4
 MAX_OPEN_REQUESTS = 2000
+MAX_OPEN_PER_WORKSPACE = 500
 MAX_STREAM_SECONDS = 900.0
 
 EntryEvent = (
@@ -199,6 +200,10 @@
             self._reject(event, 400, "this call needs an Idempotency-Key header")
         elif len(self.requests) >= MAX_OPEN_REQUESTS:
             self.refuse(event.request, "too many open requests", 1.0)
+        elif self.requests.open_of(event.workspace) >= MAX_OPEN_PER_WORKSPACE:
+            reason = "this workspace has too many open requests"
+            refusal = Refuse(event.request, 429, Outcome.NOT_RUN, reason, 1.0)
+            self._effects.append(refusal)
         else:
             self._admit(now, event, route)
 
@@ -490,7 +495,8 @@
             return
         digests = [row.digest for row in self.requests if row.upstream == name]
         self._crashes.note_broken(now, name, upstream.boot, digests)
-        self._effects.append(ReadLoad(name, upstream.runner.address))
+        read = ReadLoad(name, upstream.runner.address, upstream.last_event)
+        self._effects.append(read)
 
     def _retry(self, now: float, row: RequestRow, reason: str) -> None:
         """Queue a request again within its deadline and the retry budget."""
--- a/hawthornshelf/events.py
+++ b/hawthornshelf/events.py
@@ -51,6 +51,8 @@
     waiting_tokens: int
     role: str
     age: float
+    cached: tuple[str, ...] = ()
+    last_event: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hawthornshelf/prefixes.py
+++ b/hawthornshelf/prefixes.py
@@ -22,7 +22,11 @@
         return count
 
     def add(self, upstream: str, blocks: tuple[str, ...]) -> None:
-        """Note that an engine has just used these blocks."""
+        """Note that an engine has just used these blocks, or says that it has.
+
+        Engines publish late and with gaps, so this is a hint. What an engine
+        drops is not told; the least recently used go here as they do there.
+        """
         held = self._blocks.setdefault(upstream, {})
         for block in blocks:
             held.pop(block, None)
--- a/hawthornshelf/requests.py
+++ b/hawthornshelf/requests.py
@@ -68,6 +68,7 @@
         self._by_submission: dict[str, str] = {}
         self._queues: dict[str, list[tuple[bool, int, float, str]]] = {}
         self._queued: dict[str, int] = {}
+        self._open: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -92,6 +93,9 @@
         old = self._rows.get(row.id)
         if old is not None:
             self._unindex(old)
+        else:
+            workspace = row.arrived.workspace
+            self._open[workspace] = self._open.get(workspace, 0) + 1
         self._rows[row.id] = row
         if row.attempt:
             self._by_attempt[row.attempt] = row.id
@@ -107,6 +111,11 @@
         row = self._rows.pop(request, None)
         if row is not None:
             self._unindex(row)
+            self._forget_open(row.arrived.workspace)
+
+    def open_of(self, workspace: str) -> int:
+        """Return how many open requests a workspace has here."""
+        return self._open.get(workspace, 0)
 
     def queued(self, service: str) -> int:
         """Return how many requests wait for a service."""
@@ -135,6 +144,11 @@
         """Return a request that was taken but could not be sent."""
         self._push(row)
 
+    def _forget_open(self, workspace: str) -> None:
+        self._open[workspace] -= 1
+        if not self._open[workspace]:
+            del self._open[workspace]
+
     def _push(self, row: RequestRow) -> None:
         heapq.heappush(self._queues.setdefault(row.service, []), _order(row))
 
--- a/hawthornshelf/upstreamclient.py
+++ b/hawthornshelf/upstreamclient.py
@@ -15,6 +15,7 @@
     BOOT_HEADER,
     NOT_RUN_STATUSES,
     encode_order,
+    parse_cache_events,
     parse_load,
     parse_piece,
     parse_platform,
@@ -28,6 +29,7 @@
     ChunkReceived,
     EngineRead,
     Event,
+    LoadReport,
     LoadReported,
     OrderEnded,
 )
@@ -208,6 +210,7 @@
         try:
             async with self._engines.get(url, timeout=timeout) as response:
                 report = parse_load(await response.read())
+            report = await self._read_cache(effect, report)
         except aiohttp.ClientConnectorError as error:
             refused = isinstance(error.os_error, ConnectionRefusedError)
             self._post(LoadReported(effect.upstream, None, refused))
@@ -216,6 +219,16 @@
         else:
             self._post(LoadReported(effect.upstream, report))
 
+    async def _read_cache(self, effect: ReadLoad, report: LoadReport) -> LoadReport:
+        """Return the report with the engine's cache events, if it has any."""
+        url = f"http://{effect.address}/cache/events?after={effect.after}"
+        timeout = aiohttp.ClientTimeout(total=READ_SECONDS)
+        async with self._engines.get(url, timeout=timeout) as response:
+            if response.status != 200:
+                return report
+            data = await response.read()
+        return parse_cache_events(data, report, effect.after)
+
     async def _read_engine(self, effect: ReadEngine) -> None:
         url = f"http://{effect.address}/state"
         timeout = aiohttp.ClientTimeout(total=READ_SECONDS)
--- a/hawthornshelf/upstreams.py
+++ b/hawthornshelf/upstreams.py
@@ -37,6 +37,7 @@
     reported_at: float = float("-inf")
     asked_at: float = float("-inf")
     down_until: float = float("-inf")
+    last_event: int = 0
 
 
 class Wanted(NamedTuple):
@@ -165,9 +166,11 @@
             return
         if row.boot and event.report.boot != row.boot:
             self.prefixes.forget(event.upstream)
+        self.prefixes.add(event.upstream, event.report.cached)
         self._rows[event.upstream] = row._replace(
-            report=event.report,
+            report=event.report._replace(cached=()),
             boot=event.report.boot,
+            last_event=event.report.last_event,
             reported_at=now - event.report.age,
         )
 
@@ -177,7 +180,7 @@
         for name, row in self._rows.items():
             if row.is_engine and now >= row.asked_at + LOAD_READ_SECONDS:
                 self._rows[name] = row._replace(asked_at=now)
-                reads.append(ReadLoad(name, row.runner.address))
+                reads.append(ReadLoad(name, row.runner.address, row.last_event))
         return reads
 
     def _count(self, name: str, requests: int, tokens: int, urgent: bool) -> None:
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -16,7 +16,7 @@
 HEAD = (
     f"{'mix':9} {'policy':16} {'useful':>7} {'least':>7} {'most':>7} "
     f"{'tokens':>7} {'urgent':>7} {'p50':>6} {'p95':>6} {'p99':>6} "
-    f"{'refused':>8} {'attempts':>8}"
+    f"{'refused':>8} {'attempts':>8} {'changes':>8} {'lost s':>7}"
 )
 
 
@@ -36,7 +36,9 @@
         f"{middle([o.urgent_p95 for o in outcomes]):6.2f} "
         f"{max(o.urgent_p99 for o in outcomes):6.2f} "
         f"{middle([o.refusals for o in outcomes]):8.0f} "
-        f"{middle([o.attempts for o in outcomes]):8.2f}"
+        f"{middle([o.attempts for o in outcomes]):8.2f} "
+        f"{middle([o.role_changes for o in outcomes]):8.0f} "
+        f"{middle([o.lost_seconds for o in outcomes]):7.0f}"
     )
 
 
--- a/scripts/policies.py
+++ b/scripts/policies.py
@@ -7,6 +7,7 @@
 from hawthornshelf.entry import EntryCore
 from hawthornshelf.rates import Pace
 from hawthornshelf.upstreams import Choice, UpstreamRow, UpstreamTable, Wanted
+from scripts.roles import ROLE_POLICIES, RoleTable
 
 __all__ = ["POLICIES"]
 
@@ -69,10 +70,15 @@
     """Leave the core as it is."""
 
 
+def _by_role(core: EntryCore, rng: random.Random) -> None:
+    core.upstreams = RoleTable("dc-0", rng)
+
+
 POLICIES: dict[str, Callable[[EntryCore, random.Random], None]] = {
     "ours": _ours,
     "no-admission": _no_admission,
     "round-robin": _baseline(_RoundRobin),
     "least-in-flight": _baseline(_LeastInFlight),
     "prefix-affinity": _baseline(_PrefixAffinity),
+    **dict.fromkeys(ROLE_POLICIES, _by_role),
 }
--- a/scripts/policysim.py
+++ b/scripts/policysim.py
@@ -41,6 +41,7 @@
 from hawthornshelf.submission import Submitter
 from hawthornshelf.suspects import SuspectTable
 from scripts.policies import POLICIES
+from scripts.roles import ROLE_POLICIES, RolePlan, RoleTable
 from scripts.workload import Job, make_jobs
 from tests.standins.model import EngineModel, EngineRates, Sequence
 
@@ -51,6 +52,7 @@
 REPORT_SECONDS = 1.0
 HOP_SECONDS = 0.0015
 COMMIT_SECONDS = 0.01
+LATE_EVENTS = 100
 MAX_RETURNS = 2
 DRAIN_SECONDS = 90.0
 
@@ -80,6 +82,8 @@
     urgent_p99: float
     refusals: int
     attempts: float
+    role_changes: int
+    lost_seconds: float
 
 
 class _Open(NamedTuple):
@@ -103,6 +107,7 @@
         }
         self.up = dict.fromkeys(self.engines, 1)
         self.reports: dict[str, LoadReport] = {}
+        self.events: dict[str, list[str]] = {name: [] for name in self.engines}
         self.owners: dict[str, tuple[int, str]] = {}
         self.open: dict[str, _Open] = {}
         self.firsts: dict[str, float] = {}
@@ -110,6 +115,9 @@
         self.refusals = 0
         self.dispatches = 0
         self.suspects = SuspectTable()
+        self.plan: RolePlan | None = None
+        if run.policy in ROLE_POLICIES:
+            self.plan = RolePlan(run.policy, list(self.engines), self)
         self.submitters = [Submitter(f"e{n}", ["c"]) for n in range(run.nodes)]
         self.cores = [self._make_core(n) for n in range(run.nodes)]
 
@@ -118,6 +126,8 @@
         core = EntryCore(f"e{number}", "1", "dc", self.submitters[number], rng)
         POLICIES[self.run.policy](core, rng)
         core.node_count = self.run.nodes
+        if isinstance(core.upstreams, RoleTable) and self.plan:
+            core.upstreams.plan = self.plan
         runners = tuple(
             Runner(name, "127.0.0.1:1", f"dc-{n % 3}")
             for n, name in enumerate(self.engines)
@@ -146,6 +156,8 @@
         for name in self.engines:
             self.after(self.rng.random() * STEP_SECONDS, lambda e=name: self._step(e))  # type: ignore[misc]
             self._report(name)
+        if self.plan:
+            self._tick_plan(self.plan)
         if self.run.mix == "failures":
             self._schedule_failures()
         until = self.run.seconds + DRAIN_SECONDS
@@ -154,6 +166,15 @@
             action()
         return self._sum_up(jobs)
 
+    def is_idle(self, name: str) -> bool:
+        """Return if an engine runs nothing."""
+        model = self.engines[name]
+        return not model.running and not model.waiting
+
+    def _tick_plan(self, plan: RolePlan) -> None:
+        plan.tick(self.now)
+        self.after(1.0, lambda: self._tick_plan(plan))
+
     def _schedule_failures(self) -> None:
         """Lose half of the engines for the middle third of the run."""
         third = self.run.seconds / 3
@@ -173,6 +194,8 @@
         self.up[name] = abs(self.up[name]) + 1
 
     def _arrive(self, job: Job, first: float, returns: int) -> None:
+        if self.plan and not returns:
+            self.plan.note_arrival(self.now, len(job.prompt) // 4, job.output)
         node = self.rng.randrange(self.run.nodes)
         request = f"q{next(self.numbers)}"
         self.open[request] = _Open(job, node, first, returns)
@@ -240,8 +263,8 @@
                     owner = self.owners.pop(attempt, None)
                     if owner:
                         self.engines[owner[1]].cancel(attempt)
-                case ReadLoad(upstream, _):
-                    self._read_load(node, upstream)
+                case ReadLoad(upstream, _, after):
+                    self._read_load(node, upstream, after)
                 case Finish(request=request):
                     self._finish(request)
                 case Refuse():
@@ -265,7 +288,13 @@
         self._give(node, AttemptStarted(attempt, str(self.up[effect.upstream])))
 
     def _step(self, name: str) -> None:
-        for piece in self.engines[name].step(STEP_SECONDS):
+        model = self.engines[name]
+        known = len(model.cache)
+        newest = next(reversed(model.cache), "")
+        pieces = model.step(STEP_SECONDS)
+        if len(model.cache) != known or next(reversed(model.cache), "") != newest:
+            self._note_cached(name, model, newest)
+        for piece in pieces:
             owner = self.owners.get(piece.request)
             if owner is None:
                 continue
@@ -278,6 +307,15 @@
                 self._give(owner[0], done)
         self.after(STEP_SECONDS, lambda: self._step(name))
 
+    def _note_cached(self, name: str, model: EngineModel, newest: str) -> None:
+        """Publish the blocks that were used since the newest one before."""
+        fresh = []
+        for block in reversed(model.cache):
+            if block == newest:
+                break
+            fresh.append(block)
+        self.events[name].extend(reversed(fresh))
+
     def _note_first(self, attempt: str) -> None:
         request = attempt.rpartition(".")[0]
         self.firsts.setdefault(request, self.now)
@@ -295,13 +333,19 @@
         )
         self.after(REPORT_SECONDS, lambda: self._report(name))
 
-    def _read_load(self, node: int, name: str) -> None:
+    def _read_load(self, node: int, name: str, after: int) -> None:
         report = self.reports.get(name)
         if self.up[name] < 0:
             event = LoadReported(name, None, refused=True)
         else:
+            boot = str(self.up[name])
+            late = self.events[name][after:-LATE_EVENTS]
+            told = tuple(b for n, b in enumerate(late) if (n + after) % 10)
             event = LoadReported(
-                name, report._replace(boot=str(self.up[name]), age=0.5)
+                name,
+                report._replace(
+                    boot=boot, age=0.5, cached=told, last_event=after + len(late)
+                ),
             )
         self.after(2 * HOP_SECONDS, lambda: self._give(node, event))
 
@@ -341,6 +385,8 @@
             cuts[98],
             self.refusals,
             self.dispatches / max(1, len(jobs)),
+            self.plan.changes if self.plan else 0,
+            self.plan.lost_seconds if self.plan else 0.0,
         )
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -339,7 +339,7 @@
             case CancelAttempt(attempt):
                 for engine in self.engines.values():
                     engine.cancel(attempt)
-            case ReadLoad(upstream, _):
+            case ReadLoad(upstream=upstream):
                 self._read_load(node, upstream)
             case ReadEngine(upstream, _):
                 self._read_engine(node, upstream)
