Take replication progress and drain acks out of the two largest modules

Change: progress.py tracks the other replicas' logs, drainacks.py confirms drains; the median that a quorum reaches now stands once.

--- a/hawthornshelf/entry.py
+++ b/hawthornshelf/entry.py
@@ -2,19 +2,16 @@
 
 import heapq
 import random
-from typing import NamedTuple
 
 from hawthornshelf.admission import Admission, Backlog, bulk_limit
 from hawthornshelf.catalogue import Catalogue, Route
 from hawthornshelf.commands import (
-    AckDrain,
     ClaimAnswered,
     ClaimGranted,
     ClaimInProgress,
     ClaimMismatch,
     ClaimUnknown,
     ClearSuspects,
-    Command,
     EndTrial,
     OpenClaim,
     OpenTrial,
@@ -26,6 +23,7 @@
 )
 from hawthornshelf.configuration import Configuration
 from hawthornshelf.crashes import CrashWatch
+from hawthornshelf.drainacks import DrainAcks
 from hawthornshelf.effects import (
     CancelAttempt,
     Dispatch,
@@ -80,11 +78,6 @@
 )
 
 
-class _Ack(NamedTuple):
-    upstream: str
-    drain: int
-
-
 class EntryCore:
     """Step one entry node; all I/O is left to the caller."""
 
@@ -109,7 +102,7 @@
         self._view = SharedView()
         self._suspects: dict[str, bool] = {}
         self._leaving: frozenset[str] = frozenset()
-        self._acks: dict[_Ack, str] = {}
+        self._acks = DrainAcks(node, incarnation, submitter)
         self._deadlines: list[tuple[float, str]] = []
         self._trials: dict[str, str] = {}
         self._effects: list[Effect] = []
@@ -158,7 +151,7 @@
 
     def on_result(self, now: float, submission: str, result: Result | None) -> None:
         """Take in the result of a command, or None if none came in time."""
-        self._forget_ack(submission, result)
+        self._acks.on_result(submission, result)
         row = self.requests.by_submission(submission)
         if row is None:
             return
@@ -180,7 +173,7 @@
         self._expire(now)
         for service in self.requests.services():
             self._pump(now, service)
-        self._ack_drains(now)
+        self._acks.tick(now, self._view.drains, self._is_idle)
         return self.take_effects()
 
     def take_effects(self) -> list[Effect]:
@@ -601,26 +594,9 @@
         drained = {drain.upstream for drain in self._view.drains}
         self.upstreams.blocked = self._leaving.union(drained)
 
-    def _ack_drains(self, now: float) -> None:
-        """Confirm each drain once nothing is in flight to its upstream."""
-        open_drains = {_Ack(d.upstream, d.index) for d in self._view.drains}
-        for ack in [ack for ack in self._acks if ack not in open_drains]:
-            del self._acks[ack]
-        for ack in sorted(open_drains - set(self._acks)):
-            row = self.upstreams.find(ack.upstream)
-            if row is None or row.in_flight == 0:
-                command: Command = AckDrain(
-                    ack.upstream, ack.drain, self._node, self._incarnation
-                )
-                until = now + REPORT_WAIT_SECONDS
-                self._acks[ack] = self._submitter.submit(now, command, until)
-
-    def _forget_ack(self, submission: str, result: Result | None) -> None:
-        """Send an ack again that got no result."""
-        if result is None:
-            for ack, sent in list(self._acks.items()):
-                if sent == submission:
-                    del self._acks[ack]
+    def _is_idle(self, upstream: str) -> bool:
+        row = self.upstreams.find(upstream)
+        return row is None or row.in_flight == 0
 
     def _log_broken(self, row: RequestRow, event: AttemptBroken) -> None:
         self._effects.append(
--- a/hawthornshelf/raft.py
+++ b/hawthornshelf/raft.py
@@ -14,6 +14,7 @@
     Persist,
     Snapshot,
 )
+from hawthornshelf.progress import ProgressTable
 from hawthornshelf.raftmessages import (
     Append,
     AppendReply,
@@ -29,7 +30,6 @@
 
 MAX_APPEND_ENTRIES = 256
 MAX_APPEND_BYTES = 1024 * 1024
-SNAPSHOT_RESEND_SECONDS = 2.0
 LEASE_SHARE = 0.9
 
 
@@ -49,15 +49,6 @@
     LEADER = "leader"
 
 
-class _Progress(NamedTuple):
-    """Track what the leader knows of one replica."""
-
-    next_index: int
-    match_index: int = 0
-    acked_sent: float = float("-inf")
-    snapshot_sent: float = float("-inf")
-
-
 class Raft:
     """Hold the state of one replica; effects collect until `take` is called."""
 
@@ -77,7 +68,7 @@
         self.membership = self._find_membership()
         self._timing = timing
         self._rng = rng
-        self._progress: dict[str, _Progress] = {}
+        self._progress = ProgressTable()
         self._votes: set[str] = set()
         self._contact = now
         self._deadline = 0.0
@@ -172,21 +163,18 @@
     def transfer_leadership(self, now: float) -> bool:
         """Give up the lease and ask the most caught-up voter to take over."""
         peers = [v for v in self.membership.voters() if v != self.replica]
-        caught_up = [
-            p for p in peers if self._progress[p].match_index == self.last_index
-        ]
+        caught_up = self._progress.caught_up(peers, self.last_index)
         if not self.is_leader or not caught_up:
             return False
         self._lease_revoked = True
-        best = max(caught_up, key=lambda p: (self._progress[p].acked_sent, p))
-        self._send(TakeOver(self.replica, best, self.term))
+        self._send(TakeOver(self.replica, caught_up[0], self.term))
         return True
 
     def matched(self, replica: str) -> int:
         """Return the last index a replica is known to hold durably."""
         if replica == self.replica:
             return self.persisted_index
-        return self._progress[replica].match_index if replica in self._progress else 0
+        return self._progress.find(replica).match_index
 
     def persisted(self, sequence: int) -> None:
         """Note that a Persist effect was synced and release what waited for it."""
@@ -339,7 +327,7 @@
         self.leader = self.replica
         self._leading_since = now
         self._lease_revoked = False
-        self._progress = {}
+        self._progress.clear()
         self._track_members()
         self._heartbeat_due = now
         self._append_own(EntryKind.NOOP, b"")
@@ -366,11 +354,7 @@
     # Replication, leader's side
 
     def _track_members(self) -> None:
-        for replica in self.membership.replicas():
-            if replica not in self._progress:
-                self._progress[replica] = _Progress(self.last_index + 1)
-        for replica in set(self._progress) - set(self.membership.replicas()):
-            del self._progress[replica]
+        self._progress.track(self.membership.replicas(), self.last_index + 1)
 
     def _append_own(self, kind: EntryKind, data: bytes) -> int:
         entry = LogEntry(self.term, self.last_index + 1, kind, data)
@@ -378,17 +362,17 @@
         return entry.index
 
     def _broadcast(self, now: float) -> None:
-        for replica in self._progress:
+        for replica, _ in self._progress:
             if replica != self.replica:
                 self._send_append(now, replica)
 
     def _send_new_entries(self, now: float) -> None:
-        for replica, progress in self._progress.items():
+        for replica, progress in self._progress:
             if replica != self.replica and progress.next_index <= self.last_index:
                 self._send_append(now, replica)
 
     def _send_append(self, now: float, replica: str) -> None:
-        progress = self._progress[replica]
+        progress = self._progress.find(replica)
         if progress.next_index <= self.snapshot.index:
             self._send_snapshot(now, replica)
             return
@@ -406,13 +390,11 @@
         )
         self._send(message)
         following = progress.next_index + len(entries)
-        self._progress[replica] = progress._replace(next_index=following)
+        self._progress.note_sent(replica, following)
 
     def _send_snapshot(self, now: float, replica: str) -> None:
-        progress = self._progress[replica]
-        if now < progress.snapshot_sent + SNAPSHOT_RESEND_SECONDS:
+        if not self._progress.may_send_snapshot(now, replica):
             return
-        self._progress[replica] = progress._replace(snapshot_sent=now)
         snapshot = self.snapshot
         self._send(InstallSnapshot(self.replica, replica, self.term, snapshot, now))
 
@@ -431,24 +413,14 @@
         if reply.term > self.term:
             self._become_follower(reply.term, "")
             self._arm_election(now)
-        progress = self._progress.get(reply.sender)
-        if not self.is_leader or reply.term != self.term or progress is None:
+        if not self.is_leader or reply.term != self.term:
             return
-        progress = progress._replace(acked_sent=max(progress.acked_sent, reply.sent))
-        if reply.success:
-            match = max(progress.match_index, reply.match_index)
-            following = max(progress.next_index, match + 1)
-            progress = progress._replace(match_index=match, next_index=following)
-        else:
-            back = min(reply.match_index, progress.next_index - 1)
-            following = max(back, progress.match_index) + 1
-            progress = progress._replace(next_index=following)
-        self._progress[reply.sender] = progress
+        self._progress.note_reply(reply)
         self._advance_commit()
 
     def _advance_commit(self) -> None:
-        matches = sorted(self.matched(v) for v in self.membership.voters())
-        agreed = matches[(len(matches) - 1) // 2] if matches else 0
+        voters = self.membership.voters()
+        agreed = self._progress.agreed_index(voters, self.replica, self.persisted_index)
         if agreed > self.commit_index and self._term_at(agreed) == self.term:
             self.commit_index = agreed
             self._heartbeat_due = 0.0
@@ -456,11 +428,8 @@
                 self._become_follower(self.term, "")
 
     def _quorum_contact(self) -> float:
-        contacts = sorted(
-            float("inf") if v == self.replica else self._progress[v].acked_sent
-            for v in self.membership.voters()
-        )
-        return contacts[(len(contacts) - 1) // 2]
+        voters = self.membership.voters()
+        return self._progress.quorum_contact(voters, self.replica)
 
     def _check_quorum(self, now: float) -> None:
         contact = max(self._quorum_contact(), self._leading_since)
