Let every command of the tutorial be run as shown

Cause: pages with commands that nobody runs go stale. Change: a tutorial, a local fleet on fixed ports, a script that runs the page; the burn chart starts at 0 and has no escape codes.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 ROUNDS ?= 100
 
-.PHONY: demo check soak measure trials binary clean
+.PHONY: demo check fleet tutorial soak measure trials binary clean
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -20,6 +20,12 @@
 	$(VENV)/bin/mypy
 	$(PYTHON) scripts/run_tests.py
 
+fleet: $(STAMP)
+	$(PYTHON) scripts/local_fleet.py
+
+tutorial: $(STAMP)
+	$(PYTHON) scripts/run_tutorial.py
+
 soak: $(STAMP)
 	$(PYTHON) scripts/soak.py --seed $(SEED) --rounds $(ROUNDS)
 
--- a/hawthornshelf/burn.py
+++ b/hawthornshelf/burn.py
@@ -90,13 +90,16 @@
     """Return the burn rates as a bar chart in text."""
     import plotext
 
+    if not report.rows:
+        return "no objectives are declared"
     names = [f"{row.work} {row.window}" for row in report.rows]
     plotext.clear_figure()
     plotext.theme("clear")
     plotext.plot_size(PLOT_WIDTH, max(PLOT_HEIGHT, len(names) + 4))
     plotext.bar(names, [row.burn for row in report.rows], orientation="horizontal")
     plotext.title("burn rate")
-    return plotext.build()
+    plotext.xlim(0, max(1.0, *(row.burn for row in report.rows)))
+    return plotext.uncolorize(plotext.build())
 
 
 def _measure(
