Let a struck-off node join again, and operators strike off a dead one

Cause: read as a newcomer: a node removed while it was cut off would have come back unaware, and no drain would have waited for what it had in flight; without a platform list nobody could remove a dead node, which holds every change. Change: control's word says if the asker is among those that drains wait for; if not, it refuses and joins again. node remove takes a node that gossip holds for dead. A core that raises ends the process instead of going on.

--- a/hawthornshelf/cli.py
+++ b/hawthornshelf/cli.py
@@ -116,7 +116,7 @@
 
 _FILE = argument("file", "Python file that defines `configuration`")
 _UPSTREAM = argument("upstream", "name of the runner")
-_NODE = argument("node", "name of the control node")
+_NODE = argument("node", "name of the node")
 
 
 class _Serve(Command):
@@ -353,6 +353,23 @@
         return EXIT_OK
 
 
+class _NodeRemove(_OperatorCommand):
+    name = "node remove"
+    description = "Strike off a dead entry node (ask a control node)"
+    help = _help(
+        "hawthornshelf node remove tt-a2 --at 127.0.0.1:8001",
+        "A node that is not dead is refused; one that comes back joins again.",
+    )
+    extra_arguments: ClassVar[list[Argument]] = [_NODE]
+
+    def run_command(self) -> int:
+        """Remove the node."""
+        node = self.argument("node")
+        result = porcelain.remove_node(self.at, node, self.token)
+        self.show(result, f"no drain waits for {node} any more")
+        return EXIT_OK
+
+
 class _ReplicaList(_OperatorCommand):
     name = "replica list"
     description = "Print the control replicas (ask a control node)"
@@ -436,6 +453,7 @@
     _UpstreamList,
     _UpstreamDrain,
     _UpstreamRelease,
+    _NodeRemove,
     _ReplicaList,
     _ReplicaAdd,
     _ReplicaRemove,
--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -33,6 +33,7 @@
     ChangeReplica,
     ControlWord,
     Hello,
+    LeaderWord,
     MemberStatus,
     Message,
     NotLeader,
@@ -45,7 +46,7 @@
 from hawthornshelf.raft import Raft, Timing
 from hawthornshelf.raftmessages import RaftMessage, RaftSend
 from hawthornshelf.replicas import ReplicaKeeper
-from hawthornshelf.state import SharedState, SharedView
+from hawthornshelf.state import NodeRow, SharedState, SharedView
 
 __all__ = ["ControlCore", "ControlSettings"]
 
@@ -258,7 +259,8 @@
 
     def _on_ask(self, now: float, sender: str, message: AskControl) -> None:
         revision = self.state.revision
-        word = ControlWord(self.age(now), self.applied, revision)
+        joined = self.state.nodes.get(sender) == NodeRow(sender, message.incarnation)
+        word = ControlWord(self.age(now), self.applied, revision, joined)
         if revision > message.revision:
             self._reply(sender, ViewUpdate(self.state.view()))
         self._reply(sender, word)
@@ -393,7 +395,7 @@
         if now < self._word_due:
             return
         self._word_due = now + WORD_SECONDS
-        word = ControlWord(self.age(now), self.applied, self.state.revision)
+        word = LeaderWord(self.age(now))
         for member in self.raft.membership.members:
             if member.node != self._settings.node:
                 self._reply(member.node, word)
--- a/hawthornshelf/messages.py
+++ b/hawthornshelf/messages.py
@@ -15,6 +15,7 @@
     "ChangeReplica",
     "ControlWord",
     "Hello",
+    "LeaderWord",
     "MemberRow",
     "MemberStatus",
     "Message",
@@ -152,19 +153,30 @@
 
 @dataclass(frozen=True, slots=True)
 class AskControl:
-    """Ask a control replica for fresh word; `joined` is the index of the join."""
+    """Ask a control replica for fresh word in the name of a node's incarnation."""
 
     revision: int
-    joined: int
+    incarnation: str
 
 
 @dataclass(frozen=True, slots=True)
 class ControlWord:
-    """Tell how old a replica's knowledge is, in seconds, and what it has applied."""
+    """Tell how old a replica's knowledge is, in seconds, and what it has applied.
+
+    `joined` tells if the node that asked is among those that drains wait for.
+    """
 
     age: float
     applied: int
     revision: int
+    joined: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderWord:
+    """Tell the other replicas how old the leader's knowledge is, in seconds."""
+
+    age: float
 
 
 Message = (
@@ -182,6 +194,7 @@
     | ViewUpdate
     | AskControl
     | ControlWord
+    | LeaderWord
 )
 
 CODEC = Codec((*Message.__args__, *COMMAND_TYPES))
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -34,6 +34,7 @@
     ChangeReplica,
     ControlWord,
     Hello,
+    LeaderWord,
     MemberRow,
     MemberStatus,
     Message,
@@ -199,6 +200,10 @@
                     self._effects.append(ended_change)
             case ViewUpdate(view):
                 self._load_view(now, view)
+            case LeaderWord(age):
+                self._note_age(now, age)
+                if self.control:
+                    self.control.note_word(now, age)
             case ControlWord():
                 self._on_word(now, message)
             case PullView(revision) if self.view.revision > revision:
@@ -237,11 +242,18 @@
 
     def _on_word(self, now: float, message: ControlWord) -> None:
         self._note_age(now, message.age)
-        if self.control:
-            self.control.note_word(now, message.age)
+        if not self._joined_index or message.applied < self._joined_index:
+            return
+        if self._joined and not message.joined:
+            self._rejoin()
         current = self.view.revision >= message.revision
-        if self._joined_index and message.applied >= self._joined_index and current:
-            self._joined = True
+        self._joined = self._joined or (message.joined and current)
+
+    def _rejoin(self) -> None:
+        """Join again after being struck off: no drain waits for this node now."""
+        self._joined = False
+        self._joined_index = 0
+        self._effects.append(log("struck-off", incarnation=self.settings.incarnation))
 
     def _on_result(self, now: float, request: str, result: Result | None) -> None:
         if request in self._operator:
@@ -315,7 +327,8 @@
             wait = ASK_SECONDS if self._joined else ASK_SECONDS / 4
             self._ask_due = now + wait
             target = self._rng.choice(sorted(self.settings.control))
-            self._send(target, AskControl(self.view.revision, self._joined_index))
+            ask = AskControl(self.view.revision, self.settings.incarnation)
+            self._send(target, ask)
 
     def _tick_submissions(self, now: float) -> None:
         messages, ended = self.submitter.tick(now)
--- a/hawthornshelf/operators.py
+++ b/hawthornshelf/operators.py
@@ -15,11 +15,13 @@
     DrainUpstream,
     ProposeConfiguration,
     ReleaseUpstream,
+    RemoveNode,
     Result,
 )
 from hawthornshelf.declarations import check_configuration
 from hawthornshelf.messages import CODEC
 from hawthornshelf.metrics import WindowRow
+from hawthornshelf.state import NodeRow
 from hawthornshelf.status import ConfigurationReport, NodeReport
 
 __all__ = ["AddressAnswer", "Office", "OperatorServer", "ReplicaAnswer"]
@@ -45,6 +47,10 @@
     upstream: str
 
 
+class _NodeName(msgspec.Struct):
+    node: str
+
+
 class _ReplicaNode(msgspec.Struct):
     node: str
     admit: bool
@@ -68,6 +74,12 @@
     def export_metrics(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
 
+    def find_joined(self, node: str) -> NodeRow | None:
+        """Return the entry node that drains wait for, if it is known here."""
+
+    def is_dead(self, node: str) -> bool:
+        """Tell if a node is believed dead, or not heard of at all."""
+
     def refusal(self) -> str:
         """Return why this node takes no work, or nothing."""
 
@@ -98,6 +110,7 @@
             (self._drain, "drain", "POST"),
             (self._release, "release", "POST"),
             (self._change_replica, "replicas", "POST"),
+            (self._remove_node, "remove-node", "POST"),
         )
         for handler, name, method in routes:
             guarded = self._guard(handler, name)
@@ -163,6 +176,18 @@
             return _problem(400, str(error))
         return _json(await self._office.change_replica(wanted.node, wanted.admit))
 
+    async def _remove_node(self, http: Request) -> HTTPResponse:
+        try:
+            name = msgspec.json.decode(http.body, type=_NodeName).node
+        except msgspec.DecodeError as error:
+            return _problem(400, str(error))
+        row = self._office.find_joined(name)
+        if row is None:
+            return _problem(404, f"no entry node {name} is known to this control node")
+        if not self._office.is_dead(name):
+            return _problem(409, f"{name} is not dead; stop it instead")
+        return await self._run(RemoveNode(row.node, row.incarnation))
+
     async def _run_on_upstream(
         self, http: Request, make: Callable[[str], Command]
     ) -> HTTPResponse:
--- a/hawthornshelf/porcelain.py
+++ b/hawthornshelf/porcelain.py
@@ -31,6 +31,7 @@
     "make_change_id",
     "propose_configuration",
     "release_upstream",
+    "remove_node",
     "report_burn",
 ]
 
@@ -93,6 +94,11 @@
     return msgspec.json.decode(data, type=ReplicaAnswer)
 
 
+def remove_node(at: Sequence[str], node: str, token: str = "") -> Result:
+    """Strike off a dead entry node, so that no drain waits for it."""
+    return _run(at, "/v1/operator/remove-node", {"node": node}, token)
+
+
 def report_burn(at: Sequence[str], token: str = "") -> BurnReport:
     """Return the burn of all objectives, merged from every node that answers."""
     configuration = fetch_configuration(at, token).configuration
--- a/hawthornshelf/process.py
+++ b/hawthornshelf/process.py
@@ -42,13 +42,14 @@
 )
 from hawthornshelf.log import Persist
 from hawthornshelf.logs import start_logging, write_log
-from hawthornshelf.messages import Message
+from hawthornshelf.messages import MemberStatus, Message
 from hawthornshelf.metrics import Ended, Metrics, WindowRow
 from hawthornshelf.node import NodeCore, NodeSettings
 from hawthornshelf.operators import AddressAnswer, OperatorServer, ReplicaAnswer
 from hawthornshelf.peers import PeerClient, PeerServer
 from hawthornshelf.raft import Timing
 from hawthornshelf.settings import Settings
+from hawthornshelf.state import NodeRow
 from hawthornshelf.status import (
     ConfigurationReport,
     NodeReport,
@@ -86,6 +87,7 @@
         self._events: list[Event] = []
         self._scheduled = False
         self._stopped = asyncio.Event()
+        self._failure: Exception | None = None
         self._exchanges: dict[str, _Exchange] = {}
         self._answers: dict[str, asyncio.Future[Any]] = {}
         self._incarnation = secrets.token_hex(6)
@@ -117,6 +119,8 @@
             tasks.append(asyncio.create_task(self._poll_platform()))
         await self._stopped.wait()
         await self._close(tasks)
+        if self._failure is not None:
+            raise self._failure
 
     def post(self, event: Event) -> None:
         """Queue an event and step the core soon."""
@@ -183,6 +187,15 @@
         }
         return self._metrics.export(gauges)
 
+    def find_joined(self, node: str) -> NodeRow | None:
+        """Return the entry node that drains wait for, if it is known here."""
+        control = self._core.control
+        return control.state.nodes.get(node) if control else None
+
+    def is_dead(self, node: str) -> bool:
+        """Tell if a node is believed dead, or not heard of at all."""
+        return self._core.members.status(node) in (None, MemberStatus.DEAD)
+
     def refusal(self) -> str:
         """Return why this node takes no work, or nothing."""
         return self._core.refusal(self._clock.monotonic()) if self._core.entry else ""
@@ -212,9 +225,20 @@
         self._scheduled = False
         events, self._events = self._events, []
         wall = self._clock.now().timestamp()
-        for effect in self._core.step(self._clock.monotonic(), wall, events):
+        try:
+            effects = self._core.step(self._clock.monotonic(), wall, events)
+        except Exception as error:
+            self._fail(error)
+            return
+        for effect in effects:
             self._carry_out(effect)
 
+    def _fail(self, error: Exception) -> None:
+        """Stop the process: a core that raised may hold half a change."""
+        write_log("core-failed", level="error", reason=repr(error))
+        self._failure = self._failure or error
+        self._stopped.set()
+
     def _carry_out(self, effect: Effect) -> None:
         match effect:
             case Send(_, address, message):
