--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,5 +1,6 @@
 """Show the main job: a small fleet that serves on while processes die."""
 
+import argparse
 import asyncio
 import sys
 import tempfile
@@ -7,6 +8,7 @@
 from pathlib import Path
 
 import aiohttp
+import msgspec
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
@@ -14,7 +16,7 @@
 from hawthornshelf.operators import AddressAnswer
 from hawthornshelf.porcelain import call_any
 from tests.client import complete
-from tests.fleet import ROOT, Fleet, NodeSpec, wait_until
+from tests.fleet import PROGRAM, ROOT, Fleet, NodeSpec, wait_until
 
 NODES = (
     NodeSpec("tt-a1", "entry,control", "tt-north-a"),
@@ -24,6 +26,7 @@
     NodeSpec("tt-b2", "entry", "tt-north-b"),
 )
 MODEL = "lantern-chat"
+STARTED = time.monotonic()
 
 
 def say(text: str) -> None:
@@ -31,16 +34,10 @@
     print(f"[{time.monotonic() - STARTED:5.1f} s] {text}", flush=True)
 
 
-STARTED = time.monotonic()
-"""Hold the second at which the demo started."""
-
-
-async def run_program(*arguments: str) -> str:
+async def run_program(fleet: Fleet, *arguments: str) -> str:
     """Run a command of the program and return what it printed."""
     process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "hawthornshelf",
+        *fleet.program,
         *arguments,
         stdout=asyncio.subprocess.PIPE,
     )
@@ -52,8 +49,6 @@
 
 async def find_addresses(fleet: Fleet, skip: str = "") -> list[str]:
     """Ask any node for the addresses to use."""
-    import msgspec
-
     at = [a for n, a in fleet.listen.items() if n != skip]
     data = await call_any(at, "GET", "/v1/addresses?data_centre=tt-north-a", b"", "")
     return msgspec.json.decode(data, type=AddressAnswer).addresses
@@ -74,7 +69,7 @@
     at = ",".join(fleet.listen.values())
     await wait_until(lambda: find_addresses(fleet), 20, "an address")
     accepted = await run_program(
-        "config", "propose", str(declaration), "--base=0", f"--at={at}"
+        fleet, "config", "propose", str(declaration), "--base=0", f"--at={at}"
     )
     say(f"configuration {accepted.strip()}")
     async with aiohttp.ClientSession() as session:
@@ -138,9 +133,13 @@
 
 def main() -> None:
     """Run the demo and print the logs if it fails."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--binary", action="store_true", help="run the one-file build")
+    binary = (str(ROOT / "dist" / "hawthornshelf"),)
+    program = binary if parser.parse_args().binary else PROGRAM
     with tempfile.TemporaryDirectory() as folder:
         extra = ("--linger=2",)
-        fleet = Fleet(Path(folder), NODES, extra=extra)
+        fleet = Fleet(Path(folder), NODES, program, extra)
         try:
             asyncio.run(show(fleet))
         except Exception:
--- a/scripts/policies.py
+++ b/scripts/policies.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from zlib import crc32
 
 from hawthornshelf.admission import Admission, Backlog, Verdict
 from hawthornshelf.entry import EntryCore
@@ -46,7 +47,7 @@
 class _PrefixAffinity(_Unlimited):
     def pick(self, rows: list[UpstreamRow], blocks: tuple[str, ...]) -> UpstreamRow:
         start = blocks[min(5, len(blocks) - 1)] if blocks else ""
-        return min(rows, key=lambda row: hash((start, row.runner.name)))
+        return min(rows, key=lambda row: crc32(f"{start} {row.runner.name}".encode()))
 
 
 class _AdmitAll(Admission):
