Let old answered claims give way when the table is full

Dumping the table also changed the order of its rows, on which replicas would then have differed. Figures: 2 new tests; run on the code before, both fail (there is no retention and no order to compare).

--- a/hawthornshelf/claims.py
+++ b/hawthornshelf/claims.py
@@ -1,5 +1,6 @@
 """Keep the claims that let a non-idempotent request run at most once."""
 
+import itertools
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -20,12 +21,16 @@
     Result,
 )
 
-__all__ = ["ClaimRow", "ClaimTable"]
+__all__ = ["ClaimKey", "ClaimRow", "ClaimTable"]
 
 MAX_CLAIMS = 100_000
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_RELEASED = 10_000
 IN_PROGRESS_SECONDS = 120.0
+RETENTION_SECONDS = 7 * 24 * 3600.0
+MAX_SCANNED = 1000
+
+ClaimKey = tuple[str, str]
 
 
 class ClaimRow(NamedTuple):
@@ -41,25 +46,38 @@
 
 
 class ClaimTable:
-    """Apply claim commands; rows are never forgotten, kept answers are bounded."""
+    """Apply claim commands within bounds of number, age and bytes.
+
+    A full table gives up the oldest answered claims that are past the retention
+    period; claims without an answer stay. Replicas must agree on what is given
+    up, so the order of rows and of kept answers is part of the state.
+    """
 
     def __init__(
-        self, rows: Iterable[ClaimRow] = (), released: Iterable[str] = ()
+        self,
+        rows: Iterable[ClaimRow] = (),
+        released: Iterable[str] = (),
+        kept: Iterable[ClaimKey] = (),
     ) -> None:
-        self._rows: dict[tuple[str, str], ClaimRow] = {}
+        self._rows: dict[ClaimKey, ClaimRow] = {}
         self._released: dict[str, None] = dict.fromkeys(released)
-        self._kept: dict[tuple[str, str], int] = {}
+        self._kept: dict[ClaimKey, int] = {}
         self._answer_bytes = 0
         for row in rows:
-            self._put(row)
+            self._rows[(row.workspace, row.key)] = row
+        for key in kept:
+            self._keep(key)
 
     def __len__(self) -> int:
         return len(self._rows)
 
     def rows(self) -> tuple[ClaimRow, ...]:
-        """Return all claims in the order in which their answers were kept."""
-        without = [r for k, r in self._rows.items() if k not in self._kept]
-        return (*without, *(self._rows[key] for key in self._kept))
+        """Return all claims, oldest first."""
+        return tuple(self._rows.values())
+
+    def kept(self) -> tuple[ClaimKey, ...]:
+        """Return the claims whose answers are kept, oldest answer first."""
+        return tuple(self._kept)
 
     def released(self) -> tuple[str, ...]:
         """Return the attempts that were given back, oldest first."""
@@ -88,7 +106,9 @@
         if row is None or row.attempt != command.attempt:
             return NotFound(command.attempt)
         if not row.answered:
-            self._put(row._replace(answered=True, answer=command.answer))
+            key = (row.workspace, row.key)
+            self._rows[key] = row._replace(answered=True, answer=command.answer)
+            self._keep(key)
             self._drop_old_answers()
         return Done(index)
 
@@ -103,20 +123,28 @@
         return Done(index)
 
     def _grant(self, command: OpenClaim, now: float) -> Result:
-        if len(self._rows) >= MAX_CLAIMS:
+        if len(self._rows) >= MAX_CLAIMS and not self._give_up_one(now):
             return ClaimsFull(MAX_CLAIMS)
         row = ClaimRow(
             command.workspace, command.key, command.digest, command.attempt, now
         )
-        self._put(row)
+        self._rows[(row.workspace, row.key)] = row
         return ClaimGranted(command.attempt)
 
-    def _put(self, row: ClaimRow) -> None:
-        key = (row.workspace, row.key)
-        self._rows[key] = row
-        if row.answer is not None:
-            self._kept[key] = len(row.answer.body)
-            self._answer_bytes += len(row.answer.body)
+    def _give_up_one(self, now: float) -> bool:
+        """Drop the oldest answered claim if it is past the retention period."""
+        for key, row in itertools.islice(self._rows.items(), MAX_SCANNED):
+            if row.answered and now - row.opened > RETENTION_SECONDS:
+                del self._rows[key]
+                self._answer_bytes -= self._kept.pop(key, 0)
+                return True
+        return False
+
+    def _keep(self, key: ClaimKey) -> None:
+        answer = self._rows[key].answer
+        if answer is not None:
+            self._kept[key] = len(answer.body)
+            self._answer_bytes += len(answer.body)
 
     def _drop_old_answers(self) -> None:
         while self._answer_bytes > MAX_ANSWER_BYTES:
--- a/hawthornshelf/state.py
+++ b/hawthornshelf/state.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from hawthornshelf.claims import ClaimRow, ClaimTable
+from hawthornshelf.claims import ClaimKey, ClaimRow, ClaimTable
 from hawthornshelf.commands import (
     AckDrain,
     ChangeIdReused,
@@ -116,6 +116,7 @@
     orders: tuple[OrderRow, ...]
     claims: tuple[ClaimRow, ...]
     released: tuple[str, ...]
+    kept: tuple[ClaimKey, ...]
     suspects: tuple[SuspectRow, ...]
     trials: tuple[TrialRow, ...]
 
@@ -193,6 +194,7 @@
             tuple(self.orders.values()),
             self.claims.rows(),
             self.claims.released(),
+            self.claims.kept(),
             self.suspects.rows(),
             self.suspects.trials(),
         )
@@ -214,7 +216,7 @@
         state.nodes = {row.node: row for row in image.nodes}
         state.drains = {(row.upstream, row.reason): row for row in image.drains}
         state.orders = {row.upstream: row for row in image.orders}
-        state.claims = ClaimTable(image.claims, image.released)
+        state.claims = ClaimTable(image.claims, image.released, image.kept)
         state.suspects = SuspectTable(image.suspects, image.trials)
         return state
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -87,5 +87,37 @@
         table.record(RecordAnswer("w", key, "a", ANSWER), 1)
     assert table.open(claim("b", "k1"), 1) == ClaimAnswered(None)
     assert table.open(claim("b", "k2"), 1) == ClaimAnswered(ANSWER)
-    again = ClaimTable(table.rows(), table.released())
+    again = ClaimTable(table.rows(), table.released(), table.kept())
     assert again.open(claim("b", "k1"), 1) == ClaimAnswered(None)
+
+
+def test_a_full_table_gives_up_answered_claims_past_the_retention_period(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(claims, "MAX_CLAIMS", 2)
+    table = ClaimTable()
+    table.open(claim("a", "unanswered"), 0)
+    table.open(claim("a", "answered"), 0)
+    table.record(RecordAnswer("w", "answered", "a", ANSWER), 1)
+    late = claims.RETENTION_SECONDS
+    assert table.open(claim("b", "new"), late) == ClaimsFull(2)
+    assert table.open(claim("b", "new"), late + 1) == ClaimGranted("b")
+    assert table.open(claim("b", "unanswered"), late + 1) == ClaimUnknown("a")
+
+
+def test_a_table_that_was_dumped_gives_up_the_same_claims(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(claims, "MAX_CLAIMS", 3)
+    table = ClaimTable()
+    for key in ("k1", "k2", "k3"):
+        table.open(claim("a", key), 0)
+    for key in ("k3", "k1", "k2"):
+        table.record(RecordAnswer("w", key, "a", ANSWER), 1)
+    again = ClaimTable(table.rows(), table.released(), table.kept())
+    for number in range(3):
+        command = claim("b", f"n{number}")
+        for each in (table, again):
+            each.open(command, claims.RETENTION_SECONDS + 1)
+        assert table.rows() == again.rows()
+        assert table.kept() == again.kept()
