--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -49,6 +49,7 @@
     parser.add_argument("--mixes", default=",".join(MIXES))
     parser.add_argument("--policies", default=",".join(POLICIES))
     parser.add_argument("--seconds", type=float, default=180.0)
+    parser.add_argument("--workers", type=int, default=None)
     options = parser.parse_args()
     seeds = [int(seed) for seed in options.seeds.split(",")]
     runs = [
@@ -62,7 +63,7 @@
     )
     print(HEAD)
     grouped: dict[tuple[str, str], list[Outcomes]] = defaultdict(list)
-    with ProcessPoolExecutor() as pool:
+    with ProcessPoolExecutor(options.workers) as pool:
         for outcome in pool.map(run_policy, runs):
             key = (outcome.run.mix, outcome.run.policy)
             grouped[key].append(outcome)
