--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from hawthornshelf.commands import Done, JoinNode, RemoveNode, Result
+from hawthornshelf.commands import Result
 from hawthornshelf.control import ControlCore, ControlSettings, ToNode, resolve
 from hawthornshelf.effects import (
     CommandEnded,
@@ -27,6 +27,7 @@
     StopAsked,
     StorageLost,
 )
+from hawthornshelf.lifecycle import Lifecycle
 from hawthornshelf.log import Loaded
 from hawthornshelf.membership import Gossip, MembershipTable, Outgoing
 from hawthornshelf.messages import (
@@ -56,13 +57,9 @@
 __all__ = ["NodeCore", "NodeSettings"]
 
 ASK_SECONDS = 1.0
-STALE_SECONDS = 5.0
 SWEEP_SECONDS = 0.04
-JOIN_WAIT_SECONDS = 5.0
-LEAVE_WAIT_SECONDS = 10.0
 OPERATOR_WAIT_SECONDS = 10.0
 PUSH_TO_NODES = 3
-NEVER = float("inf")
 
 
 class NodeSettings(NamedTuple):
@@ -100,6 +97,9 @@
             _own_row(settings, loaded is not None), _seeds(settings), rng
         )
         self.submitter = Submitter(settings.node, sorted(settings.control))
+        self.lifecycle = Lifecycle(
+            settings.node, settings.incarnation, settings.linger, self.submitter
+        )
         self.control: ControlCore | None = None
         self.entry: EntryCore | None = None
         self.view = SharedView()
@@ -114,17 +114,8 @@
                 rng,
             )
         self._effects: list[Effect | ToNode] = []
-        self._word_at = -NEVER
-        self._listed_at = -NEVER
         self._ask_due = 0.0
         self._sweep_due = 0.0
-        self._join = ""
-        self._joined_index = 0
-        self._joined = False
-        self._stopping_at = NEVER
-        self._leave = ""
-        self._left = False
-        self._leave_until = NEVER
         self._operator: set[str] = set()
         self._replica_changes: dict[str, tuple[ChangeReplica, float, float]] = {}
         if view is not None:
@@ -143,17 +134,11 @@
 
     def age(self, now: float) -> float:
         """Return how old this node's word from control may be, in seconds."""
-        return now - self._word_at
+        return self.lifecycle.age(now)
 
     def refusal(self, now: float) -> str:
         """Return why this node takes no new work, or nothing if it does."""
-        if now >= self._stopping_at + self.settings.linger:
-            return "this node is leaving"
-        if not self._joined:
-            return "this node has not joined yet"
-        if min(self.age(now), now - self._listed_at) > STALE_SECONDS:
-            return "this node is cut off from the control group"
-        return ""
+        return self.lifecycle.refusal(now)
 
     # Events
 
@@ -201,7 +186,7 @@
             case ViewUpdate(view):
                 self._load_view(now, view)
             case LeaderWord(age):
-                self._note_age(now, age)
+                self.lifecycle.note_age(now, age)
                 if self.control:
                     self.control.note_word(now, age)
             case ControlWord():
@@ -225,14 +210,14 @@
 
     def _on_gossip(self, now: float, sender: str, message: Gossip) -> None:
         if isinstance(message, Ping | PingReply):
-            self._note_age(now, message.age)
+            self.lifecycle.note_age(now, message.age)
             if message.revision > self.view.revision:
                 self._send(sender, PullView(self.view.revision))
         for outgoing in self.members.receive(now, sender, message):
             self._gossip(outgoing)
 
     def _on_platform(self, now: float, wall: float, event: PlatformListed) -> None:
-        self._listed_at = now
+        self.lifecycle.note_listed(now)
         if self.entry:
             self.entry.note_leaving(event.leaving)
         if self.control:
@@ -241,31 +226,16 @@
             self._on_stop(now)
 
     def _on_word(self, now: float, message: ControlWord) -> None:
-        self._note_age(now, message.age)
-        if not self._joined_index or message.applied < self._joined_index:
-            return
-        if self._joined and not message.joined:
-            self._rejoin()
-        current = self.view.revision >= message.revision
-        self._joined = self._joined or (message.joined and current)
-
-    def _rejoin(self) -> None:
-        """Join again after being struck off: no drain waits for this node now."""
-        self._joined = False
-        self._joined_index = 0
-        self._effects.append(log("struck-off", incarnation=self.settings.incarnation))
+        self.lifecycle.note_age(now, message.age)
+        if self.lifecycle.on_word(message, self.view.revision):
+            incarnation = self.settings.incarnation
+            self._effects.append(log("struck-off", incarnation=incarnation))
 
     def _on_result(self, now: float, request: str, result: Result | None) -> None:
         if request in self._operator:
             self._operator.discard(request)
             self._effects.append(CommandEnded(request, result))
-        elif request == self._join:
-            self._join = ""
-            if isinstance(result, Done):
-                self._joined_index = result.index
-        elif request == self._leave:
-            self._left = True
-        elif self.entry:
+        elif not self.lifecycle.on_result(request, result) and self.entry:
             self.entry.on_result(now, request, result)
 
     # Shared view
@@ -284,9 +254,6 @@
             log("view-in-force", revision=view.revision, version=view.version)
         )
 
-    def _note_age(self, now: float, age: float) -> None:
-        self._word_at = max(self._word_at, now - age)
-
     # What is due
 
     def _react(self, now: float, wall: float) -> None:
@@ -303,7 +270,7 @@
     def _sweep(self, now: float) -> None:
         """Run what may wait a little; its cost grows with the tables."""
         if self.control:
-            self._note_age(now, self.control.age(now))
+            self.lifecycle.note_age(now, self.control.age(now))
         self.members.age = self.age(now)
         self._update_own(now)
         for outgoing in self.members.tick(now):
@@ -318,13 +285,9 @@
         assert self.entry is not None
         self.entry.node_count = self.members.entry_count()
         self._effects.extend(self.entry.tick(now))
-        wants_join = not self._joined and self._stopping_at == NEVER
-        if wants_join and not self._join and not self._joined_index:
-            command = JoinNode(self.settings.node, self.settings.incarnation)
-            until = now + JOIN_WAIT_SECONDS
-            self._join = self.submitter.submit(now, command, until)
+        self.lifecycle.tick(now)
         if now >= self._ask_due:
-            wait = ASK_SECONDS if self._joined else ASK_SECONDS / 4
+            wait = ASK_SECONDS if self.lifecycle.joined else ASK_SECONDS / 4
             self._ask_due = now + wait
             target = self._rng.choice(sorted(self.settings.control))
             ask = AskControl(self.view.revision, self.settings.incarnation)
@@ -351,8 +314,8 @@
                     self._send(node, change)
 
     def _update_own(self, now: float) -> None:
-        stopping = self._stopping_at < NEVER
-        status = MemberStatus.LEAVING if stopping else MemberStatus.ALIVE
+        leaving = self.lifecycle.is_leaving
+        status = MemberStatus.LEAVING if leaving else MemberStatus.ALIVE
         own = self.members.own._replace(
             status=status,
             serving=self.entry is not None and not self.refusal(now),
@@ -363,24 +326,17 @@
     # Stop
 
     def _on_stop(self, now: float) -> None:
-        if self._stopping_at < NEVER:
+        if not self.lifecycle.stop(now):
             return
-        self._stopping_at = now
         self._effects.append(log("stop-begins", linger=self.settings.linger))
         if self.control:
             self.control.give_up_leadership(now)
 
     def _tick_stop(self, now: float) -> None:
-        """Leave once the address answers have run out and nothing is open."""
-        if now < self._stopping_at + (self.settings.linger if self.entry else 0.0):
-            return
-        if self.entry and len(self.entry.requests):
+        """End the process once nothing is owed; control alone owes nothing."""
+        if not self.lifecycle.is_leaving:
             return
-        if self.entry and not self._leave:
-            command = RemoveNode(self.settings.node, self.settings.incarnation)
-            self._leave_until = now + LEAVE_WAIT_SECONDS
-            self._leave = self.submitter.submit(now, command, self._leave_until)
-        if self._left or not self.entry or now >= self._leave_until:
+        if not self.entry or self.lifecycle.may_end(now, len(self.entry.requests)):
             self._effects.append(StopProcess())
 
     # Sending
--- a/tests/ablations.py
+++ b/tests/ablations.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from hawthornshelf import claims, control, engineorders, entry, node, raft, state
+from hawthornshelf import claims, control, engineorders, entry, lifecycle, raft, state
 from hawthornshelf.commands import ClaimGranted
 from hawthornshelf.effects import SendOrder
 from hawthornshelf.log import Membership
@@ -104,7 +104,7 @@
 
 def _no_staleness_limit(patch: pytest.MonkeyPatch) -> None:
     """Serve on without fresh word of who is leaving."""
-    patch.setattr(node, "STALE_SECONDS", FOREVER)
+    patch.setattr(lifecycle, "STALE_SECONDS", FOREVER)
 
 
 def _no_compare_and_set(patch: pytest.MonkeyPatch) -> None:
@@ -145,15 +145,7 @@
 
 def _no_linger(patch: pytest.MonkeyPatch) -> None:
     """Stop at once with requests open."""
-    patch.setattr(
-        node.NodeCore,
-        "_tick_stop",
-        lambda self, now: (
-            self._effects.append(node.StopProcess())
-            if now >= self._stopping_at
-            else None
-        ),
-    )
+    patch.setattr(lifecycle.Lifecycle, "may_end", lambda self, now, count: True)
 
 
 def _no_quarantine(patch: pytest.MonkeyPatch) -> None:
