Keep the operators' bodies apart from the server that takes them

Cause: the command line imported sanic only for four small types. Change: operatorapi.py holds them.

--- a/hawthornshelf/operators.py
+++ b/hawthornshelf/operators.py
@@ -21,39 +21,18 @@
 from hawthornshelf.declarations import check_configuration
 from hawthornshelf.messages import CODEC
 from hawthornshelf.metrics import WindowRow
+from hawthornshelf.operatorapi import (
+    TOKEN_HEADER,
+    AddressAnswer,
+    NodeName,
+    ReplicaAnswer,
+    ReplicaNode,
+    UpstreamName,
+)
 from hawthornshelf.state import NodeRow
 from hawthornshelf.status import ConfigurationReport, NodeReport
 
-__all__ = ["AddressAnswer", "Office", "OperatorServer", "ReplicaAnswer"]
-
-TOKEN_HEADER = "x-operator-token"
-
-
-class AddressAnswer(msgspec.Struct):
-    """Hold the addresses for a caller; `max_age` is in seconds."""
-
-    addresses: list[str]
-    max_age: float
-
-
-class ReplicaAnswer(msgspec.Struct):
-    """Hold the outcome of a change of replicas."""
-
-    accepted: bool
-    reason: str
-
-
-class _UpstreamName(msgspec.Struct):
-    upstream: str
-
-
-class _NodeName(msgspec.Struct):
-    node: str
-
-
-class _ReplicaNode(msgspec.Struct):
-    node: str
-    admit: bool
+__all__ = ["Office", "OperatorServer"]
 
 
 class Office(Protocol):
@@ -171,14 +150,14 @@
 
     async def _change_replica(self, http: Request) -> HTTPResponse:
         try:
-            wanted = msgspec.json.decode(http.body, type=_ReplicaNode)
+            wanted = msgspec.json.decode(http.body, type=ReplicaNode)
         except msgspec.DecodeError as error:
             return _problem(400, str(error))
         return _json(await self._office.change_replica(wanted.node, wanted.admit))
 
     async def _remove_node(self, http: Request) -> HTTPResponse:
         try:
-            name = msgspec.json.decode(http.body, type=_NodeName).node
+            name = msgspec.json.decode(http.body, type=NodeName).node
         except msgspec.DecodeError as error:
             return _problem(400, str(error))
         row = self._office.find_joined(name)
@@ -192,7 +171,7 @@
         self, http: Request, make: Callable[[str], Command]
     ) -> HTTPResponse:
         try:
-            name = msgspec.json.decode(http.body, type=_UpstreamName).upstream
+            name = msgspec.json.decode(http.body, type=UpstreamName).upstream
         except msgspec.DecodeError as error:
             return _problem(400, str(error))
         known = self._office.report_configuration().configuration.runners()
--- a/hawthornshelf/porcelain.py
+++ b/hawthornshelf/porcelain.py
@@ -15,7 +15,7 @@
 from hawthornshelf.errors import ControlUnavailable, RequestRefused
 from hawthornshelf.messages import CODEC
 from hawthornshelf.metrics import WindowRow
-from hawthornshelf.operators import TOKEN_HEADER, AddressAnswer, ReplicaAnswer
+from hawthornshelf.operatorapi import TOKEN_HEADER, AddressAnswer, ReplicaAnswer
 from hawthornshelf.status import ConfigurationReport, ControlReport, NodeReport
 from hawthornshelf.texttable import format_table
 
--- a/hawthornshelf/process.py
+++ b/hawthornshelf/process.py
@@ -45,7 +45,8 @@
 from hawthornshelf.messages import MemberStatus, Message
 from hawthornshelf.metrics import Ended, Metrics, WindowRow
 from hawthornshelf.node import NodeCore, NodeSettings
-from hawthornshelf.operators import AddressAnswer, OperatorServer, ReplicaAnswer
+from hawthornshelf.operatorapi import AddressAnswer, ReplicaAnswer
+from hawthornshelf.operators import OperatorServer
 from hawthornshelf.peers import PeerClient, PeerServer
 from hawthornshelf.raft import Timing
 from hawthornshelf.settings import Settings
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from hawthornshelf.declarations import load_declaration, print_configuration
-from hawthornshelf.operators import AddressAnswer
+from hawthornshelf.operatorapi import AddressAnswer
 from hawthornshelf.porcelain import call_any
 from tests.client import complete
 from tests.fleet import PROGRAM, ROOT, Fleet, NodeSpec, wait_until
--- a/scripts/rig.py
+++ b/scripts/rig.py
@@ -9,7 +9,7 @@
 from hawthornshelf.commands import ProposeConfiguration, Result
 from hawthornshelf.configuration import Configuration
 from hawthornshelf.messages import CODEC
-from hawthornshelf.operators import AddressAnswer
+from hawthornshelf.operatorapi import AddressAnswer
 from hawthornshelf.porcelain import call_any, make_change_id
 from hawthornshelf.status import NodeReport
 from tests.fleet import Fleet, NodeSpec, make_configuration, wait_until
