--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,8 @@
 measure: $(STAMP)
 	$(PYTHON) scripts/measure_entry.py
 	$(PYTHON) scripts/measure_control.py
+	$(PYTHON) scripts/measure_idle.py
+	$(PYTHON) scripts/measure_membership.py
 	$(PYTHON) scripts/measure_slopes.py
 	$(PYTHON) scripts/measure_policy.py
 
