Remove what nothing calls

Cause: read once more, five things were dead: ControlCore.is_removed, a view passed to NodeCore, RequestRow.tried, a stopwatch, a check never called. Ruled out: the other look-alikes: imports, unlike rows of like shape, and the stand-ins' two take methods, which differ in what they do. Conclusion: behaviour as it was.

--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -211,11 +211,6 @@
         if self.raft.is_leader and not self.stopped:
             self.raft.transfer_leadership(now)
 
-    def is_removed(self) -> bool:
-        """Tell if the group has a membership without this replica."""
-        members = self.raft.membership
-        return bool(members.members) and members.find(self.raft.replica) is None
-
     def orders_from(self) -> float:
         """Return the second from which unchecked engines may get orders."""
         timing = self._settings.timing
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -89,7 +89,6 @@
         loaded: Loaded | None,
         rng: random.Random,
         now: float,
-        view: SharedView | None = None,
     ) -> None:
         self.settings = settings
         self._rng = rng
@@ -118,8 +117,6 @@
         self._sweep_due = 0.0
         self._operator: set[str] = set()
         self._replica_changes: dict[str, tuple[ChangeReplica, float, float]] = {}
-        if view is not None:
-            self._load_view(now, view)
 
     def step(self, now: float, wall: float, events: Sequence[Event]) -> list[Effect]:
         """Take in events, run what is due and return the effects."""
--- a/hawthornshelf/requests.py
+++ b/hawthornshelf/requests.py
@@ -41,7 +41,6 @@
     submission: str = ""
     ready_at: float = 0.0
     answer: Answer | None = None
-    tried: bool = False
 
     @property
     def id(self) -> str:
--- a/scripts/rig.py
+++ b/scripts/rig.py
@@ -1,7 +1,6 @@
 """Start a fleet with a configuration in force, for measurements and trials."""
 
 import asyncio
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -113,9 +112,3 @@
     assert report.control is not None
     done = [order for order in report.control.orders if order.finished]
     return len(done) == engines and not report.control.drains
-
-
-def stopwatch() -> Callable[[], float]:
-    """Return a function that tells the seconds since now."""
-    began = time.monotonic()
-    return lambda: time.monotonic() - began
--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -10,7 +10,7 @@
     ProposeConfiguration,
 )
 from hawthornshelf.effects import Finish, Outcome, Refuse
-from tests.upstreams import FakeEngine, token
+from tests.upstreams import token
 from tests.world import Call, CallerRequest, World
 
 __all__ = ["check_all", "is_linearizable"]
@@ -146,8 +146,3 @@
         end = request.end
         if isinstance(end, Refuse) and end.outcome is Outcome.NOT_RUN:
             assert request.event.request not in ran, request
-
-
-def check_engines_loaded(engines: Sequence[FakeEngine], version: str) -> bool:
-    """Tell if all engines that are up serve a version."""
-    return all(engine.version == version for engine in engines if engine.up)
