Agree on route documents and let the control group replace lost voters itself

Cause: on the platform nobody admits a replacement by hand, nodes are known by address only, and the highest document number wins instead of compare-and-set. Ruled out: a second log for documents (two orders to agree on); removal of a silent voter without a learner that has caught up (a short freeze would shrink the group). Change: ReplaceRoutes and ReadRoutes in the replicated state, read through the log so that a read is linearizable without a lease; ReplicaKeeper fills the group up to a number of voters and lets a learner that has caught up take the place of a silent or leaving one; the log is compacted by bytes as well as by entries. Conclusion: the control plane stays as it was where no number of voters is set.

--- a/hawthornshelf/commands.py
+++ b/hawthornshelf/commands.py
@@ -34,12 +34,15 @@
     "OrderPlaced",
     "PlaceOrder",
     "ProposeConfiguration",
+    "ReadRoutes",
     "RecordAnswer",
     "ReleaseClaim",
     "ReleaseUpstream",
     "RemoveNode",
+    "ReplaceRoutes",
     "ReportCrash",
     "Result",
+    "RoutesInForce",
     "TrialGranted",
     "TrialRefused",
 ]
@@ -195,8 +198,26 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class ReplaceRoutes:
+    """Put a route document in force unless its number is not higher.
+
+    The body is kept to the byte, so that a read returns what was sent.
+    """
+
+    number: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRoutes:
+    """Read the route document in force; committed, so that it is linearizable."""
+
+
 Command = (
-    ProposeConfiguration
+    ReplaceRoutes
+    | ReadRoutes
+    | ProposeConfiguration
     | JoinNode
     | RemoveNode
     | OpenClaim
@@ -321,8 +342,17 @@
     quarantined: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RoutesInForce:
+    """Give the route document in force; number 0 means that there is none."""
+
+    number: int
+    body: bytes
+
+
 Result = (
     Done
+    | RoutesInForce
     | NotFound
     | ConfigurationAccepted
     | ConfigurationConflict
--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -1,7 +1,7 @@
 """Run one control replica: the log, the replicated state and engine orders."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -54,6 +54,7 @@
 RECONCILE_SECONDS = 0.2
 WORD_SECONDS = 1.0
 COMPACT_ENTRIES = 1000
+COMPACT_BYTES = 4 * 1024 * 1024
 MAX_PENDING = 20_000
 PLATFORM_FRESH_SECONDS = 5.0
 NEVER = float("inf")
@@ -69,6 +70,7 @@
     clock_drift: float = 0.1
     uses_platform: bool = False
     compact_entries: int = COMPACT_ENTRIES
+    voters: int = 0
 
 
 class _Stamped(NamedTuple):
@@ -107,6 +109,7 @@
         rng: random.Random,
         now: float,
         status_of: StatusOf = lambda node: None,
+        control_nodes: Callable[[], Iterable[str]] = tuple,
     ) -> None:
         self._settings = settings
         self.raft = Raft(loaded, settings.timing, rng, now)
@@ -114,7 +117,9 @@
         self.applied = loaded.snapshot.index
         self.stopped = ""
         self._genesis = Genesis(settings.node, loaded.replica, settings.initial)
-        self._replicas = ReplicaKeeper(self.raft)
+        self._replicas = ReplicaKeeper(self.raft, settings.voters, self._is_leaving)
+        self._control_nodes = control_nodes
+        self._log_bytes = 0
         self._reconciler = OrderReconciler(self._propose_own, settings.order_timeout)
         self._status_of = status_of
         self._waiting: dict[int, _Waiting] = {}
@@ -325,11 +330,14 @@
         for entry in self.raft.take_committed():
             self._apply(entry)
         kept = self.raft.applied_index - self.raft.snapshot.index
-        if kept >= self._settings.compact_entries:
+        is_long = kept >= self._settings.compact_entries
+        if is_long or self._log_bytes >= COMPACT_BYTES:
+            self._log_bytes = 0
             self.raft.compact(self.state.dump())
 
     def _apply(self, entry: LogEntry) -> None:
         self.applied = entry.index
+        self._log_bytes += len(entry.data)
         waiting = self._waiting.pop(entry.index, None)
         if entry.kind != EntryKind.COMMAND:
             return
@@ -357,7 +365,8 @@
                 self._log("group-formed", replicas=len(first.membership.members))
         if self._needs_hello(now):
             self._hello_due = now + HELLO_SECONDS
-            for node, hello in self._genesis.hellos(blank):
+            others = self._control_nodes()
+            for node, hello in self._genesis.hellos(blank, others):
                 self._effects.append(ToNode(node, hello))
 
     def _needs_hello(self, now: float) -> bool:
@@ -422,6 +431,9 @@
 
     # Helpers
 
+    def _is_leaving(self, node: str) -> bool:
+        return self._status_of(node) is MemberStatus.LEAVING
+
     def _reply(self, node: str, message: Message) -> None:
         self._effects.append(ToNode(node, message))
 
--- a/hawthornshelf/genesis.py
+++ b/hawthornshelf/genesis.py
@@ -1,6 +1,6 @@
 """Form a control group once, from replicas that all start blank."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from hawthornshelf.log import Member, Membership, Snapshot
 from hawthornshelf.messages import Hello
@@ -25,12 +25,14 @@
         self._heard: dict[str, str] = {}
         self._blank: dict[str, str] = {node: replica}
 
-    def hellos(self, blank: bool) -> list[tuple[str, Hello]]:
-        """Return the hello for each other initial node."""
+    def hellos(
+        self, blank: bool, others: Iterable[str] = ()
+    ) -> list[tuple[str, Hello]]:
+        """Return the hello for each other initial node and each other one known."""
+        nodes = sorted({*self._initial, *others} - {self._node})
         return [
             (node, Hello(self._replica, self._node, blank, self._heard.get(node, "")))
-            for node in self._initial
-            if node != self._node
+            for node in nodes
         ]
 
     def receive(self, hello: Hello) -> None:
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -63,7 +63,14 @@
 
 
 class NodeSettings(NamedTuple):
-    """Set up a node; `control` maps the control nodes to their peer addresses."""
+    """Set up a node; `control` maps the control nodes to their peer addresses.
+
+    Without `bootstrap` the control nodes are only whom to ask first. With `voters`
+    the group replaces lost voters by itself. A `gateway` takes requests in a shell
+    of its own, and needs nothing but the shared view and the list of nodes. With
+    `named_by_address` a node's name is its peer address, so that no name has to be
+    looked up before the first message.
+    """
 
     node: str
     incarnation: str
@@ -78,6 +85,10 @@
     linger: float = 10.0
     started_ms: int = 1
     compact_entries: int = 1000
+    bootstrap: bool = True
+    voters: int = 0
+    gateway: bool = False
+    named_by_address: bool = False
 
 
 class NodeCore:
@@ -112,6 +123,7 @@
                 self.submitter,
                 rng,
             )
+        self.is_serving = False
         self._effects: list[Effect | ToNode] = []
         self._ask_due = 0.0
         self._sweep_due = 0.0
@@ -276,8 +288,11 @@
         self._update_own(now)
         for outgoing in self.members.tick(now):
             self._gossip(outgoing)
+        self.submitter.update_control(self.control_nodes())
         if self.entry:
             self._tick_entry(now)
+        if self.entry or self.settings.gateway:
+            self._ask_control(now)
         self._tick_submissions(now)
         self._tick_replica_changes(now)
         self._tick_stop(now)
@@ -287,10 +302,14 @@
         self.entry.node_count = self.members.entry_count()
         self._effects.extend(self.entry.tick(now))
         self.lifecycle.tick(now)
+
+    def _ask_control(self, now: float) -> None:
         if now >= self._ask_due:
-            wait = ASK_SECONDS if self.lifecycle.joined else ASK_SECONDS / 4
+            has_view = self.settings.gateway and self.view.revision > 0
+            settled = self.lifecycle.joined or has_view
+            wait = ASK_SECONDS if settled else ASK_SECONDS / 4
             self._ask_due = now + wait
-            target = self._rng.choice(sorted(self.settings.control))
+            target = self._rng.choice(self.control_nodes())
             ask = AskControl(self.view.revision, self.settings.incarnation)
             self._send(target, ask)
 
@@ -319,11 +338,31 @@
         status = MemberStatus.LEAVING if leaving else MemberStatus.ALIVE
         own = self.members.own._replace(
             status=status,
-            serving=self.entry is not None and not self.refusal(now),
+            serving=self._is_serving(now),
             version=self.view.version,
         )
         self.members.update_own(now, own)
 
+    def _is_serving(self, now: float) -> bool:
+        if self.settings.gateway:
+            return self.is_serving
+        return self.entry is not None and not self.refusal(now)
+
+    def control_nodes(self) -> list[str]:
+        """Return the control nodes known: the given ones, the members, the replicas."""
+        nodes = set(self.settings.control)
+        if self.settings.named_by_address:
+            dead = MemberStatus.DEAD
+            rows = self.members.rows()
+            nodes.update(r.node for r in rows if r.control and r.status is not dead)
+        if self.control:
+            nodes.update(m.node for m in self.control.membership().members)
+        return sorted(nodes)
+
+    def restart_control(self, now: float, loaded: Loaded) -> None:
+        """Run the control replica anew from what its storage holds."""
+        self.control = self._make_control(loaded, self._rng, now)
+
     # Stop
 
     def _on_stop(self, now: float) -> None:
@@ -335,7 +374,7 @@
 
     def _tick_stop(self, now: float) -> None:
         """End the process once nothing is owed; control alone owes nothing."""
-        if not self.lifecycle.is_leaving:
+        if not self.lifecycle.is_leaving or self.settings.gateway:
             return
         if not self.entry or self.lifecycle.may_end(now, len(self.entry.requests)):
             self._effects.append(StopProcess())
@@ -352,7 +391,8 @@
         member = self.members.find(node)
         if member is not None and member.peer_address:
             return member.peer_address
-        return self.settings.control.get(node, "")
+        default = node if self.settings.named_by_address else ""
+        return self.settings.control.get(node, default)
 
     def _deliver_local(
         self, now: float, wall: float, effects: Sequence[Effect | ToNode]
@@ -377,12 +417,17 @@
     ) -> ControlCore:
         settings = ControlSettings(
             node=self.settings.node,
-            initial=tuple(sorted(self.settings.control)),
+            initial=tuple(sorted(self.settings.control))
+            if self.settings.bootstrap
+            else (),
+            voters=self.settings.voters,
             timing=self.settings.timing,
             uses_platform=self.settings.uses_platform,
             compact_entries=self.settings.compact_entries,
         )
-        return ControlCore(settings, loaded, rng, now, self.members.status)
+        return ControlCore(
+            settings, loaded, rng, now, self.members.status, self.control_nodes
+        )
 
 
 def _own_row(settings: NodeSettings, control: bool) -> MemberRow:
@@ -393,7 +438,7 @@
         settings.peer_address,
         settings.caller_address,
         settings.data_centre,
-        settings.entry,
+        settings.entry or settings.gateway,
         control,
     )
 
--- a/hawthornshelf/raft.py
+++ b/hawthornshelf/raft.py
@@ -176,6 +176,13 @@
             return self.persisted_index
         return self._progress.find(replica).match_index
 
+    def heard_at(self, replica: str) -> float:
+        """Return the second of the last heartbeat that a replica answered.
+
+        For one that has not answered this leader: when the leader took over.
+        """
+        return max(self._progress.find(replica).acked_sent, self._leading_since)
+
     def persisted(self, sequence: int) -> None:
         """Note that a Persist effect was synced and release what waited for it."""
         self._persisted_sequence = max(self._persisted_sequence, sequence)
--- a/hawthornshelf/state.py
+++ b/hawthornshelf/state.py
@@ -27,10 +27,13 @@
     ProposeConfiguration,
     RecordAnswer,
     ReleaseClaim,
+    ReadRoutes,
     ReleaseUpstream,
     RemoveNode,
+    ReplaceRoutes,
     ReportCrash,
     Result,
+    RoutesInForce,
 )
 from hawthornshelf.configuration import Configuration
 from hawthornshelf.suspects import SuspectRow, SuspectTable, TrialRow
@@ -47,6 +50,7 @@
 FENCE_TERM_SHIFT = 40
 MAX_CHANGE_OUTCOMES = 50_000
 MAX_HISTORY = 500
+NO_ROUTES = RoutesInForce(0, b"")
 
 
 class ChangeRow(NamedTuple):
@@ -102,6 +106,7 @@
     configuration: Configuration = Configuration()
     drains: tuple[DrainRow, ...] = ()
     suspects: tuple[SuspectRow, ...] = ()
+    routes: RoutesInForce = NO_ROUTES
 
 
 class _Image(NamedTuple):
@@ -119,6 +124,7 @@
     kept: tuple[ClaimKey, ...]
     suspects: tuple[SuspectRow, ...]
     trials: tuple[TrialRow, ...]
+    routes: RoutesInForce = NO_ROUTES
 
 
 class SharedState:
@@ -136,6 +142,7 @@
         self.orders: dict[str, OrderRow] = {}
         self.claims = ClaimTable()
         self.suspects = SuspectTable()
+        self.routes = NO_ROUTES
 
     def apply(self, term: int, index: int, stamp: float, command: Command) -> Result:
         """Apply one command; the same commands give the same state and results."""
@@ -153,6 +160,10 @@
                 return self._place_order(term, index, command)
             case FinishOrder():
                 return self._finish_order(index, command)
+            case ReplaceRoutes():
+                return self._replace_routes(index, command)
+            case ReadRoutes():
+                return self.routes
             case JoinNode():
                 self.nodes[command.node] = NodeRow(command.node, command.incarnation)
                 return Done(index)
@@ -169,6 +180,7 @@
             self.configuration,
             tuple(self.drains.values()),
             self.suspects.rows(),
+            self.routes,
         )
 
     def find_drain(self, upstream: str, reason: DrainReason) -> DrainRow | None:
@@ -197,6 +209,7 @@
             self.claims.kept(),
             self.suspects.rows(),
             self.suspects.trials(),
+            self.routes,
         )
         return msgspec.msgpack.encode(image)
 
@@ -218,6 +231,7 @@
         state.orders = {row.upstream: row for row in image.orders}
         state.claims = ClaimTable(image.claims, image.released, image.kept)
         state.suspects = SuspectTable(image.suspects, image.trials)
+        state.routes = image.routes
         return state
 
     def _apply_shared(self, index: int, command: Command) -> Result:
@@ -269,6 +283,13 @@
         while len(self.outcomes) > MAX_CHANGE_OUTCOMES:
             del self.outcomes[next(iter(self.outcomes))]
 
+    def _replace_routes(self, index: int, command: ReplaceRoutes) -> Result:
+        """Take a higher number; a number not higher changes nothing."""
+        if command.number > self.routes.number:
+            self.routes = RoutesInForce(command.number, command.body)
+            self.revision = index
+        return RoutesInForce(self.routes.number, b"")
+
     def _remove_node(self, index: int, command: RemoveNode) -> Result:
         row = self.nodes.get(command.node)
         if row is None or row.incarnation != command.incarnation:
--- a/hawthornshelf/submission.py
+++ b/hawthornshelf/submission.py
@@ -41,6 +41,13 @@
         self._numbers = itertools.count(1)
         self._fresh: list[str] = []
 
+    def update_control(self, control: Sequence[str]) -> None:
+        """Take the control nodes known now, keeping the one believed to lead."""
+        target = self.target()
+        if control and list(control) != self._control:
+            self._control = list(control)
+            self._leader = control.index(target) if target in control else 0
+
     def submit(self, now: float, command: Command, until: float) -> str:
         """Enter a command and return its request id."""
         request = f"{self._node}.{next(self._numbers)}"
