--- a/hawthornshelf/diskwriter.py
+++ b/hawthornshelf/diskwriter.py
@@ -35,6 +35,10 @@
         self._thread.shutdown(wait=True)
         self._storage.close()
 
+    def abandon(self) -> None:
+        """Let the thread end, without closing a storage that another one writes."""
+        self._thread.shutdown(wait=False)
+
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         while self._queue and not self._failed:
--- /dev/null
+++ b/hawthornshelf/gateway/budget.py
@@ -0,0 +1,70 @@
+"""Bound what is sent beyond each request's first send, over a sliding window."""
+
+from collections import deque
+
+__all__ = ["RetryBudget", "RetryLimits"]
+
+from typing import NamedTuple
+
+SHARE_MARGIN = 0.6
+"""Part of the fleet's allowance that is spent: the count of nodes may be wrong."""
+
+
+class RetryLimits(NamedTuple):
+    """Bound a service's extra sends, over all nodes, in any window.
+
+    The fleet may send `ratio` times the requests of the window plus `slack`.
+    """
+
+    ratio: float = 0.1
+    slack: float = 10.0
+    window: float = 10.0
+
+
+class _Window:
+    """Count events of the last window."""
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._times: deque[float] = deque()
+
+    def add(self, now: float) -> None:
+        self._times.append(now)
+
+    def count(self, now: float) -> int:
+        while self._times and self._times[0] <= now - self._seconds:
+            self._times.popleft()
+        return len(self._times)
+
+
+class RetryBudget:
+    """Hold one node's part of the budget, by service.
+
+    A node spends its own requests' ratio and an equal share of the slack, so that
+    the sum stays within the fleet's bound as long as the nodes are counted right.
+    """
+
+    def __init__(self, limits: RetryLimits = RetryLimits()) -> None:
+        self._limits = limits
+        self._requests: dict[str, _Window] = {}
+        self._extra: dict[str, _Window] = {}
+
+    def note_request(self, now: float, service: str) -> None:
+        """Count a request that came for a service."""
+        self._find(self._requests, service).add(now)
+
+    def may_spend(self, now: float, service: str, nodes: int) -> bool:
+        """Tell if one more extra send to a service fits, for a fleet of `nodes`."""
+        limits = self._limits
+        requests = self._find(self._requests, service).count(now)
+        allowed = limits.ratio * requests + limits.slack / max(1, nodes)
+        return self._find(self._extra, service).count(now) + 1 <= allowed * SHARE_MARGIN
+
+    def spend(self, now: float, service: str) -> None:
+        """Count an extra send."""
+        self._find(self._extra, service).add(now)
+
+    def _find(self, windows: dict[str, _Window], service: str) -> _Window:
+        if service not in windows:
+            windows[service] = _Window(self._limits.window)
+        return windows[service]
--- /dev/null
+++ b/hawthornshelf/gateway/exchange.py
@@ -0,0 +1,165 @@
+"""Define a request, the answers to it, and the two sides that carry them."""
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from hawthornshelf.errors import HawthornshelfError
+from hawthornshelf.gateway.runners import Runner
+
+__all__ = [
+    "Attempt",
+    "AttemptFailed",
+    "CallerSide",
+    "Header",
+    "Inbound",
+    "MemoryHandle",
+    "Prompt",
+    "PromptPart",
+    "RunnerAnswer",
+    "RunnerSide",
+]
+
+
+class Header(NamedTuple):
+    """Hold one header as it came."""
+
+    name: str
+    value: str
+
+
+class PromptPart(NamedTuple):
+    """Name a part of a prompt that requests may share."""
+
+    part: str
+    tokens: int
+
+
+class Prompt(NamedTuple):
+    """Hold what a generation request says of its size and shared parts."""
+
+    tokens: int
+    max_output: int
+    parts: tuple[PromptPart, ...] = ()
+
+    def shared(self) -> tuple[str, ...]:
+        """Return the parts that other requests may share, in order."""
+        return tuple(part.part for part in self.parts[:-1])
+
+
+@dataclass(frozen=True, slots=True)
+class Inbound:
+    """Hold a whole request of a caller; times are monotonic seconds."""
+
+    request: str
+    method: str
+    target: str
+    host: str
+    headers: tuple[Header, ...]
+    body: bytes
+    arrived_at: float
+    deadline: float
+    prompt: Prompt | None = None
+    resume_after: str = ""
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+
+class MemoryHandle(NamedTuple):
+    """Name a prompt's memory that an engine holds for another one to take."""
+
+    address: str
+    handle: str
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Hold one send of a request to a runner; `seconds_left` bounds its work."""
+
+    inbound: Inbound
+    runner: Runner
+    seconds_left: float
+    rank: int
+    resume_after: str = ""
+    source: MemoryHandle | None = None
+
+
+class AttemptFailed(HawthornshelfError):
+    """Report an attempt without a whole answer; `sent` if it may have run."""
+
+    def __init__(self, step: str, peer: str, reason: str, sent: bool) -> None:
+        super().__init__(step, peer, reason)
+        self.sent = sent
+
+
+class RunnerAnswer(ABC):
+    """Read one answer of a runner."""
+
+    status: int
+    headers: tuple[Header, ...]
+    not_run: bool
+    is_stream: bool
+
+    @abstractmethod
+    def pieces(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes; raise AttemptFailed if it breaks off."""
+
+    @abstractmethod
+    async def read(self) -> bytes:
+        """Return the whole body; raise AttemptFailed if it breaks off."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Let go of the answer; an unfinished one ends its connection."""
+
+
+class RunnerSide(ABC):
+    """Carry attempts to runners."""
+
+    @abstractmethod
+    async def send(self, attempt: Attempt) -> RunnerAnswer:
+        """Send an attempt and return the head of its answer; raise AttemptFailed."""
+
+    @abstractmethod
+    async def prefill(self, attempt: Attempt) -> MemoryHandle | None:
+        """Have a prompt read and kept; None if refused; raise AttemptFailed."""
+
+    @abstractmethod
+    async def drop_handle(self, handle: MemoryHandle) -> None:
+        """Free a prompt's memory that nobody will take."""
+
+
+class CallerSide(ABC):
+    """Carry the answer back to one caller."""
+
+    began: bool
+
+    @abstractmethod
+    async def begin(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Send the head of a streamed answer."""
+
+    @abstractmethod
+    async def write(self, data: bytes) -> None:
+        """Send a piece of a streamed answer."""
+
+    @abstractmethod
+    async def end(self) -> None:
+        """End a streamed answer as complete."""
+
+    @abstractmethod
+    def abort(self) -> None:
+        """Break a streamed answer off, so that it can't look complete."""
+
+    @abstractmethod
+    async def answer(
+        self, status: int, headers: tuple[Header, ...], body: bytes
+    ) -> None:
+        """Send a whole answer of a runner."""
+
+    @abstractmethod
+    async def refuse(self, status: int, reason: str, retry_after: float) -> None:
+        """Send an answer of our own; `retry_after` in seconds, 0 for none."""
--- /dev/null
+++ b/hawthornshelf/gateway/forwarder.py
@@ -0,0 +1,369 @@
+"""Carry each request to a runner and its answer back to the caller."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from hawthornshelf.clock import Clock
+from hawthornshelf.gateway.budget import RetryBudget
+from hawthornshelf.gateway.eventstream import EventSplitter
+from hawthornshelf.gateway.exchange import (
+    Attempt,
+    AttemptFailed,
+    CallerSide,
+    Inbound,
+    MemoryHandle,
+    RunnerAnswer,
+    RunnerSide,
+)
+from hawthornshelf.gateway.placement import Placement, place
+from hawthornshelf.gateway.routes import Repeat, Route, RouteIndex, RouteTable
+from hawthornshelf.gateway.runners import RunnerState, RunnerTable
+from hawthornshelf.logs import write_log
+from hawthornshelf.metrics import Ended, Metrics
+
+__all__ = ["Forwarder"]
+
+LEAST_SECONDS = 0.01
+"""With less time left a request can't be answered, so it is not sent."""
+
+RETRY_AFTER_SECONDS = 0.3
+"""When to come back if no runner took a request; about a second of queue is short."""
+
+NOT_READY_SECONDS = 0.5
+
+
+class _Refused(Exception):
+    """Report that a runner refused an attempt without running it."""
+
+
+class _Broken(Exception):
+    """Report that a stream broke off after some whole events."""
+
+
+@dataclass(slots=True)
+class _Course:
+    """Hold one request on its way."""
+
+    inbound: Inbound
+    route: Route
+    service: str
+    caller: CallerSide
+    deadline: float
+    tried: set[str] = field(default_factory=set)
+    sends: int = 0
+    runs: int = 0
+    may_have_run: bool = False
+    last_event: str = ""
+    last_runner: str = ""
+    first_at: float = 0.0
+    reason: str = ""
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell if the request may run again, from its last whole event on."""
+        if self.route.repeat is Repeat.STREAM:
+            return self.route.resumable
+        return self.route.repeat is Repeat.SAFE
+
+
+class Forwarder:
+    """Run every open request; decisions are left to the tables it is given."""
+
+    def __init__(
+        self,
+        side: RunnerSide,
+        runners: RunnerTable,
+        budget: RetryBudget,
+        metrics: Metrics,
+        clock: Clock,
+        rng: random.Random,
+        count_nodes: Callable[[], int],
+    ) -> None:
+        self._side = side
+        self._runners = runners
+        self._budget = budget
+        self._metrics = metrics
+        self._clock = clock
+        self._rng = rng
+        self._count_nodes = count_nodes
+        self._index = RouteIndex()
+        self.open_requests = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def has_routes(self) -> bool:
+        """Tell if a route table is in force here."""
+        return self._index.table.number > 0
+
+    def load(self, table: RouteTable) -> None:
+        """Take a newer route table; requests under way keep the old one."""
+        self._index = RouteIndex(table)
+
+    async def serve(self, inbound: Inbound, caller: CallerSide) -> None:
+        """Answer one request; return once the caller has its last byte."""
+        if not self.has_routes:
+            await self._refuse_early(inbound, caller, 503, "no routes yet")
+            return
+        route = self._index.find(inbound.host, inbound.path)
+        if route is None:
+            await self._refuse_early(inbound, caller, 404, "no route")
+            return
+        self.open_requests += 1
+        try:
+            await self._run_course(self._begin(inbound, route, caller))
+        finally:
+            self.open_requests -= 1
+
+    def _begin(self, inbound: Inbound, route: Route, caller: CallerSide) -> _Course:
+        weights = [split.weight for split in route.splits]
+        split = self._rng.choices(route.splits, weights)[0]
+        self._budget.note_request(self._clock.monotonic(), split.service)
+        deadline = min(inbound.deadline, inbound.arrived_at + route.timeout)
+        return _Course(inbound, route, split.service, caller, deadline)
+
+    async def _refuse_early(
+        self, inbound: Inbound, caller: CallerSide, status: int, reason: str
+    ) -> None:
+        write_log(
+            "request-refused",
+            request=inbound.request,
+            status=status,
+            reason=reason,
+            routes=self._index.table.number,
+        )
+        wait = NOT_READY_SECONDS if status == 503 else 0.0
+        await caller.refuse(status, reason, wait)
+
+    async def _run_course(self, course: _Course) -> None:
+        left = course.deadline - self._clock.monotonic()
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                await self._try_runners(course)
+        except TimeoutError:
+            course.reason = course.reason or "deadline passed"
+            await self._fail(course, 504)
+        except asyncio.CancelledError:
+            self._note_end(course, "caller-gone")
+            raise
+
+    async def _try_runners(self, course: _Course) -> None:
+        while True:
+            placement = self._choose(course)
+            if placement is None:
+                course.reason = course.reason or "no runner"
+                await self._fail(course, 502 if course.may_have_run else 503)
+                return
+            if await self._try_once(course, placement):
+                return
+            if not self._may_repeat(course):
+                await self._fail(course, 502 if course.may_have_run else 503)
+                return
+            self._budget.spend(self._clock.monotonic(), course.service)
+
+    def _choose(self, course: _Course) -> Placement | None:
+        now = self._clock.monotonic()
+        prompt = course.inbound.prompt
+        if prompt is not None and course.route.is_generation:
+            return place(
+                now, self._runners, course.service, prompt, course.tried, self._rng
+            )
+        state = self._runners.choose_plain(now, course.service, course.tried)
+        return Placement(state) if state is not None else None
+
+    def _may_repeat(self, course: _Course) -> bool:
+        """Tell if a request that has no answer yet may be sent once more."""
+        now = self._clock.monotonic()
+        if course.may_have_run and not course.is_repeatable:
+            return False
+        if course.runs >= course.route.max_attempts:
+            return False
+        if course.deadline - now < LEAST_SECONDS:
+            return False
+        nodes = self._count_nodes()
+        allowed = self._budget.may_spend(now, course.service, nodes)
+        if not allowed:
+            course.reason += "; retry budget is spent"
+        return allowed
+
+    async def _try_once(self, course: _Course, placement: Placement) -> bool:
+        """Send a request once; return if the caller has its answer."""
+        state = placement.run
+        tokens = course.inbound.prompt.tokens if course.inbound.prompt else 0
+        source = None
+        if placement.prefill is not None:
+            source = await self._prefill(course, placement.prefill, tokens)
+        self._runners.note_sent(state, 0 if source else tokens)
+        try:
+            return await self._send(course, state, source)
+        finally:
+            self._runners.note_ended(state, 0 if source else tokens)
+
+    async def _prefill(
+        self, course: _Course, state: RunnerState, tokens: int
+    ) -> MemoryHandle | None:
+        """Have the prompt read at one runner; None leaves it to the other."""
+        self._runners.note_sent(state, tokens)
+        try:
+            return await self._side.prefill(self._attempt(course, state, None))
+        except AttemptFailed as error:
+            self._note_failure(course, state, error)
+            return None
+        finally:
+            self._runners.note_ended(state, tokens)
+
+    def _attempt(
+        self, course: _Course, state: RunnerState, source: MemoryHandle | None
+    ) -> Attempt:
+        left = course.deadline - self._clock.monotonic()
+        return Attempt(
+            course.inbound,
+            state.runner,
+            left,
+            course.route.rank,
+            course.last_event or course.inbound.resume_after,
+            source,
+        )
+
+    async def _send(
+        self, course: _Course, state: RunnerState, source: MemoryHandle | None
+    ) -> bool:
+        course.tried.add(state.runner.name)
+        course.last_runner = state.runner.name
+        course.sends += 1
+        answer: RunnerAnswer | None = None
+        may_have_run = course.may_have_run
+        course.may_have_run = True
+        try:
+            answer = await self._side.send(self._attempt(course, state, source))
+            if answer.not_run:
+                course.may_have_run = may_have_run
+                self._note_refusal(course, state, answer.status)
+                return False
+            course.runs += 1
+            return await self._relay(course, state, answer)
+        except AttemptFailed as error:
+            course.may_have_run = may_have_run or error.sent
+            course.runs += error.sent and answer is None
+            self._note_failure(course, state, error)
+            return False
+        finally:
+            if answer is not None:
+                answer.close()
+
+    async def _relay(
+        self, course: _Course, state: RunnerState, answer: RunnerAnswer
+    ) -> bool:
+        if answer.is_stream and answer.status < 300:
+            await self._relay_stream(course, answer)
+        else:
+            body = await answer.read()
+            if answer.status >= 500 and course.is_repeatable:
+                course.reason = f"runner answered {answer.status}"
+                if self._may_repeat(course) and self._has_other(course):
+                    self._note_answer_failed(course, state, answer.status)
+                    return False
+            course.first_at = self._clock.monotonic()
+            await course.caller.answer(answer.status, answer.headers, body)
+        self._runners.note_good(state)
+        self._note_end(course, "complete", answer.status)
+        return True
+
+    def _has_other(self, course: _Course) -> bool:
+        return self._choose(course) is not None
+
+    async def _relay_stream(self, course: _Course, answer: RunnerAnswer) -> None:
+        """Pass whole events on, so that a broken stream can go on elsewhere."""
+        splitter = EventSplitter()
+        caller = course.caller
+        async for piece in answer.pieces():
+            for event in splitter.feed(piece):
+                if not caller.began:
+                    course.first_at = self._clock.monotonic()
+                    await caller.begin(answer.status, answer.headers)
+                await caller.write(event.data)
+                course.last_event = event.event_id or course.last_event
+        if not caller.began:
+            await caller.begin(answer.status, answer.headers)
+        rest = splitter.take_rest()
+        if rest:
+            await caller.write(rest)
+        await caller.end()
+
+    async def _fail(self, course: _Course, status: int) -> None:
+        """End a request without a runner's answer."""
+        if course.caller.began:
+            course.caller.abort()
+            self._note_end(course, "cut")
+            return
+        wait = RETRY_AFTER_SECONDS if status == 503 else 0.0
+        await course.caller.refuse(status, course.reason, wait)
+        self._note_end(course, "refused" if status == 503 else "failed", status)
+
+    # What is logged and counted
+
+    def _note_refusal(self, course: _Course, state: RunnerState, status: int) -> None:
+        course.reason = f"runner refused with {status}"
+        write_log(
+            "attempt-refused",
+            request=course.inbound.request,
+            runner=state.runner.name,
+            status=status,
+            attempt=course.sends,
+            list_age=self._list_age(),
+        )
+
+    def _note_answer_failed(
+        self, course: _Course, state: RunnerState, status: int
+    ) -> None:
+        write_log(
+            "attempt-failed",
+            request=course.inbound.request,
+            runner=state.runner.name,
+            status=status,
+            attempt=course.sends,
+        )
+
+    def _note_failure(
+        self, course: _Course, state: RunnerState, error: AttemptFailed
+    ) -> None:
+        down = self._runners.note_failed(self._clock.monotonic(), state)
+        course.reason = f"{error.step}: {error.reason}"
+        write_log(
+            "attempt-failed",
+            request=course.inbound.request,
+            runner=state.runner.name,
+            step=error.step,
+            reason=error.reason,
+            sent=error.sent,
+            attempt=course.sends,
+            down=down,
+            list_age=self._list_age(),
+        )
+
+    def _note_end(self, course: _Course, outcome: str, status: int = 0) -> None:
+        now = self._clock.monotonic()
+        seconds = now - course.inbound.arrived_at
+        wall = self._clock.now().timestamp()
+        is_fault = outcome in ("failed", "cut", "refused")
+        work = course.route.repeat.value
+        self._metrics.record(wall, Ended(work, outcome, seconds, is_fault))
+        first = course.first_at - course.inbound.arrived_at if course.first_at else 0.0
+        write_log(
+            "request-ended",
+            request=course.inbound.request,
+            route=course.route.name,
+            outcome=outcome,
+            status=status,
+            runner=course.last_runner,
+            sends=course.sends,
+            seconds=round(seconds, 4),
+            first=round(first, 4),
+            budget=round(course.deadline - course.inbound.arrived_at, 3),
+            routes=self._index.table.number,
+            reason=course.reason,
+        )
+
+    def _list_age(self) -> float:
+        return round(self._clock.monotonic() - self._runners.read_at, 3)
--- /dev/null
+++ b/hawthornshelf/gateway/node.py
@@ -0,0 +1,189 @@
+"""Run a node that takes callers' requests, and one that keeps the route documents."""
+
+import asyncio
+import contextlib
+import random
+from typing import NamedTuple
+
+from hawthornshelf.clock import Clock
+from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
+from hawthornshelf.errors import HawthornshelfError
+from hawthornshelf.events import StopAsked
+from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
+from hawthornshelf.gateway.contract import RouteCodec, RunnerSource
+from hawthornshelf.gateway.exchange import RunnerSide
+from hawthornshelf.gateway.forwarder import Forwarder
+from hawthornshelf.gateway.runners import RunnerTable
+from hawthornshelf.logs import write_log
+from hawthornshelf.metrics import Metrics
+from hawthornshelf.node import NodeSettings
+from hawthornshelf.nodeshell import NodeShell, PeerSettings
+from hawthornshelf.storage import DiskStorage
+
+__all__ = ["ControlNode", "GatewayNode", "StopTiming"]
+
+LIST_SECONDS = 1.0
+"""How often the platform's list is read; a leaving runner is seen this much later."""
+
+LIST_RETRY_SECONDS = 0.3
+COMMAND_SECONDS = 3.0
+"""An operator's call gets an answer within this time, or is told to ask again."""
+
+DRAIN_POLL_SECONDS = 0.05
+
+
+class StopTiming(NamedTuple):
+    """Bound a graceful stop, in seconds from when it was asked for.
+
+    New connections are taken for `linger`, since callers keep an address for a
+    while; at `grace` the process ends whatever is open.
+    """
+
+    linger: float = 3.0
+    grace: float = 7.7
+
+
+class GatewayNode(NodeShell):
+    """Hold the routes and runners known here, and the requests under way."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        peer: PeerSettings,
+        clock: Clock,
+        rng: random.Random,
+        codec: RouteCodec,
+        source: RunnerSource,
+        side: RunnerSide,
+        limits: RetryLimits,
+    ) -> None:
+        super().__init__(settings, peer, None, clock, rng)
+        self._codec = codec
+        self._source = source
+        self._number = 0
+        self.metrics = Metrics()
+        self.runners = RunnerTable(settings.data_centre, rng)
+        self.forwarder = Forwarder(
+            side,
+            self.runners,
+            RetryBudget(limits),
+            self.metrics,
+            clock,
+            rng,
+            self._core.members.entry_count,
+        )
+        self.is_leaving = False
+
+    async def start(self) -> None:
+        """Join the other nodes and begin to read the list of runners."""
+        await self.start_peers()
+        self._tasks.append(asyncio.create_task(self._follow_list()))
+
+    def is_ready(self) -> bool:
+        """Tell if new requests should come here."""
+        has_runners = self.runners.read_at > float("-inf")
+        return self.forwarder.has_routes and has_runners and not self.is_leaving
+
+    def addresses_near(self, data_centre: str) -> list[str]:
+        """Return where callers of a data centre should connect: near nodes if any."""
+        rows = self._core.members.serving()
+        near = [row for row in rows if row.data_centre == data_centre]
+        return [row.caller_address for row in near or rows]
+
+    async def drain(self, timing: StopTiming) -> None:
+        """Leave: tell the others, and return once no new caller is to be expected."""
+        self.is_leaving = True
+        self._core.is_serving = False
+        self.post(StopAsked())
+        await asyncio.sleep(timing.linger)
+
+    async def finish(self, seconds: float) -> None:
+        """Wait until no request is open, within a bound."""
+        end = self._clock.monotonic() + seconds
+        while self.forwarder.open_requests and self._clock.monotonic() < end:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    def on_step(self) -> None:
+        """Take a newer route document from the shared view."""
+        self._core.is_serving = self.is_ready()
+        routes = self._core.view.routes
+        if routes.number <= self._number:
+            return
+        self._number = routes.number
+        try:
+            table = self._codec.decode(routes.body)
+        except ExceptionGroup as error:
+            write_log("routes-unreadable", level="error", reason=str(error))
+            return
+        self.forwarder.load(table)
+        write_log("routes-in-force", number=routes.number, routes=len(table.routes))
+
+    async def _follow_list(self) -> None:
+        regained = True
+        while True:
+            wait = LIST_SECONDS
+            try:
+                listing = await self._source.read()
+            except HawthornshelfError as error:
+                wait = LIST_RETRY_SECONDS
+                if regained:
+                    write_log("list-lost", peer=error.peer, reason=error.reason)
+                regained = False
+            else:
+                if not regained:
+                    write_log("list-regained", runners=len(listing.runners))
+                regained = True
+                came, went = self.runners.load(listing)
+                if came or went:
+                    write_log(
+                        "runners-changed", came=",".join(came), went=",".join(went)
+                    )
+            await asyncio.sleep(wait)
+
+
+class ControlNode(NodeShell):
+    """Hold a replica of the control group and answer operators."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        peer: PeerSettings,
+        storage: DiskStorage | None,
+        clock: Clock,
+        rng: random.Random,
+        codec: RouteCodec,
+    ) -> None:
+        super().__init__(settings, peer, storage, clock, rng, keeps_storage=True)
+        self._codec = codec
+
+    async def replace_routes(self, body: bytes) -> RoutesInForce | None:
+        """Commit a document; None if it may or may not have been committed.
+
+        Raises an ExceptionGroup of DeclarationError if the document is invalid.
+        """
+        number = self._codec.decode(body).number
+        result = await self._run(ReplaceRoutes(number, body))
+        held = result.number if result else 0
+        write_log("routes-replaced", number=number, in_force=held, known=bool(result))
+        return result
+
+    async def read_routes(self) -> RoutesInForce | None:
+        """Return the newest document; None if that can't be told now."""
+        return await self._run(ReadRoutes())
+
+    async def leave(self) -> None:
+        """Hand on the leadership and tell the others that this node leaves."""
+        self.post(StopAsked())
+        await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def _run(self, command: ReplaceRoutes | ReadRoutes) -> RoutesInForce | None:
+        with contextlib.suppress(TimeoutError):
+            result = await asyncio.wait_for(self.run_command(command), COMMAND_SECONDS)
+            if isinstance(result, RoutesInForce):
+                return result
+        write_log("command-unanswered", command=type(command).__name__)
+        return None
+
+    def known_leader(self) -> str:
+        """Return the node believed to lead the control group."""
+        return self._core.control.leader_node() if self._core.control else ""
--- /dev/null
+++ b/hawthornshelf/gateway/routes.py
@@ -0,0 +1,147 @@
+"""Define route tables, check them, and find the route of a request."""
+
+from collections.abc import Iterable
+from enum import Enum
+from typing import NamedTuple
+
+from hawthornshelf.errors import DeclarationError
+
+__all__ = [
+    "CallerLimits",
+    "EngineProfile",
+    "Repeat",
+    "Route",
+    "RouteIndex",
+    "RouteTable",
+    "ServiceSpec",
+    "Split",
+    "check_table",
+]
+
+
+class Repeat(Enum):
+    """Tell how often a request may run."""
+
+    SAFE = "safe"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+class EngineProfile(NamedTuple):
+    """Hold what all engines of a service have in common."""
+
+    slots: int
+    memory_tokens: int
+    handle_seconds: float = 5.0
+    switch_seconds: float = 3.0
+
+
+class ServiceSpec(NamedTuple):
+    """Name a service; plain services have no engine profile."""
+
+    name: str
+    health_path: str = "/"
+    max_connections: int = 0
+    engine: EngineProfile | None = None
+
+
+class Split(NamedTuple):
+    """Give a service its share of a route's requests."""
+
+    service: str
+    weight: int
+
+
+class Route(NamedTuple):
+    """Hold one route; durations are in seconds, rank 0 is the most urgent."""
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    timeout: float
+    target: float
+    rank: int
+    splits: tuple[Split, ...]
+    max_attempts: int = 1
+    resumable: bool = False
+    is_generation: bool = False
+
+
+class CallerLimits(NamedTuple):
+    """Bound what a caller may send; sizes in bytes, durations in seconds."""
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+class RouteTable(NamedTuple):
+    """Hold all routes and services of one document number."""
+
+    number: int = 0
+    routes: tuple[Route, ...] = ()
+    services: tuple[ServiceSpec, ...] = ()
+    limits: CallerLimits = CallerLimits()
+
+
+def check_table(table: RouteTable) -> list[DeclarationError]:
+    """Return every fault of a table."""
+    faults: list[DeclarationError] = []
+    services = {service.name for service in table.services}
+    places: set[tuple[str, str]] = set()
+    for position, route in enumerate(table.routes):
+        path = f"routes[{position}]"
+        faults.extend(_check_route(path, route, services))
+        if (route.host, route.prefix) in places:
+            faults.append(DeclarationError(path, "host and prefix are taken"))
+        places.add((route.host, route.prefix))
+    return faults
+
+
+def _check_route(
+    path: str, route: Route, services: set[str]
+) -> Iterable[DeclarationError]:
+    for split in route.splits:
+        if split.service not in services:
+            yield DeclarationError(path, f"unknown service {split.service}")
+        if split.weight < 0:
+            yield DeclarationError(path, "a weight is negative")
+    if sum(split.weight for split in route.splits) <= 0:
+        yield DeclarationError(path, "the weights add up to 0")
+    if route.timeout <= 0:
+        yield DeclarationError(path, "the timeout is 0")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        yield DeclarationError(path, "a prefix begins and ends with a slash")
+
+
+class RouteIndex:
+    """Find routes by host and longest prefix, in time that the path's depth bounds."""
+
+    def __init__(self, table: RouteTable = RouteTable()) -> None:
+        self.table = table
+        self._hosts: dict[str, dict[str, Route]] = {}
+        for route in table.routes:
+            self._hosts.setdefault(route.host, {})[route.prefix] = route
+        self._services = {service.name: service for service in table.services}
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        prefixes = self._hosts.get(host)
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+    def has_host(self, host: str) -> bool:
+        """Tell if any route has this host."""
+        return host in self._hosts
+
+    def service(self, name: str) -> ServiceSpec | None:
+        """Return a service by its name."""
+        return self._services.get(name)
--- /dev/null
+++ b/hawthornshelf/gateway/runners.py
@@ -0,0 +1,138 @@
+"""Keep what a node knows of each runner, and choose among them."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+__all__ = ["Listing", "Runner", "RunnerState", "RunnerTable", "Stage"]
+
+DOWN_SECONDS = 1.0
+"""How long a runner that failed is left out; doubled by each further failure."""
+
+MAX_DOWN_SECONDS = 4.0
+HOP_SECONDS = 0.003
+"""Weight of another data centre: a round trip, and bytes that cost."""
+
+
+class Stage(Enum):
+    """Name the part of the work that an engine does."""
+
+    MIXED = "mixed"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+class Runner(NamedTuple):
+    """Hold one runner as the platform lists it."""
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    is_leaving: bool = False
+    stage: Stage = Stage.MIXED
+
+
+class Listing(NamedTuple):
+    """Hold the platform's list of runners; `read_at` in monotonic seconds."""
+
+    runners: tuple[Runner, ...]
+    read_at: float
+
+
+@dataclass(slots=True)
+class RunnerState:
+    """Hold one runner and what this node has seen of it."""
+
+    runner: Runner
+    in_flight: int = 0
+    tokens: int = 0
+    failures: int = 0
+    down_until: float = 0.0
+
+
+class RunnerTable:
+    """Hold all listed runners, indexed by service."""
+
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
+        self._data_centre = data_centre
+        self._rng = rng
+        self._states: dict[str, RunnerState] = {}
+        self._services: dict[str, list[RunnerState]] = {}
+        self.read_at = float("-inf")
+
+    def load(self, listing: Listing) -> tuple[list[str], list[str]]:
+        """Take a newer list; return the names that came and that went."""
+        old = self._states
+        states: dict[str, RunnerState] = {}
+        services: dict[str, list[RunnerState]] = {}
+        for runner in listing.runners:
+            state = old.get(runner.name) or RunnerState(runner)
+            if state.runner.address != runner.address:
+                state = RunnerState(runner)
+            state.runner = runner
+            states[runner.name] = state
+            services.setdefault(runner.service, []).append(state)
+        self._states, self._services = states, services
+        self.read_at = listing.read_at
+        return sorted(states.keys() - old.keys()), sorted(old.keys() - states.keys())
+
+    def find(self, name: str) -> RunnerState | None:
+        """Return one runner's state."""
+        return self._states.get(name)
+
+    def in_service(self, service: str) -> list[RunnerState]:
+        """Return the runners of a service, leaving ones included."""
+        return self._services.get(service, [])
+
+    def usable(
+        self, now: float, service: str, stages: Iterable[Stage], tried: Iterable[str]
+    ) -> list[RunnerState]:
+        """Return the runners that may take new work; down ones if all others are."""
+        wanted, skip = set(stages), set(tried)
+        listed = [
+            state
+            for state in self.in_service(service)
+            if not state.runner.is_leaving
+            and state.runner.stage in wanted
+            and state.runner.name not in skip
+        ]
+        return [state for state in listed if now >= state.down_until] or listed
+
+    def choose_plain(
+        self, now: float, service: str, tried: Iterable[str]
+    ) -> RunnerState | None:
+        """Return the least loaded runner of a plain service, near ones first."""
+        states = self.usable(now, service, (Stage.MIXED,), tried)
+        return min(states, key=self._plain_cost, default=None)
+
+    def note_sent(self, state: RunnerState, tokens: int) -> None:
+        """Count work that is sent to a runner."""
+        state.in_flight += 1
+        state.tokens += tokens
+
+    def note_ended(self, state: RunnerState, tokens: int) -> None:
+        """Discount work that has ended."""
+        state.in_flight -= 1
+        state.tokens -= tokens
+
+    def note_good(self, state: RunnerState) -> None:
+        """Note a good answer."""
+        state.failures = 0
+        state.down_until = 0.0
+
+    def note_failed(self, now: float, state: RunnerState) -> float:
+        """Leave a runner out for a while; return for how many seconds."""
+        state.failures += 1
+        seconds = min(MAX_DOWN_SECONDS, DOWN_SECONDS * 2 ** (state.failures - 1))
+        state.down_until = now + seconds
+        return seconds
+
+    def _plain_cost(self, state: RunnerState) -> tuple[float, float]:
+        runner = state.runner
+        distance = 0.0 if runner.data_centre == self._data_centre else 1.0
+        load = state.in_flight / max(1, runner.slots)
+        return (load + 0.3 * distance, self._rng.random())
--- /dev/null
+++ b/hawthornshelf/nodeshell.py
@@ -0,0 +1,219 @@
+"""Run a node core: its clock, its peers, its disk and the commands given to it."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+from typing import Any, NamedTuple
+
+from hawthornshelf.clock import Clock
+from hawthornshelf.commands import Command, Result
+from hawthornshelf.diskwriter import DiskWriter
+from hawthornshelf.effects import (
+    CommandEnded,
+    Effect,
+    LogLine,
+    ReplicaChangeEnded,
+    Send,
+)
+from hawthornshelf.errors import StorageCorrupt, StorageFailed
+from hawthornshelf.events import (
+    CommandGiven,
+    Event,
+    Received,
+    ReplicaChangeGiven,
+    StorageLost,
+)
+from hawthornshelf.log import Persist
+from hawthornshelf.logs import write_log
+from hawthornshelf.messages import Message
+from hawthornshelf.node import NodeCore, NodeSettings
+from hawthornshelf.operatorapi import ReplicaAnswer
+from hawthornshelf.peers import PeerClient, PeerServer
+from hawthornshelf.storage import DiskStorage
+
+__all__ = ["FLUSH_SECONDS", "NodeShell", "PeerSettings"]
+
+TICK_SECONDS = 0.05
+FLUSH_SECONDS = 1.0
+STORAGE_RETRY_SECONDS = 0.5
+
+
+class PeerSettings(NamedTuple):
+    """Hold where this node listens for other nodes, and the name of its group."""
+
+    group: str
+    listen: str
+    advertise: str
+
+
+class NodeShell:
+    """Own the core and what every node does with sockets, files and time."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        peer: PeerSettings,
+        storage: DiskStorage | None,
+        clock: Clock,
+        rng: random.Random,
+        keeps_storage: bool = False,
+    ) -> None:
+        self.node_settings = settings
+        self._peer = peer
+        self._clock = clock
+        self._rng = rng
+        self._keeps_storage = keeps_storage
+        self._events: list[Event] = []
+        self._scheduled = False
+        self._stopped = asyncio.Event()
+        self._failure: Exception | None = None
+        self._answers: dict[str, asyncio.Future[Any]] = {}
+        self._numbers = itertools.count(1)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._storage = storage
+        self._writer: DiskWriter | None = None
+        loaded = None
+        if storage is not None:
+            loaded = storage.load()
+            self._writer = DiskWriter(storage, self.post)
+        self._core = NodeCore(settings, loaded, rng, clock.monotonic())
+        self._peer_client = PeerClient(
+            peer.group, settings.node, peer.advertise, self._on_message
+        )
+        self._peer_server = PeerServer(peer.group, self._on_message, self._peer_client)
+
+    @property
+    def core(self) -> NodeCore:
+        """Return the core, to read what it knows."""
+        return self._core
+
+    def post(self, event: Event) -> None:
+        """Queue an event and step the core soon."""
+        self._events.append(event)
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._step)
+
+    def new_request(self) -> str:
+        """Return a request id that no other request has."""
+        number = next(self._numbers)
+        return f"{self.node_settings.node}-{self.node_settings.incarnation}-{number}"
+
+    async def run_command(self, command: Command) -> Result | None:
+        """Commit a command and return its result, or None if none came."""
+        request = f"operator-{self.new_request()}"
+        return await self._ask(request, CommandGiven(request, command))
+
+    async def change_replica(self, node: str, admit: bool) -> ReplicaAnswer:
+        """Admit or remove the replica of a node."""
+        request = f"operator-{self.new_request()}"
+        return await self._ask(request, ReplicaChangeGiven(request, node, admit))
+
+    async def start_peers(self) -> None:
+        """Listen for other nodes and begin to tick."""
+        await self._peer_server.start(self._peer.listen)
+        self._tasks.append(asyncio.create_task(self._tick_forever()))
+
+    async def stop_peers(self) -> None:
+        """Send what is queued, stop ticking and close all that is shared."""
+        await self._peer_client.drain(FLUSH_SECONDS)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._peer_server.stop()
+        await self._peer_client.stop()
+        if self._writer:
+            self._writer.close()
+
+    async def wait_stopped(self) -> None:
+        """Wait until the node is to end; raise what made it fail."""
+        await self._stopped.wait()
+        if self._failure is not None:
+            raise self._failure
+
+    def carry_out(self, effect: Effect) -> None:
+        """Carry out an effect that only some nodes have."""
+
+    def on_step(self) -> None:
+        """Run after each step of the core."""
+
+    async def _ask(self, request: str, event: Event) -> Any:
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._answers[request] = future
+        self.post(event)
+        try:
+            return await future
+        finally:
+            self._answers.pop(request, None)
+
+    def _step(self) -> None:
+        self._scheduled = False
+        events, self._events = self._events, []
+        wall = self._clock.now().timestamp()
+        try:
+            effects = self._core.step(self._clock.monotonic(), wall, events)
+        except Exception as error:
+            self._fail(error)
+            return
+        if any(isinstance(event, StorageLost) for event in events):
+            self._recover_storage_soon()
+        for effect in effects:
+            self._carry_out(effect)
+        self.on_step()
+
+    def _fail(self, error: Exception) -> None:
+        """Stop the process: a core that raised may hold half a change."""
+        write_log("core-failed", level="error", reason=repr(error))
+        self._failure = self._failure or error
+        self._stopped.set()
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(_, address, message):
+                self._peer_client.send(address, message)
+            case Persist():
+                if self._writer:
+                    self._writer.write(effect)
+            case CommandEnded(request, result):
+                self._answer(request, result)
+            case ReplicaChangeEnded(request, accepted, reason):
+                self._answer(request, ReplicaAnswer(accepted, reason))
+            case LogLine(event, fields):
+                write_log(event, **{field.key: field.value for field in fields})
+            case _:
+                self.carry_out(effect)
+
+    def _answer(self, request: str, answer: Any) -> None:
+        future = self._answers.get(request)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    def _on_message(self, sender: str, message: Message) -> None:
+        self.post(Received(sender, message))
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._step()
+            await asyncio.sleep(TICK_SECONDS)
+
+    # Storage that failed
+
+    def _recover_storage_soon(self) -> None:
+        if self._keeps_storage and self._storage is not None:
+            self._tasks.append(asyncio.create_task(self._recover_storage()))
+
+    async def _recover_storage(self) -> None:
+        """Rewrite the storage until that works, then run the replica anew from it."""
+        assert self._storage is not None
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(STORAGE_RETRY_SECONDS)
+            with contextlib.suppress(StorageFailed, StorageCorrupt):
+                loaded = await loop.run_in_executor(None, self._storage.recover)
+                break
+        if self._writer is not None:
+            self._writer.abandon()
+        self._writer = DiskWriter(self._storage, self.post)
+        self._core.restart_control(self._clock.monotonic(), loaded)
+        write_log("storage-regained", replica=loaded.replica, term=loaded.term)
--- a/hawthornshelf/process.py
+++ b/hawthornshelf/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import random
 import secrets
 import signal
@@ -13,20 +12,14 @@
 from hawthornshelf.callerapi import CallerRequest
 from hawthornshelf.callers import CallerServer, Reply, make_app
 from hawthornshelf.clock import Clock, SystemClock
-from hawthornshelf.commands import Command, Result
-from hawthornshelf.diskwriter import DiskWriter
 from hawthornshelf.effects import (
     CancelAttempt,
-    CommandEnded,
     Dispatch,
     Effect,
     Finish,
-    LogLine,
     ReadEngine,
     ReadLoad,
     Refuse,
-    ReplicaChangeEnded,
-    Send,
     SendChunk,
     SendOrder,
     StopProcess,
@@ -34,20 +27,15 @@
 from hawthornshelf.events import (
     AttemptRefused,
     CallerGone,
-    CommandGiven,
-    Event,
-    Received,
-    ReplicaChangeGiven,
     StopAsked,
 )
-from hawthornshelf.log import Persist
 from hawthornshelf.logs import start_logging, write_log
-from hawthornshelf.messages import MemberStatus, Message
+from hawthornshelf.messages import MemberStatus
 from hawthornshelf.metrics import Ended, Metrics, WindowRow
-from hawthornshelf.node import NodeCore, NodeSettings
-from hawthornshelf.operatorapi import AddressAnswer, ReplicaAnswer
+from hawthornshelf.node import NodeSettings
+from hawthornshelf.nodeshell import FLUSH_SECONDS, NodeShell, PeerSettings
+from hawthornshelf.operatorapi import AddressAnswer
 from hawthornshelf.operators import OperatorServer
-from hawthornshelf.peers import PeerClient, PeerServer
 from hawthornshelf.raft import Timing
 from hawthornshelf.settings import Settings
 from hawthornshelf.state import NodeRow
@@ -62,9 +50,7 @@
 
 __all__ = ["Process", "run_process"]
 
-TICK_SECONDS = 0.05
 PLATFORM_SECONDS = 1.0
-FLUSH_SECONDS = 1.0
 HEARTBEATS_PER_ELECTION = 6
 MAX_ADDRESSES = 4
 
@@ -78,38 +64,26 @@
         self.replies: asyncio.Queue[Reply] = asyncio.Queue()
 
 
-class Process:
-    """Own the core, the clock and everything that does I/O."""
+class Process(NodeShell):
+    """Serve callers and operators beside a node core."""
 
     def __init__(self, settings: Settings, clock: Clock) -> None:
         self._settings = settings
-        self._clock = clock
-        self._rng = random.Random(settings.seed or None)
-        self._events: list[Event] = []
-        self._scheduled = False
-        self._stopped = asyncio.Event()
-        self._failure: Exception | None = None
         self._exchanges: dict[str, _Exchange] = {}
-        self._answers: dict[str, asyncio.Future[Any]] = {}
         self._incarnation = secrets.token_hex(6)
-        self._numbers = itertools.count(1)
         self._metrics = Metrics()
-        self._writer: DiskWriter | None = None
-        loaded = None
+        storage = None
         if "control" in settings.roles and settings.data is not None:
             storage = DiskStorage(settings.data / "control", secrets.token_hex(8))
-            loaded = storage.load()
-            self._writer = DiskWriter(storage, self.post)
-        now = clock.monotonic()
-        self._core = NodeCore(self._node_settings(), loaded, self._rng, now)
-        self._upstreams = UpstreamClient(clock, self.post)
         own = settings.peer_advertise or settings.peer_listen
-        self._peer_client = PeerClient(
-            settings.group, settings.node, own, self._on_message
-        )
-        self._peer_server = PeerServer(
-            settings.group, self._on_message, self._peer_client
+        super().__init__(
+            self._node_settings(clock),
+            PeerSettings(settings.group, settings.peer_listen, own),
+            storage,
+            clock,
+            random.Random(settings.seed or None),
         )
+        self._upstreams = UpstreamClient(clock, self.post)
         self._http: Any = None
 
     async def run(self) -> None:
@@ -117,31 +91,19 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.post, StopAsked())
-        await self._peer_server.start(self._settings.peer_listen)
+        await self.start_peers()
         await self._start_http()
         write_log("started", incarnation=self._incarnation)
-        tasks = [asyncio.create_task(self._tick_forever())]
+        poller = None
         if self._settings.platform:
-            tasks.append(asyncio.create_task(self._poll_platform()))
-        await self._stopped.wait()
-        await self._close(tasks)
-        if self._failure is not None:
-            raise self._failure
-
-    def post(self, event: Event) -> None:
-        """Queue an event and step the core soon."""
-        self._events.append(event)
-        if not self._scheduled:
-            self._scheduled = True
-            asyncio.get_running_loop().call_soon(self._step)
+            poller = asyncio.create_task(self._poll_platform())
+        try:
+            await self.wait_stopped()
+        finally:
+            await self._close(poller)
 
     # What callers and operators need
 
-    def new_request(self) -> str:
-        """Return a request id that no other request has."""
-        number = next(self._numbers)
-        return f"{self._settings.node}-{self._incarnation}-{number}"
-
     def open(self, request: CallerRequest) -> "asyncio.Queue[Reply]":
         """Hand a request to the core and return where its replies arrive."""
         exchange = _Exchange(request, self._clock.monotonic())
@@ -206,52 +168,9 @@
         """Return why this node takes no work, or nothing."""
         return self._core.refusal(self._clock.monotonic()) if self._core.entry else ""
 
-    async def run_command(self, command: Command) -> Result | None:
-        """Commit a command and return its result, or None if none came."""
-        request = f"operator-{self.new_request()}"
-        return await self._ask(request, CommandGiven(request, command))
-
-    async def change_replica(self, node: str, admit: bool) -> ReplicaAnswer:
-        """Admit or remove the replica of a node."""
-        request = f"operator-{self.new_request()}"
-        return await self._ask(request, ReplicaChangeGiven(request, node, admit))
-
-    async def _ask(self, request: str, event: Event) -> Any:
-        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        self._answers[request] = future
-        self.post(event)
-        try:
-            return await future
-        finally:
-            self._answers.pop(request, None)
-
-    # Core
-
-    def _step(self) -> None:
-        self._scheduled = False
-        events, self._events = self._events, []
-        wall = self._clock.now().timestamp()
-        try:
-            effects = self._core.step(self._clock.monotonic(), wall, events)
-        except Exception as error:
-            self._fail(error)
-            return
-        for effect in effects:
-            self._carry_out(effect)
-
-    def _fail(self, error: Exception) -> None:
-        """Stop the process: a core that raised may hold half a change."""
-        write_log("core-failed", level="error", reason=repr(error))
-        self._failure = self._failure or error
-        self._stopped.set()
-
-    def _carry_out(self, effect: Effect) -> None:
+    def carry_out(self, effect: Effect) -> None:
+        """Carry out what an entry node or a control leader asks for."""
         match effect:
-            case Send(_, address, message):
-                self._peer_client.send(address, message)
-            case Persist():
-                if self._writer:
-                    self._writer.write(effect)
             case SendChunk(request, _) | Finish(request=request):
                 self._reply(request, effect)
             case Refuse(request=request):
@@ -266,12 +185,6 @@
                 self._upstreams.read_engine(effect)
             case SendOrder():
                 self._upstreams.send_order(effect)
-            case CommandEnded(request, result):
-                self._answer(request, result)
-            case ReplicaChangeEnded(request, accepted, reason):
-                self._answer(request, ReplicaAnswer(accepted, reason))
-            case LogLine(event, fields):
-                write_log(event, **{field.key: field.value for field in fields})
             case StopProcess():
                 self._stopped.set()
 
@@ -307,17 +220,9 @@
             return
         self._upstreams.dispatch(effect, exchange.request.outbound)
 
-    def _answer(self, request: str, answer: Any) -> None:
-        future = self._answers.get(request)
-        if future is not None and not future.done():
-            future.set_result(answer)
-
-    def _on_message(self, sender: str, message: Message) -> None:
-        self.post(Received(sender, message))
-
     # Start and stop
 
-    def _node_settings(self) -> NodeSettings:
+    def _node_settings(self, clock: Clock) -> NodeSettings:
         settings = self._settings
         election = settings.election.total_seconds()
         return NodeSettings(
@@ -332,7 +237,7 @@
             timing=Timing(election / HEARTBEATS_PER_ELECTION, election),
             uses_platform=bool(settings.platform),
             linger=settings.linger.total_seconds(),
-            started_ms=int(self._clock.now().timestamp() * 1000),
+            started_ms=int(clock.now().timestamp() * 1000),
         )
 
     async def _start_http(self) -> None:
@@ -351,29 +256,19 @@
         await server.start_serving()
         self._http = server
 
-    async def _tick_forever(self) -> None:
-        while True:
-            self._step()
-            await asyncio.sleep(TICK_SECONDS)
-
     async def _poll_platform(self) -> None:
         while True:
             self._upstreams.read_platform(self._settings.platform)
             await asyncio.sleep(PLATFORM_SECONDS)
 
-    async def _close(self, tasks: list["asyncio.Task[None]"]) -> None:
-        await self._peer_client.drain(FLUSH_SECONDS)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    async def _close(self, poller: "asyncio.Task[None] | None") -> None:
+        if poller is not None:
+            poller.cancel()
         self._http.close()
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._http.wait_closed(), FLUSH_SECONDS)
         await self._upstreams.close()
-        await self._peer_server.stop()
-        await self._peer_client.stop()
-        if self._writer:
-            self._writer.close()
+        await self.stop_peers()
         write_log("stopped")
 
 
--- a/hawthornshelf/storage.py
+++ b/hawthornshelf/storage.py
@@ -106,6 +106,22 @@
             self._failed = True
             raise StorageFailed("write log", str(self._folder), str(error)) from error
 
+    def recover(self) -> Loaded:
+        """Write all that is held anew, after a failure; raise StorageFailed.
+
+        What a failed sync left in the page cache may never reach the disk, so
+        nothing counts until it has been written to new files and synced.
+        """
+        self.close()
+        try:
+            loaded = self.load()
+            record = _Record(loaded.term, loaded.voted_for, loaded.entries)
+            self._rewrite(loaded.snapshot, record)
+        except OSError as error:
+            raise StorageFailed("rewrite log", str(self._folder), str(error)) from error
+        self._failed = False
+        return loaded
+
     def close(self) -> None:
         """Close the log file."""
         if self._log >= 0:
