Take as many quiet engines as the conversations need

Change: conversations take engines in one order known to all nodes, as many as fill half of their slots; long prompts go to the rest.

--- a/hawthornshelf/gateway/admission.py
+++ b/hawthornshelf/gateway/admission.py
@@ -45,8 +45,8 @@
     """Order the requests that wait for a service's engines at this node.
 
     Answers bursts beyond what the engines can read: a request that could not have
-    its first token in time is turned away as soon as that is known, so that those
-    that come after it still are on time. One that returns late goes behind them.
+    its first token in time goes behind all that can, so that those still are on
+    time; it is turned away as soon as it can't expect an answer at all.
     """
 
     def __init__(self) -> None:
@@ -64,15 +64,19 @@
         self, now: float, rank: int, target_at: float, deadline: float
     ) -> Verdict:
         """Tell if a request that comes now may wait; times in monotonic seconds."""
+        on_time = Verdict(True, rank, target_at - self._start_seconds)
+        if now + self._expected_wait(rank) <= on_time.start_by:
+            return on_time
         if now + self._start_seconds <= target_at:
-            start_by = target_at - self._start_seconds
-        else:
-            rank += LATE_RANK
-            start_by = now + (deadline - now) * LATE_SHARE
+            excess = now + self._expected_wait(rank) - on_time.start_by
+            return Verdict(False, rank, retry_after=self._bound(excess))
+        rank += LATE_RANK
+        late = Verdict(True, rank, now + (deadline - now) * LATE_SHARE)
         wait = self._expected_wait(rank)
-        if now + wait <= start_by:
-            return Verdict(True, rank, start_by)
-        return Verdict(False, rank, retry_after=self._bound(now + wait - start_by))
+        if now + wait <= late.start_by:
+            return late
+        excess = now + wait - late.start_by
+        return Verdict(False, rank, retry_after=self._bound(excess))
 
     def enter(self, rank: int, start_by: float) -> Ticket:
         """Add a request to those that wait."""
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -84,7 +84,7 @@
         self._clock = clock
         self._rng = rng
         self._count_nodes = count_nodes
-        self._gate = EngineGate(Placer(runners, rng), clock)
+        self._gate = EngineGate(Placer(runners, rng, count_nodes), clock)
         self._usual_budgets: dict[str, float] = {}
         self._index = RouteIndex()
         self.open_requests = 0
--- a/hawthornshelf/gateway/gate.py
+++ b/hawthornshelf/gateway/gate.py
@@ -38,16 +38,17 @@
     def __init__(self, wish: Wish, placement: Placement, gate: "EngineGate") -> None:
         self.placement = placement
         self._service = wish.service
-        self._is_long = is_long(wish.prompt)
+        self._is_long = self._is_reading = is_long(wish.prompt)
         self._gate = gate
         placement.run.in_flight += 1
         if self._is_long:
+            placement.run.long_runs += 1
             placement.reader.long_prompts += 1
 
     def note_read(self) -> None:
         """Free the reader: the prompt has been read, or never will be."""
-        if self._is_long:
-            self._is_long = False
+        if self._is_reading:
+            self._is_reading = False
             self.placement.reader.long_prompts -= 1
             self._gate.pump(self._service)
 
@@ -55,6 +56,8 @@
         """Give the whole place back."""
         self.note_read()
         self.placement.run.in_flight -= 1
+        if self._is_long:
+            self.placement.run.long_runs -= 1
 
 
 class _Waiter(NamedTuple):
--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import xxhash
@@ -15,8 +15,11 @@
 LONG_TOKENS = 1024
 """Longer prompts delay every token that their engine generates meanwhile."""
 
-QUIET_SHARE = 0.34
-"""Part of the decoding engines that read no long prompts, so that tokens flow."""
+QUIET_FILL = 0.5
+"""Part of an engine's slots that conversations fill before they take one more engine.
+
+Above it their memory runs out before their slots, and the engine puts some back.
+"""
 
 PREFILL_WEIGHT = 2.0
 """An engine of the prefill stage reads a prompt twice as fast as one that decodes."""
@@ -54,13 +57,19 @@
 
     Answers the load in which long shared prompts exceed any one engine's memory,
     beside conversations whose tokens must flow: a shared part keeps to its homes,
-    so that it is read once and not everywhere, and a few engines read no long
-    prompts at all.
+    so that it is read once and not everywhere, and as many engines as the
+    conversations need read no long prompts at all.
     """
 
-    def __init__(self, runners: RunnerTable, rng: random.Random) -> None:
+    def __init__(
+        self,
+        runners: RunnerTable,
+        rng: random.Random,
+        count_nodes: Callable[[], int],
+    ) -> None:
         self._runners = runners
         self._rng = rng
+        self._count_nodes = count_nodes
 
     def place(
         self, now: float, service: str, prompt: Prompt, tried: set[str]
@@ -70,12 +79,12 @@
         decoders = self._runners.usable(now, service, stages, tried)
         if not decoders:
             return None
-        quiet = self._quiet(now, service, decoders)
+        quiet = self._quiet(decoders)
         if not is_long(prompt):
             return Placement(self._least_loaded(quiet))
         readers = self._runners.usable(now, service, (Stage.PREFILL,), tried)
         mixed = [state for state in decoders if state not in quiet]
-        home = _find_home([*readers, *(mixed or decoders)], _key(prompt))
+        home = _find_home([*readers, *mixed] or decoders, _key(prompt))
         if home is None:
             return None
         if home.runner.stage is Stage.PREFILL:
@@ -87,12 +96,15 @@
         stages = (Stage.DECODE, Stage.MIXED)
         return bool(self._runners.usable(now, service, stages, tried))
 
-    def _quiet(
-        self, now: float, service: str, decoders: list[RunnerState]
-    ) -> list[RunnerState]:
-        """Return the decoding engines that read no long prompts, at least one."""
-        count = max(1, round(QUIET_SHARE * len(decoders)))
-        return sorted(decoders, key=lambda state: _hash("quiet", state))[:count]
+    def _quiet(self, decoders: list[RunnerState]) -> list[RunnerState]:
+        """Return the decoding engines that read no long prompts, at least one.
+
+        Every node ranks them alike, and takes the others for as busy as itself.
+        """
+        ranked = sorted(decoders, key=lambda state: _hash("quiet", state))
+        streams = sum(state.in_flight - state.long_runs for state in decoders)
+        wanted = streams * self._count_nodes() / (QUIET_FILL * ranked[0].runner.slots)
+        return ranked[: max(1, math.ceil(wanted))]
 
     def _least_loaded(self, states: list[RunnerState]) -> RunnerState:
         def load(state: RunnerState) -> tuple[float, float]:
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -49,6 +49,7 @@
 
     runner: Runner
     in_flight: int = 0
+    long_runs: int = 0
     long_prompts: int = 0
     failures: int = 0
     down_until: float = 0.0
