Count every prefill beyond the first against the retry budget

Change: a second prefill needs the budget, a refused one spends it; a handle that no engine took is kept for the next one; a runner that refuses is left out for 0.2 s, and for longer if it is another runner or stage than expected.

--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -15,6 +15,7 @@
     "Header",
     "Inbound",
     "MemoryHandle",
+    "PrefillRefused",
     "Prompt",
     "PromptPart",
     "RunnerAnswer",
@@ -96,6 +97,14 @@
         self.sent = sent
 
 
+class PrefillRefused(HawthornshelfError):
+    """Report that an engine would not read a prompt; `status` is its answer."""
+
+    def __init__(self, peer: str, status: int) -> None:
+        super().__init__("prefill", peer, f"status {status}")
+        self.status = status
+
+
 class RunnerAnswer(ABC):
     """Read one answer of a runner."""
 
@@ -125,8 +134,8 @@
         """Send an attempt and return the head of its answer; raise AttemptFailed."""
 
     @abstractmethod
-    async def prefill(self, attempt: Attempt) -> MemoryHandle | None:
-        """Have a prompt read and kept; None if refused; raise AttemptFailed."""
+    async def prefill(self, attempt: Attempt) -> MemoryHandle:
+        """Have a prompt read and kept; raise PrefillRefused or AttemptFailed."""
 
     @abstractmethod
     async def drop_handle(self, handle: MemoryHandle) -> None:
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -14,6 +14,7 @@
     CallerSide,
     Inbound,
     MemoryHandle,
+    PrefillRefused,
     Prompt,
     RunnerAnswer,
     RunnerSide,
@@ -35,6 +36,12 @@
 
 NOT_READY_SECONDS = 0.5
 
+WRONG_RUNNER = 421
+"""The status of a runner that is another one, or in another stage, than expected."""
+
+BUSY_SECONDS = 0.2
+"""How long a runner that refused work is left out."""
+
 
 @dataclass(slots=True)
 class _Course:
@@ -55,6 +62,8 @@
     granted_at: float = 0.0
     first_at: float = 0.0
     reason: str = ""
+    source: MemoryHandle | None = None
+    prefills: int = 0
 
     @property
     def is_repeatable(self) -> bool:
@@ -176,7 +185,7 @@
             return True
         state.in_flight += 1
         try:
-            return await self._send(course, state, None, None)
+            return await self._send(course, state, None)
         finally:
             state.in_flight -= 1
 
@@ -197,8 +206,9 @@
             return True
         course.granted_at = self._clock.monotonic()
         try:
-            source = await self._prefill(course, grant)
-            return await self._send(course, grant.placement.run, source, grant)
+            if course.source is None:
+                course.source = await self._prefill(course, grant)
+            return await self._send(course, grant.placement.run, grant)
         finally:
             grant.end()
 
@@ -227,20 +237,25 @@
         state = grant.placement.prefill
         if state is None:
             return None
+        now = self._clock.monotonic()
+        if course.prefills > 0:
+            nodes = self._count_nodes()
+            if not self._budget.may_spend(now, course.service, nodes):
+                return None
+            self._budget.spend(now, course.service)
+        course.prefills += 1
         try:
-            handle = await self._side.prefill(self._attempt(course, state, None))
+            return await self._side.prefill(self._attempt(course, state))
+        except PrefillRefused as error:
+            self._budget.spend(now, course.service)
+            self._note_refusal(course, state, error.status)
         except AttemptFailed as error:
             self._note_failure(course, state, error)
-            return None
         finally:
             grant.note_read()
-        if handle is None:
-            self._note_refusal(course, state, 503)
-        return handle
+        return None
 
-    def _attempt(
-        self, course: _Course, state: RunnerState, source: MemoryHandle | None
-    ) -> Attempt:
+    def _attempt(self, course: _Course, state: RunnerState) -> Attempt:
         left = course.deadline - self._clock.monotonic()
         return Attempt(
             course.inbound,
@@ -248,14 +263,13 @@
             left,
             course.route.rank,
             course.last_event or course.inbound.resume_after,
-            source,
+            course.source,
         )
 
     async def _send(
         self,
         course: _Course,
         state: RunnerState,
-        source: MemoryHandle | None,
         grant: Grant | None,
     ) -> bool:
         course.tried.add(state.runner.name)
@@ -265,14 +279,18 @@
         may_have_run = course.may_have_run
         course.may_have_run = True
         try:
-            answer = await self._side.send(self._attempt(course, state, source))
+            answer = await self._side.send(self._attempt(course, state))
             if answer.not_run:
                 course.may_have_run = may_have_run
+                if answer.status != WRONG_RUNNER:
+                    course.source = None
                 self._note_refusal(course, state, answer.status)
                 return False
             course.runs += 1
+            course.source = None
             return await self._relay(course, state, answer, grant)
         except AttemptFailed as error:
+            course.source = None
             course.may_have_run = may_have_run or error.sent
             course.runs += error.sent and answer is None
             self._note_failure(course, state, error)
@@ -352,6 +370,11 @@
 
     def _note_refusal(self, course: _Course, state: RunnerState, status: int) -> None:
         course.reason = f"runner refused with {status}"
+        now = self._clock.monotonic()
+        if status == WRONG_RUNNER:
+            self._runners.note_failed(now, state)
+        else:
+            state.down_until = max(state.down_until, now + BUSY_SECONDS)
         write_log(
             "attempt-refused",
             request=course.inbound.request,
