Send late requests to engines at once, behind all others

Change: a request that can't be on time goes to its engine at once in the last rank, which engines put behind all others, outside the bound on long prompts.

--- a/hawthornshelf/gateway/admission.py
+++ b/hawthornshelf/gateway/admission.py
@@ -29,6 +29,7 @@
     rank: int = 0
     start_by: float = 0.0
     retry_after: float = 0.0
+    is_late: bool = False
 
 
 @dataclass(order=True, slots=True)
@@ -70,13 +71,7 @@
         if now + self._start_seconds <= target_at:
             excess = now + self._expected_wait(rank) - on_time.start_by
             return Verdict(False, rank, retry_after=self._bound(excess))
-        rank += LATE_RANK
-        late = Verdict(True, rank, now + (deadline - now) * LATE_SHARE)
-        wait = self._expected_wait(rank)
-        if now + wait <= late.start_by:
-            return late
-        excess = now + wait - late.start_by
-        return Verdict(False, rank, retry_after=self._bound(excess))
+        return Verdict(True, rank, now, is_late=True)
 
     def enter(self, rank: int, start_by: float) -> Ticket:
         """Add a request to those that wait."""
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -39,6 +39,9 @@
 WRONG_RUNNER = 421
 """The status of a runner that is another one, or in another stage, than expected."""
 
+LATE_RANK = 9
+"""The rank at engines of requests that can't be on time: behind all others."""
+
 BUSY_SECONDS = 0.2
 """How long a runner that refused work is left out."""
 
@@ -64,6 +67,7 @@
     reason: str = ""
     source: MemoryHandle | None = None
     prefills: int = 0
+    is_late: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -205,6 +209,7 @@
             await self._turn_away(course, turned_away)
             return True
         course.granted_at = self._clock.monotonic()
+        course.is_late = grant.is_late
         try:
             if course.source is None:
                 course.source = await self._prefill(course, grant)
@@ -261,7 +266,7 @@
             course.inbound,
             state.runner,
             left,
-            course.route.rank,
+            LATE_RANK if course.is_late else course.route.rank,
             course.last_event or course.inbound.resume_after,
             course.source,
         )
@@ -351,7 +356,7 @@
         if grant is not None:
             grant.note_read()
             prompt = course.inbound.prompt
-            if prompt is not None and is_long(prompt):
+            if prompt is not None and is_long(prompt) and not course.is_late:
                 self._gate.note_started(course.service, now - course.granted_at)
 
     async def _fail(
--- a/hawthornshelf/gateway/gate.py
+++ b/hawthornshelf/gateway/gate.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from hawthornshelf.clock import Clock
-from hawthornshelf.gateway.admission import Queue, Ticket
+from hawthornshelf.gateway.admission import Queue, Ticket, Verdict
 from hawthornshelf.gateway.exchange import Prompt
 from hawthornshelf.gateway.placement import Placement, Placer, is_long
 
@@ -35,7 +35,14 @@
 class Grant:
     """Hold a place at an engine until it is given back."""
 
-    def __init__(self, wish: Wish, placement: Placement, gate: "EngineGate") -> None:
+    def __init__(
+        self,
+        wish: Wish,
+        placement: Placement,
+        gate: "EngineGate",
+        is_late: bool = False,
+    ) -> None:
+        self.is_late = is_late
         self.placement = placement
         self._service = wish.service
         self._is_long = self._is_reading = is_long(wish.prompt)
@@ -43,13 +50,13 @@
         placement.run.in_flight += 1
         if self._is_long:
             placement.run.long_runs += 1
-            placement.reader.long_prompts += 1
+            placement.reader.long_prompts += not is_late
 
     def note_read(self) -> None:
         """Free the reader: the prompt has been read, or never will be."""
         if self._is_reading:
             self._is_reading = False
-            self.placement.reader.long_prompts -= 1
+            self.placement.reader.long_prompts -= not self.is_late
             self._gate.pump(self._service)
 
     def end(self) -> None:
@@ -85,11 +92,19 @@
         if not self._placer.has_runner(now, wish.service, set(wish.tried)):
             raise TurnedAway("no runner", 0.0)
         queue = self._queues.setdefault(wish.service, Queue())
+        verdict = queue.judge(now, wish.rank, wish.target_at, wish.deadline)
+        if verdict.is_late:
+            placement = self._placer.place(
+                now, wish.service, wish.prompt, set(wish.tried), is_late=True
+            )
+            if placement is None:
+                raise TurnedAway("no runner", 0.0)
+            return Grant(wish, placement, self, is_late=True)
         if not queue:
             grant = self._try_place(now, wish)
             if grant is not None:
                 return grant
-        return await self._wait(now, wish, queue)
+        return await self._wait(now, wish, queue, verdict)
 
     def note_started(self, service: str, seconds: float) -> None:
         """Learn how long an engine took to the first token of a long prompt."""
@@ -117,8 +132,9 @@
         placement = self._placer.place(now, wish.service, wish.prompt, tried)
         return Grant(wish, placement, self) if placement is not None else None
 
-    async def _wait(self, now: float, wish: Wish, queue: Queue) -> Grant:
-        verdict = queue.judge(now, wish.rank, wish.target_at, wish.deadline)
+    async def _wait(
+        self, now: float, wish: Wish, queue: Queue, verdict: Verdict
+    ) -> Grant:
         if not verdict.admitted:
             raise TurnedAway("the queue is too long", verdict.retry_after)
         ticket = queue.enter(verdict.rank, verdict.start_by)
--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -72,9 +72,17 @@
         self._count_nodes = count_nodes
 
     def place(
-        self, now: float, service: str, prompt: Prompt, tried: set[str]
+        self,
+        now: float,
+        service: str,
+        prompt: Prompt,
+        tried: set[str],
+        is_late: bool = False,
     ) -> Placement | None:
-        """Return where a request goes; None if no runner may take it now."""
+        """Return where a request goes; None if no runner may take it now.
+
+        Late ones go to an engine even if it is busy: it puts them behind all others.
+        """
         stages = (Stage.DECODE, Stage.MIXED)
         decoders = self._runners.usable(now, service, stages, tried)
         if not decoders:
@@ -84,7 +92,7 @@
             return Placement(self._least_loaded(quiet))
         readers = self._runners.usable(now, service, (Stage.PREFILL,), tried)
         mixed = [state for state in decoders if state not in quiet]
-        home = _find_home([*readers, *mixed] or decoders, _key(prompt))
+        home = _find_home([*readers, *mixed] or decoders, _key(prompt), is_late)
         if home is None:
             return None
         if home.runner.stage is Stage.PREFILL:
@@ -120,11 +128,13 @@
     return prompt.parts[-1].part if prompt.parts else ""
 
 
-def _find_home(states: Sequence[RunnerState], key: str) -> RunnerState | None:
+def _find_home(
+    states: Sequence[RunnerState], key: str, is_late: bool
+) -> RunnerState | None:
     """Return the first home of a part that has room, or None."""
     ranked = sorted(states, key=lambda state: _distance(key, state))[:HOMES]
     for state in ranked:
-        if state.long_prompts < LONG_PER_NODE:
+        if is_late or state.long_prompts < LONG_PER_NODE:
             return state
     return None
 
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -116,7 +116,13 @@
         state.down_until = 0.0
 
     def note_failed(self, now: float, state: RunnerState) -> float:
-        """Leave a runner out for a while; return for how many seconds."""
+        """Leave a runner out for a while; return for how many seconds.
+
+        What fails while it is left out anyway tells nothing new: one crash breaks
+        all that is open there.
+        """
+        if now < state.down_until:
+            return state.down_until - now
         state.failures += 1
         seconds = min(MAX_DOWN_SECONDS, DOWN_SECONDS * 2 ** (state.failures - 1))
         state.down_until = now + seconds
