--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -110,7 +110,7 @@
         Every node ranks them alike, and takes the others for as busy as itself.
         """
         ranked = sorted(decoders, key=lambda state: _hash("quiet", state))
-        streams = sum(state.in_flight - state.long_runs for state in decoders)
+        streams = sum(state.streams for state in decoders)
         wanted = streams * self._count_nodes() / (QUIET_FILL * ranked[0].runner.slots)
         return ranked[: max(1, math.ceil(wanted))]
 
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -54,6 +54,11 @@
     failures: int = 0
     down_until: float = 0.0
 
+    @property
+    def streams(self) -> int:
+        """Return how many conversations this node has at the runner."""
+        return self.in_flight - self.long_runs
+
 
 class RunnerTable:
     """Hold all listed runners, indexed by service."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,11 @@
 """Make every run of the tests draw the same examples."""
 
+import sys
+from pathlib import Path
+
 from hypothesis import settings
 
+sys.path.append(str(Path(__file__).resolve().parent.parent / "platform"))
+
 settings.register_profile("ci", derandomize=True, deadline=None, database=None)
 settings.load_profile("ci")
--- /dev/null
+++ b/tests/gateway/fakes.py
@@ -0,0 +1,232 @@
+"""Stand in for runners and callers of a forwarder, without a network."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+from hawthornshelf.clock import SystemClock
+from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
+from hawthornshelf.gateway.exchange import (
+    Attempt,
+    AttemptFailed,
+    CallerSide,
+    Header,
+    Inbound,
+    MemoryHandle,
+    PrefillRefused,
+    Prompt,
+    RunnerAnswer,
+    RunnerSide,
+)
+from hawthornshelf.gateway.forwarder import Forwarder
+from hawthornshelf.gateway.routes import (
+    Repeat,
+    Route,
+    RouteTable,
+    ServiceSpec,
+    Split,
+)
+from hawthornshelf.gateway.runners import Listing, Runner, RunnerTable, Stage
+from hawthornshelf.metrics import Metrics
+
+__all__ = ["Caller", "FakeAnswer", "Fleet", "broken", "make_inbound", "not_run", "ok"]
+
+CLOCK = SystemClock()
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+class FakeAnswer(RunnerAnswer):
+    """Answer with given pieces, then end well or break off."""
+
+    def __init__(
+        self,
+        status: int = 200,
+        pieces: tuple[bytes, ...] = (b"body",),
+        breaks: bool = False,
+        refuses: bool = False,
+        stream: bool = False,
+    ) -> None:
+        self.status = status
+        self.headers = (Header("X-Proof", f"of {status}"),)
+        self.not_run = refuses
+        self.is_stream = stream
+        self.closed = False
+        self._pieces = pieces
+        self._breaks = breaks
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        for piece in self._pieces:
+            await asyncio.sleep(0)
+            yield piece
+        if self._breaks:
+            raise AttemptFailed("read answer", "fake", "reset", sent=True)
+
+    async def read(self) -> bytes:
+        return b"".join([piece async for piece in self.pieces()])
+
+    def close(self) -> None:
+        self.closed = True
+
+
+Reply = Callable[[Attempt], FakeAnswer | AttemptFailed]
+
+
+def ok(attempt: Attempt) -> FakeAnswer:
+    return FakeAnswer()
+
+
+def not_run(attempt: Attempt) -> FakeAnswer:
+    return FakeAnswer(503, refuses=True)
+
+
+def broken(sent: bool) -> Reply:
+    return lambda attempt: AttemptFailed("send", attempt.runner.name, "reset", sent)
+
+
+@dataclass
+class Caller(CallerSide):
+    """Keep what a caller would have received."""
+
+    status: int = 0
+    data: bytes = b""
+    ended: bool = False
+    aborted: bool = False
+    retry_after: float = 0.0
+    reason: str = ""
+    headers: tuple[Header, ...] = ()
+    began: bool = False
+
+    async def begin(self, status: int, headers: tuple[Header, ...]) -> None:
+        self.began, self.status, self.headers = True, status, headers
+
+    async def write(self, data: bytes) -> None:
+        assert not self.ended and not self.aborted
+        self.data += data
+
+    async def end(self) -> None:
+        self.ended = True
+
+    def abort(self) -> None:
+        self.aborted = True
+
+    async def answer(
+        self, status: int, headers: tuple[Header, ...], body: bytes
+    ) -> None:
+        assert not self.began
+        self.began, self.ended = True, True
+        self.status, self.headers, self.data = status, headers, body
+
+    async def refuse(self, status: int, reason: str, retry_after: float) -> None:
+        assert not self.began
+        self.began, self.ended = True, True
+        self.status, self.reason, self.retry_after = status, reason, retry_after
+
+
+@dataclass
+class Fleet(RunnerSide):
+    """Hold a forwarder in front of runners that answer from a script."""
+
+    replies: list[Reply]
+    prefill_reply: Callable[[Attempt], MemoryHandle | Exception] | None = None
+    limits: RetryLimits = RetryLimits(0.2, 60.0, 10.0)
+    sent: list[Attempt] = field(default_factory=list)
+    prefills: list[Attempt] = field(default_factory=list)
+    answers: list[FakeAnswer] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.runners = RunnerTable("dc", random.Random(1))
+        plain = [Runner(f"a{n}", "app", f"h:{n}", "dc", 6) for n in range(3)]
+        engines = [
+            Runner("d0", "llm", "h:10", "dc", 48, stage=Stage.DECODE),
+            Runner("d1", "llm", "h:11", "dc", 48, stage=Stage.DECODE),
+            Runner("p0", "llm", "h:12", "dc", 48, stage=Stage.PREFILL),
+        ]
+        self.runners.load(Listing((*plain, *engines), CLOCK.monotonic()))
+        self.forwarder = Forwarder(
+            self,
+            self.runners,
+            RetryBudget(self.limits),
+            Metrics(),
+            CLOCK,
+            random.Random(1),
+            lambda: 1,
+        )
+        self.forwarder.load(TABLE)
+
+    async def send(self, attempt: Attempt) -> RunnerAnswer:
+        self.sent.append(attempt)
+        await asyncio.sleep(0)
+        reply = self.replies[min(len(self.sent), len(self.replies)) - 1](attempt)
+        if isinstance(reply, AttemptFailed):
+            raise reply
+        self.answers.append(reply)
+        return reply
+
+    async def prefill(self, attempt: Attempt) -> MemoryHandle:
+        self.prefills.append(attempt)
+        assert self.prefill_reply is not None
+        reply = self.prefill_reply(attempt)
+        if isinstance(reply, PrefillRefused | AttemptFailed):
+            raise reply
+        assert isinstance(reply, MemoryHandle)
+        return reply
+
+    async def drop_handle(self, handle: MemoryHandle) -> None:
+        return None
+
+    def ask(self, path: str, **options: object) -> Caller:
+        """Serve one request to its end and return what its caller got."""
+        caller = Caller()
+        asyncio.run(self.forwarder.serve(make_inbound(path, **options), caller))
+        assert self.forwarder.open_requests == 0
+        for name in ("a0", "a1", "a2", "d0", "d1", "p0"):
+            state = self.runners.find(name)
+            assert state is not None
+            assert (state.in_flight, state.long_prompts, state.long_runs) == (0, 0, 0)
+        return caller
+
+
+def make_inbound(
+    path: str,
+    seconds: float = 5.0,
+    prompt: Prompt | None = None,
+    resume_after: str = "",
+) -> Inbound:
+    now = CLOCK.monotonic()
+    return Inbound(
+        "r1", "POST", path, "h", (), b"in", now, now + seconds, prompt, resume_after
+    )
+
+
+def _route(prefix: str, repeat: Repeat, **changes: object) -> Route:
+    route = Route(
+        name=prefix,
+        host="h",
+        prefix=prefix,
+        repeat=repeat,
+        timeout=5.0,
+        target=1.0,
+        rank=1,
+        splits=(Split("app", 1),),
+        max_attempts=2,
+    )
+    return route._replace(**changes)
+
+
+LLM = (Split("llm", 1),)
+TABLE = RouteTable(
+    1,
+    (
+        _route("/safe/", Repeat.SAFE),
+        _route("/once/", Repeat.ONCE),
+        _route("/single/", Repeat.SAFE, max_attempts=1),
+        _route("/talk/", Repeat.STREAM, splits=LLM, resumable=True, is_generation=True),
+        _route("/read/", Repeat.STREAM, splits=LLM, is_generation=True),
+        _route("/short/", Repeat.SAFE, timeout=0.05),
+    ),
+    (ServiceSpec("app"), ServiceSpec("llm")),
+)
--- /dev/null
+++ b/tests/gateway/test_admission.py
@@ -0,0 +1,75 @@
+from hawthornshelf.gateway.admission import (
+    MAX_RETRY_SECONDS,
+    MIN_RETRY_SECONDS,
+    START_SECONDS,
+    Queue,
+)
+
+TARGET, BUDGET = 0.2, 2.0
+
+
+def fill(queue: Queue, now: float, count: int, rank: int = 0) -> None:
+    for _ in range(count):
+        queue.enter(rank, now + TARGET)
+
+
+def release(queue: Queue, times: int, gap: float) -> None:
+    for number in range(times):
+        queue.note_released(number * gap)
+
+
+def test_with_nothing_ahead_a_request_waits_until_it_could_not_be_on_time() -> None:
+    verdict = Queue().judge(10.0, 0, 10.0 + TARGET, 10.0 + BUDGET)
+    assert verdict.admitted and not verdict.is_late
+    assert verdict.start_by == 10.0 + TARGET - START_SECONDS
+
+
+def test_a_queue_too_long_for_the_target_turns_away_at_once() -> None:
+    queue = Queue()
+    fill(queue, 0.0, 30)
+    release(queue, 50, 0.05)
+    verdict = queue.judge(3.0, 0, 3.0 + TARGET, 3.0 + BUDGET)
+    assert not verdict.admitted
+    assert MIN_RETRY_SECONDS <= verdict.retry_after <= MAX_RETRY_SECONDS
+
+
+def test_the_longer_the_queue_the_later_callers_are_to_return() -> None:
+    waits = []
+    for count in (10, 20, 30):
+        queue = Queue()
+        fill(queue, 0.0, count)
+        release(queue, 50, 0.05)
+        waits.append(queue.judge(3.0, 0, 3.0 + TARGET, 3.0 + BUDGET).retry_after)
+    assert waits == sorted(waits) and waits[0] < waits[-1]
+
+
+def test_a_caller_that_returns_too_late_for_its_target_is_told_so() -> None:
+    verdict = Queue().judge(5.0, 0, 4.9, 6.0)
+    assert verdict.admitted and verdict.is_late
+
+
+def test_less_urgent_requests_do_not_make_urgent_ones_wait() -> None:
+    queue = Queue()
+    fill(queue, 0.0, 30, rank=1)
+    release(queue, 50, 0.05)
+    assert queue.judge(3.0, 0, 3.0 + TARGET, 3.0 + BUDGET).admitted
+    assert not queue.judge(3.0, 1, 3.0 + TARGET, 3.0 + BUDGET).admitted
+
+
+def test_the_most_urgent_and_then_the_oldest_goes_first() -> None:
+    queue = Queue()
+    late = queue.enter(1, 9.0)
+    first = queue.enter(0, 9.0)
+    second = queue.enter(0, 8.0)
+    assert queue.waiting() == [first, second, late]
+    queue.leave(first)
+    queue.leave(first)
+    assert len(queue) == 2 and queue.waiting() == [second, late]
+
+
+def test_slow_engines_make_requests_leave_the_queue_earlier() -> None:
+    queue = Queue()
+    for _ in range(100):
+        queue.note_started(0.15)
+    verdict = queue.judge(0.0, 0, TARGET, BUDGET)
+    assert abs(verdict.start_by - (TARGET - 0.15)) < 0.01
--- /dev/null
+++ b/tests/gateway/test_eventstream.py
@@ -0,0 +1,35 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hawthornshelf.gateway.eventstream import MAX_EVENT_BYTES, EventSplitter
+
+STREAM = b"id: 1\ndata: a\n\n" + b"id: 2\ndata: b\ndata: c\n\n" + b"data: d\n\n"
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_events_come_out_whole_however_the_bytes_are_cut(cuts: list[int]) -> None:
+    splitter = EventSplitter()
+    edges = [0, *sorted(cuts), len(STREAM)]
+    pieces = [STREAM[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+    events = [event for piece in pieces for event in splitter.feed(piece)]
+    assert b"".join(event.data for event in events) == STREAM
+    assert [event.event_id for event in events] == ["1", "2", ""]
+    assert splitter.take_rest() == b""
+
+
+def test_half_an_event_is_kept_back() -> None:
+    splitter = EventSplitter()
+    assert len(splitter.feed(STREAM[:-3])) == 2
+    assert splitter.take_rest() == b"data: "
+
+
+def test_carriage_returns_end_events_too() -> None:
+    splitter = EventSplitter()
+    events = splitter.feed(b"id: 7\r\ndata: x\r\n\r\nid")
+    assert [event.event_id for event in events] == ["7"]
+
+
+def test_an_endless_event_is_refused() -> None:
+    with pytest.raises(ValueError, match="too long"):
+        EventSplitter().feed(b"x" * (MAX_EVENT_BYTES + 1))
--- /dev/null
+++ b/tests/gateway/test_forwarder.py
@@ -0,0 +1,256 @@
+import asyncio
+
+import pytest
+
+from hawthornshelf.gateway.budget import RetryLimits
+from hawthornshelf.gateway.exchange import (
+    Attempt,
+    AttemptFailed,
+    MemoryHandle,
+    PrefillRefused,
+    Prompt,
+    PromptPart,
+)
+from hawthornshelf.gateway.routes import RouteTable
+from tests.gateway.fakes import (
+    Caller,
+    FakeAnswer,
+    Fleet,
+    Reply,
+    broken,
+    event,
+    make_inbound,
+    not_run,
+    ok,
+)
+
+NO_SLACK = RetryLimits(0.0, 0.0, 10.0)
+SHORT = Prompt(200, 50, (PromptPart("x", 100), PromptPart("own", 100)))
+LONG = Prompt(9000, 5, (PromptPart("x", 6000), PromptPart("own", 3000)))
+
+
+def stream(*numbers: int, breaks: bool = False, rest: bytes = b"") -> Reply:
+    pieces = tuple(event(number) for number in numbers)
+    return lambda attempt: FakeAnswer(
+        pieces=(*pieces, rest), breaks=breaks, stream=True
+    )
+
+
+def status(code: int) -> Reply:
+    return lambda attempt: FakeAnswer(code, (b"sorry",))
+
+
+def test_a_runners_answer_is_passed_on_unchanged() -> None:
+    caller = Fleet([ok]).ask("/safe/x")
+    assert (caller.status, caller.data, caller.ended) == (200, b"body", True)
+    assert caller.headers[0].value == "of 200"
+
+
+def test_without_routes_a_node_says_come_back_and_not_that_nothing_is_there() -> None:
+    fleet = Fleet([ok])
+    fleet.forwarder.load(RouteTable())
+    caller = fleet.ask("/safe/x")
+    assert caller.status == 503 and caller.retry_after > 0
+    assert fleet.sent == []
+
+
+def test_an_unknown_path_is_not_found() -> None:
+    assert Fleet([ok]).ask("/nowhere/").status == 404
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/read/x"])
+def test_what_may_run_once_is_never_sent_again_after_it_may_have_run(
+    path: str,
+) -> None:
+    fleet = Fleet([broken(sent=True)])
+    caller = fleet.ask(path, prompt=SHORT)
+    assert len(fleet.sent) == 1
+    assert caller.status == 502 and not caller.retry_after
+
+
+def test_what_may_run_once_goes_on_after_a_connection_that_never_was() -> None:
+    fleet = Fleet([broken(sent=False), ok])
+    assert fleet.ask("/once/x").status == 200
+    assert len({attempt.runner.name for attempt in fleet.sent}) == 2
+
+
+def test_a_refusal_of_the_runner_lets_even_an_unsafe_request_go_on() -> None:
+    fleet = Fleet([not_run, ok])
+    assert fleet.ask("/once/x").status == 200
+
+
+def test_a_refusal_of_ours_is_true() -> None:
+    """Say 'not run' only if no runner can have run the request."""
+    refused = Fleet([not_run], limits=NO_SLACK).ask("/once/x")
+    assert refused.status == 503 and refused.retry_after > 0
+    unknown = Fleet([broken(sent=True)], limits=NO_SLACK).ask("/once/x")
+    assert unknown.status == 502
+    mixed = Fleet([broken(sent=True), not_run]).ask("/safe/x")
+    assert mixed.status == 502
+
+
+def test_a_safe_request_is_tried_at_another_runner() -> None:
+    for first in (broken(sent=True), status(500), not_run):
+        fleet = Fleet([first, ok])
+        assert fleet.ask("/safe/x").status == 200
+        assert fleet.sent[0].runner.name != fleet.sent[1].runner.name
+
+
+def test_the_last_failure_of_a_runner_is_passed_on_as_it_came() -> None:
+    caller = Fleet([status(500)]).ask("/single/x")
+    assert (caller.status, caller.data) == (500, b"sorry")
+    assert caller.headers[0].value == "of 500"
+
+
+def test_runs_stay_within_the_routes_attempts() -> None:
+    fleet = Fleet([broken(sent=True)])
+    assert fleet.ask("/safe/x").status == 502
+    assert len(fleet.sent) == 2
+    fleet = Fleet([broken(sent=True)])
+    fleet.ask("/single/x")
+    assert len(fleet.sent) == 1
+
+
+def test_without_budget_nothing_is_sent_again() -> None:
+    fleet = Fleet([status(500), ok], limits=NO_SLACK)
+    assert fleet.ask("/safe/x").status == 500
+    assert len(fleet.sent) == 1
+
+
+def test_a_broken_resumable_stream_goes_on_after_its_last_whole_event() -> None:
+    fleet = Fleet([stream(1, 2, breaks=True, rest=b"id: 3\nda"), stream(3, 4)])
+    caller = fleet.ask("/talk/x", prompt=SHORT)
+    assert caller.data == b"".join(event(n) for n in (1, 2, 3, 4))
+    assert caller.ended and not caller.aborted
+    assert [attempt.resume_after for attempt in fleet.sent] == ["", "2"]
+
+
+def test_a_callers_own_resumption_is_passed_on() -> None:
+    fleet = Fleet([stream(8)])
+    fleet.ask("/talk/x", prompt=SHORT, resume_after="7")
+    assert fleet.sent[0].resume_after == "7"
+
+
+def test_a_broken_stream_that_may_not_resume_never_looks_complete() -> None:
+    fleet = Fleet([stream(1, breaks=True)])
+    caller = fleet.ask("/read/x", prompt=SHORT)
+    assert caller.aborted and not caller.ended
+    assert len(fleet.sent) == 1
+
+
+def test_a_long_prompt_is_read_at_one_engine_and_runs_at_another() -> None:
+    handle = MemoryHandle("h:12", "abc")
+    names = set()
+    for number in range(30):
+        fleet = Fleet([stream(1)], prefill_reply=lambda attempt: handle)
+        parts = (PromptPart(f"part{number}", 6000), PromptPart("own", 3000))
+        caller = fleet.ask("/read/x", prompt=Prompt(9000, 5, parts))
+        assert caller.ended
+        if fleet.prefills:
+            assert fleet.prefills[0].runner.name == "p0"
+            assert fleet.sent[0].source == handle
+            names.add(fleet.sent[0].runner.name)
+    assert names and "p0" not in names
+
+
+def prefilled(fleet: Fleet) -> Caller:
+    """Ask with a prompt whose home is the engine that only reads."""
+    for number in range(30):
+        parts = (PromptPart(f"part{number}", 6000), PromptPart("own", 3000))
+        caller = fleet.ask("/talk/x", prompt=Prompt(9000, 5, parts))
+        if fleet.prefills:
+            return caller
+        fleet.sent.clear()
+    raise AssertionError("no prompt had its home at p0")
+
+
+def test_a_refused_prefill_leaves_the_prompt_to_the_engine_that_runs() -> None:
+    fleet = Fleet([stream(1)], prefill_reply=lambda a: PrefillRefused("p0", 503))
+    caller = prefilled(fleet)
+    assert caller.ended and fleet.sent[0].source is None
+
+
+def test_a_handle_that_no_engine_took_is_kept_for_the_next_one() -> None:
+    """Read a prompt twice only if its memory is gone: a second time counts."""
+
+    def wrong_stage(attempt: Attempt) -> FakeAnswer:
+        return FakeAnswer(421, refuses=True)
+
+    handle = MemoryHandle("h:12", "abc")
+    fleet = Fleet([stream(1)], prefill_reply=lambda attempt: handle)
+    for number in range(30):
+        fleet.replies = [wrong_stage, stream(1)]
+        fleet.sent.clear()
+        parts = (PromptPart(f"part{number}", 6000), PromptPart("own", 3000))
+        caller = fleet.ask("/talk/x", prompt=Prompt(9000, 5, parts))
+        if fleet.prefills:
+            break
+    assert caller.ended and len(fleet.prefills) == 1
+    assert [attempt.source for attempt in fleet.sent] == [handle, handle]
+
+
+def test_a_request_past_its_routes_time_is_answered_at_once() -> None:
+    class Silent(Fleet):
+        async def send(self, attempt: Attempt) -> FakeAnswer:
+            self.sent.append(attempt)
+            await asyncio.sleep(60)
+            raise AssertionError
+
+    caller = Silent([ok]).ask("/short/x")
+    assert caller.status == 504 and caller.ended
+
+
+def test_a_caller_that_leaves_ends_the_attempt() -> None:
+    started = asyncio.Event()
+
+    class Slow(FakeAnswer):
+        async def read(self) -> bytes:
+            started.set()
+            await asyncio.sleep(60)
+            return b""
+
+    async def leave() -> Fleet:
+        fleet = Fleet([lambda attempt: Slow()])
+        caller = Caller()
+        serving = fleet.forwarder.serve(make_inbound("/safe/x"), caller)
+        task = asyncio.create_task(serving)
+        await started.wait()
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        assert not caller.began
+        return fleet
+
+    fleet = asyncio.run(leave())
+    assert fleet.answers[0].closed
+    assert fleet.forwarder.open_requests == 0
+
+
+def test_one_crash_counts_as_one_failure_of_a_runner() -> None:
+    fleet = Fleet([ok])
+    state = fleet.runners.find("d0")
+    assert state is not None
+    waits = [fleet.runners.note_failed(10.0, state) for _ in range(5)]
+    assert waits == [1.0] * 5
+    assert fleet.runners.note_failed(11.5, state) == 2.0
+
+
+def test_the_answer_to_another_request_is_no_answer() -> None:
+    """Leave it to the adapter to tell, and treat the request as one that ran."""
+
+    def other(attempt: Attempt) -> AttemptFailed:
+        return AttemptFailed("match answer", "a0", "another request", sent=True)
+
+    assert Fleet([other]).ask("/once/x").status == 502
+    assert Fleet([other, ok]).ask("/safe/x").status == 200
+
+
+def test_a_long_prompt_without_an_engine_is_turned_away_at_once() -> None:
+    fleet = Fleet([ok])
+    for name in ("d0", "d1"):
+        state = fleet.runners.find(name)
+        assert state is not None
+        state.runner = state.runner._replace(is_leaving=True)
+    caller = fleet.ask("/read/x", prompt=LONG)
+    assert caller.status == 503 and caller.retry_after > 0
+    assert fleet.sent == []
--- /dev/null
+++ b/tests/southernveil/standins.py
@@ -0,0 +1,213 @@
+"""Stand in for the platform: its list, its runners and its settings file."""
+
+import asyncio
+import json
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from aiohttp import web
+from southernveil.settings import PlatformSettings, read_settings
+
+__all__ = ["PlatformList", "StandInRunner", "make_manifest", "make_settings"]
+
+SERVICE_PLAIN, SERVICE_ENGINES = "huvo11a", "wuno96b"
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nobody listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def make_settings(
+    folder: Path, ip: str, role: str, ports: list[int], cloud: str
+) -> PlatformSettings:
+    """Write a settings file as the platform does, and read it."""
+    front, ready, control, directory, first = ports
+    text = f'''
+NodeName = "front-{ip}"
+Role = "{role}"
+MachineClass = "front"
+Ip = "{ip}"
+Zone = "z-a"
+Region = "z"
+PortRange = [{first},{first + 15}]
+Seeds = ["127.0.0.1:{control}"]
+Bootstrap = true
+DataDir = "{folder / ip}"
+Unknown = "a field of next year"
+[Listen]
+Front = "{ip}:{front}"
+Ready = "{ip}:{ready}"
+Control = "{ip}:{control}"
+Directory = "{ip}:{directory}"
+[FaultTolerance]
+Machines = 0
+[Bounds]
+RetryRatio = 0.2
+RetrySlack = 60
+BudgetWindowS = 10
+GraceS = 8
+[Cloud]
+Address = "{cloud}"
+RatePerS = 42.0
+'''
+    path = folder / f"{role}-{ip}.toml"
+    path.write_text(text)
+    return read_settings(path)
+
+
+def make_manifest(version: int = 1, **changes: object) -> dict[str, object]:
+    """Return a manifest with a route of each kind."""
+    route = {
+        "Host": "ficu95.example",
+        "TimeoutMs": 3000,
+        "SloMs": 1000,
+        "Priority": 1,
+        "MaxAttempts": 2,
+        "Sticky": False,
+        "Resumable": False,
+        "Service": SERVICE_PLAIN,
+    }
+    engine = {"Service": SERVICE_ENGINES, "Kind": "streaming", "Sticky": True}
+    manifest: dict[str, object] = {
+        "Version": version,
+        "Routes": [
+            {**route, "Name": "s", "PathPrefix": "/safe/", "Kind": "safe"},
+            {**route, "Name": "u", "PathPrefix": "/unsafe/", "Kind": "unsafe"},
+            {**route, **engine, "Name": "r", "PathPrefix": "/read/"},
+            {**route, **engine, "Name": "t", "PathPrefix": "/t/", "Resumable": True},
+        ],
+        "Services": [
+            {"Name": SERVICE_PLAIN, "HealthPath": "/healthz", "MaxConnections": 130},
+            {"Name": SERVICE_ENGINES, "Engine": {"Slots": 48, "KvTokens": 305000}},
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 4194304,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+    }
+    manifest.update(changes)
+    return manifest
+
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+@dataclass
+class _Served:
+    """Listen on a free port of the loopback address."""
+
+    address: str = ""
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        port = free_ports(1)[0]
+        self._server = await loop.create_server(
+            web.Server(self.handle, handler_cancellation=True), "127.0.0.1", port
+        )
+        self.address = f"127.0.0.1:{port}"
+
+    def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        raise NotImplementedError(type(self).__name__)
+
+
+@dataclass
+class PlatformList(_Served):
+    """Serve the list of runners, one entry a page."""
+
+    entries: list[object] = field(default_factory=list)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        at = int(request.query.get("PageToken", "p-0").removeprefix("p-"))
+        more = at + 1 < len(self.entries)
+        page = {
+            "Instances": self.entries[at : at + 1],
+            "Next": f"p-{at + 1}" if more else None,
+        }
+        return web.Response(body=json.dumps(page).encode())
+
+
+@dataclass
+class StandInRunner(_Served):
+    """Run requests and remember what came."""
+
+    name: str = "i-1"
+    service: str = SERVICE_PLAIN
+    stage: str = ""
+    seen: list[dict[str, str]] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    gone: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        """Return this runner's entry of the list."""
+        entry: dict[str, object] = {
+            "Id": self.name,
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": "z-a",
+            "Version": "v1",
+            "Slots": 6,
+            "State": state,
+            "ColdLeftMs": 0,
+        }
+        if self.stage:
+            entry["Stage"] = self.stage
+        return entry
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        headers = {name.title(): value for name, value in request.headers.items()}
+        self.seen.append({**headers, ":path": request.raw_path})
+        self.bodies.append(body)
+        reply = {"X-Request-Id": request.headers["X-Request-Id"]}
+        if request.headers.get("X-Expect-Instance") != self.name:
+            return web.Response(status=421, headers=reply)
+        if request.headers.get("X-Stage") == "prefill":
+            answer = {"KvHandle": "3fa0", "Tokens": 9000, "Version": 1}
+            return web.Response(body=json.dumps(answer).encode(), headers=reply)
+        reply["X-Answer-Stamp"] = f"stamp.{self.name}"
+        if request.raw_path.startswith(("/read/", "/t/")):
+            return await self._stream(request, reply)
+        if request.raw_path.endswith("/hang"):
+            return await self._hang()
+        return web.Response(body=b"whole " + body, headers=reply)
+
+    async def _stream(
+        self, request: web.BaseRequest, reply: dict[str, str]
+    ) -> web.StreamResponse:
+        reply["Content-Type"] = "text/event-stream"
+        response = web.StreamResponse(headers=reply)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, 4):
+            await response.write(b"id: %d\ndata: x\n\n" % number)
+            if request.raw_path.endswith("/breaks") and number == 2 and first == 1:
+                assert request.transport is not None
+                await response.write(b"id: 3\nda")
+                request.transport.abort()
+                return response
+        await response.write_eof()
+        return response
+
+    async def _hang(self) -> web.StreamResponse:
+        try:
+            await asyncio.sleep(60)
+        finally:
+            self.gone.set()
+        raise AssertionError
--- a/tests/world.py
+++ b/tests/world.py
@@ -100,8 +100,14 @@
     """Hold all nodes, upstreams and callers, and the one queue of events."""
 
     def __init__(
-        self, seed: int, control: int = 3, entries: int = 1, compact: int = 1000
+        self,
+        seed: int,
+        control: int = 3,
+        entries: int = 1,
+        compact: int = 1000,
+        voters: int = 0,
     ) -> None:
+        self.voters = voters
         self.rng = random.Random(seed)
         self.now = 1000.0
         self.compact = compact
@@ -153,12 +159,27 @@
             uses_platform=self.uses_platform,
             started_ms=int(self.now * 1000),
             compact_entries=self.compact,
+            bootstrap=not self.voters or (name in self.control and node.epoch == 1),
+            voters=self.voters,
+            named_by_address=self.voters > 0,
         )
         rng = random.Random(self.rng.random())
         node.core = NodeCore(settings, loaded, rng, self.now)
         node.versions = []
         self._tick(name, node.epoch)
 
+    def add_control(self, name: str) -> None:
+        """Start an empty control node that knows only the first ones."""
+        self.nodes[name] = SimNode(name, entry=False, control=True)
+        self.start(name)
+
+    def voters_of(self, name: str) -> set[str]:
+        """Return the nodes that vote, as a replica knows them."""
+        core = self.nodes[name].core
+        assert core is not None and core.control is not None
+        members = core.control.membership().members
+        return {member.node for member in members if member.voter}
+
     def kill(self, name: str) -> None:
         """Kill a node; what was not synced is lost."""
         node = self.nodes[name]
