Weigh runners by their share of failures, and bound silence where a retry helps

Cause: a grey runner kept its place: one good answer cleared its failures, and a runner that says nothing held safe requests to their deadline. Ruled out: leaving a grey runner out entirely (most of its answers are good). Change: a running share of failures adds to a plain runner's load; a request that may run again gives a silent runner up after 0.4 of its time.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -39,6 +39,9 @@
 WRONG_RUNNER = 421
 """The status of a runner that is another one, or in another stage, than expected."""
 
+PATIENCE_SHARE = 0.4
+"""Part of the time left that a runner may be silent if the request may run again."""
+
 LATE_RANK = 9
 """The rank at engines of requests that can't be on time: behind all others."""
 
@@ -164,12 +167,19 @@
             async with asyncio.timeout(max(0.0, left)):
                 await self._try_runners(course)
         except TimeoutError:
+            self._note_silence(course)
             course.reason = course.reason or "deadline passed"
             await self._fail(course, 504)
         except asyncio.CancelledError:
             self._note_end(course, "caller-gone")
             raise
 
+    def _note_silence(self, course: _Course) -> None:
+        """Hold it against a plain runner if a request's time passed there."""
+        state = self._runners.find(course.last_runner)
+        if state is not None and course.inbound.prompt is None:
+            self._runners.note_bad(state)
+
     async def _try_runners(self, course: _Course) -> None:
         while not await self._try_next(course):
             if not self._may_repeat(course):
@@ -284,7 +294,7 @@
         may_have_run = course.may_have_run
         course.may_have_run = True
         try:
-            answer = await self._side.send(self._attempt(course, state))
+            answer = await self._await_head(course, state)
             if answer.not_run:
                 course.may_have_run = may_have_run
                 if answer.status != WRONG_RUNNER:
@@ -304,6 +314,21 @@
             if answer is not None:
                 answer.close()
 
+    async def _await_head(self, course: _Course, state: RunnerState) -> RunnerAnswer:
+        """Send an attempt; give a silent runner up while another one has time."""
+        sending = self._side.send(self._attempt(course, state))
+        is_last = course.runs + 1 >= course.route.max_attempts
+        if not course.is_repeatable or is_last or course.is_late:
+            return await sending
+        left = course.deadline - self._clock.monotonic()
+        patience = max(left * PATIENCE_SHARE, course.route.target)
+        try:
+            async with asyncio.timeout(min(patience, left * (1 - PATIENCE_SHARE))):
+                return await sending
+        except TimeoutError as error:
+            name = state.runner.name
+            raise AttemptFailed("await answer", name, "silence", sent=True) from error
+
     async def _relay(
         self,
         course: _Course,
@@ -322,7 +347,10 @@
                     return False
             course.first_at = self._clock.monotonic()
             await course.caller.answer(answer.status, answer.headers, body)
-        self._runners.note_good(state)
+        if answer.status < 500:
+            self._runners.note_good(state)
+        else:
+            self._runners.note_bad(state)
         self._note_end(course, "complete", answer.status)
         return True
 
@@ -392,6 +420,7 @@
     def _note_answer_failed(
         self, course: _Course, state: RunnerState, status: int
     ) -> None:
+        self._runners.note_bad(state)
         write_log(
             "attempt-failed",
             request=course.inbound.request,
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -12,8 +12,14 @@
 """How long a runner that failed is left out; doubled by each further failure."""
 
 MAX_DOWN_SECONDS = 4.0
-HOP_SECONDS = 0.003
-"""Weight of another data centre: a round trip, and bytes that cost."""
+HOP_LOAD = 0.3
+"""Another data centre weighs as much as this part of a runner's slots taken."""
+
+FAULT_LOAD = 3.0
+"""A runner that fails all its requests weighs as much as this many times its slots."""
+
+FAULT_SHARE = 0.1
+"""Weight of the newest outcome in a runner's running share of failures."""
 
 
 class Stage(Enum):
@@ -52,6 +58,7 @@
     long_runs: int = 0
     long_prompts: int = 0
     failures: int = 0
+    fault_share: float = 0.0
     down_until: float = 0.0
 
     @property
@@ -119,6 +126,11 @@
         """Note a good answer."""
         state.failures = 0
         state.down_until = 0.0
+        state.fault_share -= FAULT_SHARE * state.fault_share
+
+    def note_bad(self, state: RunnerState) -> None:
+        """Note an answer that failed, or none: the runner itself may be sound."""
+        state.fault_share += FAULT_SHARE * (1.0 - state.fault_share)
 
     def note_failed(self, now: float, state: RunnerState) -> float:
         """Leave a runner out for a while; return for how many seconds.
@@ -126,6 +138,7 @@
         What fails while it is left out anyway tells nothing new: one crash breaks
         all that is open there.
         """
+        self.note_bad(state)
         if now < state.down_until:
             return state.down_until - now
         state.failures += 1
@@ -135,6 +148,7 @@
 
     def _plain_cost(self, state: RunnerState) -> tuple[float, float]:
         runner = state.runner
-        distance = 0.0 if runner.data_centre == self._data_centre else 1.0
+        distance = 0.0 if runner.data_centre == self._data_centre else HOP_LOAD
         load = state.in_flight / max(1, runner.slots)
-        return (load + 0.3 * distance, self._rng.random())
+        faults = FAULT_LOAD * state.fault_share
+        return (load + distance + faults, self._rng.random())
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -254,3 +254,43 @@
     caller = fleet.ask("/read/x", prompt=LONG)
     assert caller.status == 503 and caller.retry_after > 0
     assert fleet.sent == []
+
+
+def test_a_silent_runner_is_given_up_while_another_has_time() -> None:
+    class Mute(Fleet):
+        async def send(self, attempt: Attempt) -> FakeAnswer:
+            self.sent.append(attempt)
+            if len(self.sent) == 1:
+                await asyncio.sleep(60)
+            return FakeAnswer()
+
+    fleet = Mute([ok])
+    caller = fleet.ask("/safe/x", seconds=0.2)
+    assert caller.status == 200
+    assert len({attempt.runner.name for attempt in fleet.sent}) == 2
+
+
+def test_a_silent_runner_keeps_what_may_run_once_to_its_end() -> None:
+    class Mute(Fleet):
+        async def send(self, attempt: Attempt) -> FakeAnswer:
+            self.sent.append(attempt)
+            await asyncio.sleep(60)
+            return FakeAnswer()
+
+    fleet = Mute([ok])
+    assert fleet.ask("/once/x", seconds=0.1).status == 504
+    assert len(fleet.sent) == 1
+
+
+def test_a_runner_that_fails_part_of_its_requests_gets_few_of_them() -> None:
+    """Answer a runner whose health is good while it fails two requests in five."""
+
+    def grey(attempt: Attempt) -> FakeAnswer:
+        bad = attempt.runner.name == "a0" and len(attempt.inbound.body) == 2
+        return FakeAnswer(500 if bad else 200)
+
+    fleet = Fleet([grey])
+    for _ in range(200):
+        fleet.ask("/once/x")
+    to_grey = sum(attempt.runner.name == "a0" for attempt in fleet.sent)
+    assert to_grey < 20
