--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -67,6 +67,8 @@
     last_runner: str = ""
     granted_at: float = 0.0
     first_at: float = 0.0
+    last_event_at: float = 0.0
+    longest_pause: float = 0.0
     reason: str = ""
     source: MemoryHandle | None = None
     prefills: int = 0
@@ -92,6 +94,7 @@
         clock: Clock,
         rng: random.Random,
         count_nodes: Callable[[], int],
+        count_streams: Callable[[], float],
     ) -> None:
         self._side = side
         self._runners = runners
@@ -100,7 +103,7 @@
         self._clock = clock
         self._rng = rng
         self._count_nodes = count_nodes
-        self._gate = EngineGate(Placer(runners, rng, count_nodes), clock)
+        self._gate = EngineGate(Placer(runners, rng, count_streams), clock)
         self._usual_budgets: dict[str, float] = {}
         self._index = RouteIndex()
         self.open_requests = 0
@@ -369,6 +372,7 @@
                 if not caller.began:
                     self._note_first(course, grant)
                     await caller.begin(answer.status, answer.headers)
+                self._note_event(course)
                 await caller.write(event.data)
                 course.last_event = event.event_id or course.last_event
         if not caller.began:
@@ -378,6 +382,13 @@
             await caller.write(rest)
         await caller.end()
 
+    def _note_event(self, course: _Course) -> None:
+        now = self._clock.monotonic()
+        if course.last_event_at:
+            pause = now - course.last_event_at
+            course.longest_pause = max(course.longest_pause, pause)
+        course.last_event_at = now
+
     def _note_first(self, course: _Course, grant: Grant | None) -> None:
         now = self._clock.monotonic()
         course.first_at = now
@@ -464,6 +475,7 @@
             sends=course.sends,
             seconds=round(seconds, 4),
             first=round(first, 4),
+            pause=round(course.longest_pause, 4),
             budget=round(course.deadline - course.inbound.arrived_at, 3),
             routes=self._index.table.number,
             reason=course.reason,
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -71,6 +71,7 @@
             clock,
             rng,
             self._core.members.entry_count,
+            self._estimate_streams,
         )
         self.is_leaving = False
 
@@ -106,6 +107,7 @@
     def on_step(self) -> None:
         """Take a newer route document from the shared view."""
         self._core.is_serving = self.is_ready()
+        self._core.members.streams = self.runners.streams()
         routes = self._core.view.routes
         if routes.number <= self._number:
             return
@@ -118,6 +120,9 @@
         self.forwarder.load(table)
         write_log("routes-in-force", number=routes.number, routes=len(table.routes))
 
+    def _estimate_streams(self) -> float:
+        return self._core.members.estimate_streams(self._clock.monotonic())
+
     async def _follow_list(self) -> None:
         regained = True
         while True:
--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -15,11 +15,8 @@
 LONG_TOKENS = 1024
 """Longer prompts delay every token that their engine generates meanwhile."""
 
-QUIET_FILL = 0.5
-"""Part of an engine's slots that conversations fill before they take one more engine.
-
-Above it their memory runs out before their slots, and the engine puts some back.
-"""
+QUIET_FILL = 0.75
+"""Part of an engine's slots that conversations fill before they take another one."""
 
 PREFILL_WEIGHT = 2.0
 """An engine of the prefill stage reads a prompt twice as fast as one that decodes."""
@@ -65,11 +62,11 @@
         self,
         runners: RunnerTable,
         rng: random.Random,
-        count_nodes: Callable[[], int],
+        count_streams: Callable[[], float],
     ) -> None:
         self._runners = runners
         self._rng = rng
-        self._count_nodes = count_nodes
+        self._count_streams = count_streams
 
     def place(
         self,
@@ -107,11 +104,10 @@
     def _quiet(self, decoders: list[RunnerState]) -> list[RunnerState]:
         """Return the decoding engines that read no long prompts, at least one.
 
-        Every node ranks them alike, and takes the others for as busy as itself.
+        Every node ranks them alike and has about the same count of conversations.
         """
         ranked = sorted(decoders, key=lambda state: _hash("quiet", state))
-        streams = sum(state.streams for state in decoders)
-        wanted = streams * self._count_nodes() / (QUIET_FILL * ranked[0].runner.slots)
+        wanted = self._count_streams() / (QUIET_FILL * ranked[0].runner.slots)
         return ranked[: max(1, math.ceil(wanted))]
 
     def _least_loaded(self, states: list[RunnerState]) -> RunnerState:
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -97,6 +97,14 @@
         """Return one runner's state."""
         return self._states.get(name)
 
+    def streams(self) -> int:
+        """Return how many conversations this node has at all engines."""
+        return sum(
+            state.streams
+            for state in self._states.values()
+            if state.runner.stage is not Stage.MIXED
+        )
+
     def in_service(self, service: str) -> list[RunnerState]:
         """Return the runners of a service, leaving ones included."""
         return self._services.get(service, [])
--- a/hawthornshelf/logs.py
+++ b/hawthornshelf/logs.py
@@ -1,20 +1,95 @@
 """Write eliot's messages as one key=value line for each event."""
 
+import os
 import sys
+from collections import deque
 from collections.abc import Callable, Mapping
 from datetime import UTC, datetime
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 import eliot
 
-__all__ = ["LEVELS", "format_line", "start_logging", "write_log"]
+__all__ = [
+    "LEVELS",
+    "BoundedStream",
+    "format_line",
+    "start_logging",
+    "write_log",
+]
 
 LEVELS = {"debug": 0, "info": 1, "error": 2}
 _HIDDEN = frozenset({"task_uuid", "task_level", "timestamp", "message_type", "level"})
 _PLAIN = frozenset("-_.:/@+,%[]")
 
 
-def start_logging(node: str, level: str, stream: TextIO = sys.stderr) -> None:
+class BoundedStream:
+    """Write lines to a pipe without ever waiting for its reader.
+
+    Lines that the pipe does not take wait in memory up to a bound; beyond it, and
+    beyond a rate, they are left out, and a line tells how many.
+    """
+
+    MAX_WAITING_LINES = 2000
+    MAX_LINES_PER_SECOND = 500
+
+    def __init__(self, file: int, clock: Callable[[], float]) -> None:
+        os.set_blocking(file, False)
+        self._file = file
+        self._clock = clock
+        self._waiting: deque[bytes] = deque()
+        self._second = 0
+        self._in_second = 0
+        self._left_out = 0
+
+    def write(self, line: str) -> None:
+        """Write one line, keep it for later, or count it as left out."""
+        if self._is_over_rate() or len(self._waiting) >= self.MAX_WAITING_LINES:
+            self._left_out += 1
+        else:
+            if self._left_out:
+                count, self._left_out = self._left_out, 0
+                self._waiting.append(
+                    b"level=info event=lines-left-out count=%d\n" % count
+                )
+            self._waiting.append(line.encode())
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the pipe takes now."""
+        while self._waiting:
+            data = self._waiting[0]
+            try:
+                written = os.write(self._file, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader is gone for good: nobody is left to be told.
+                self._waiting.clear()
+                return
+            if written < len(data):
+                self._waiting[0] = data[written:]
+                return
+            self._waiting.popleft()
+
+    def _is_over_rate(self) -> bool:
+        second = int(self._clock())
+        if second != self._second:
+            self._second, self._in_second = second, 0
+        self._in_second += 1
+        return self._in_second > self.MAX_LINES_PER_SECOND
+
+
+class Stream(Protocol):
+    """Take lines of text."""
+
+    def write(self, line: str, /) -> Any:
+        """Write one line."""
+
+    def flush(self) -> None:
+        """Pass on what was written."""
+
+
+def start_logging(node: str, level: str, stream: Stream = sys.stderr) -> None:
     """Send all log messages of a level or above to a stream."""
     eliot.add_global_fields(node=node)
     eliot.add_destinations(_make_destination(LEVELS[level], stream))
@@ -38,7 +113,7 @@
 
 
 def _make_destination(
-    least: int, stream: TextIO
+    least: int, stream: Stream
 ) -> Callable[[Mapping[str, Any]], None]:
     def write(message: Mapping[str, Any]) -> None:
         if LEVELS.get(message.get("level", "info"), 1) >= least:
--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -23,6 +23,7 @@
 RELAYS = 2
 ROWS_PER_MESSAGE = 8
 FRESH_SENDS = 6
+STREAMS_SECONDS = 6.0
 
 _RANK = {
     MemberStatus.ALIVE: 0,
@@ -71,6 +72,8 @@
         self._ping_due = 0.0
         self.revision = 0
         self.age = float("inf")
+        self.streams = 0
+        self._streams_of: dict[str, tuple[float, int]] = {}
 
     def rows(self) -> tuple[MemberRow, ...]:
         """Return all rows, this node's first."""
@@ -101,6 +104,15 @@
         dead = MemberStatus.DEAD
         return max(1, sum(r.entry and r.status is not dead for r in self.rows()))
 
+    def estimate_streams(self, now: float) -> float:
+        """Return the conversations at all entry nodes, from those heard of lately."""
+        heard = [self.streams]
+        for row in self._rows.values():
+            at, streams = self._streams_of.get(row.node, (float("-inf"), 0))
+            if row.entry and at > now - STREAMS_SECONDS:
+                heard.append(streams)
+        return sum(heard) / len(heard) * self.entry_count()
+
     def update_own(self, now: float, own: MemberRow) -> None:
         """Change this node's row and spread it."""
         if own != self.own._replace(incarnation=own.incarnation):
@@ -116,9 +128,11 @@
         """Take in a gossip message and return what to send."""
         match message:
             case Ping():
+                self._streams_of[sender] = (now, message.streams)
                 self._merge_all(now, message.members)
                 return self._answer_ping(sender, message)
             case PingReply():
+                self._streams_of[sender] = (now, message.streams)
                 self._merge_all(now, message.members)
                 return self._on_reply(message)
             case PingRequest():
@@ -199,10 +213,12 @@
         return [Outgoing(origin, self._reply(relay.sequence, ""))]
 
     def _ping(self, sequence: int, origin: str) -> Ping:
-        return Ping(sequence, origin, self.revision, self.age, self._news())
+        news = self._news()
+        return Ping(sequence, origin, self.revision, self.age, news, self.streams)
 
     def _reply(self, sequence: int, origin: str) -> PingReply:
-        return PingReply(sequence, origin, self.revision, self.age, self._news())
+        news = self._news()
+        return PingReply(sequence, origin, self.revision, self.age, news, self.streams)
 
     def _news(self) -> tuple[MemberRow, ...]:
         """Return this node's row, rows that changed lately, and random others."""
--- a/hawthornshelf/messages.py
+++ b/hawthornshelf/messages.py
@@ -110,13 +110,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Probe a node; `origin` is the node that asked for it, `age` in seconds."""
+    """Probe a node; `origin` is the node that asked for it, `age` in seconds.
+
+    `streams` is how many conversations the sender has open.
+    """
 
     sequence: int
     origin: str
     revision: int
     age: float
     members: tuple[MemberRow, ...]
+    streams: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +132,7 @@
     revision: int
     age: float
     members: tuple[MemberRow, ...]
+    streams: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hawthornshelf/nodeshell.py
+++ b/hawthornshelf/nodeshell.py
@@ -1,7 +1,6 @@
 """Run a node core: its clock, its peers, its disk and the commands given to it."""
 
 import asyncio
-import contextlib
 import itertools
 import random
 from typing import Any, NamedTuple
@@ -24,7 +23,7 @@
     ReplicaChangeGiven,
     StorageLost,
 )
-from hawthornshelf.log import Persist
+from hawthornshelf.log import Loaded, Persist
 from hawthornshelf.logs import write_log
 from hawthornshelf.messages import Message
 from hawthornshelf.node import NodeCore, NodeSettings
@@ -73,16 +72,27 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._storage = storage
         self._writer: DiskWriter | None = None
-        loaded = None
-        if storage is not None:
-            loaded = storage.load()
-            self._writer = DiskWriter(storage, self.post)
+        loaded = self._load_storage()
         self._core = NodeCore(settings, loaded, rng, clock.monotonic())
         self._peer_client = PeerClient(
             peer.group, settings.node, peer.advertise, self._on_message
         )
         self._peer_server = PeerServer(peer.group, self._on_message, self._peer_client)
 
+    def _load_storage(self) -> Loaded | None:
+        """Return what the storage holds; one that keeps failing is tried later."""
+        if self._storage is None:
+            return None
+        try:
+            loaded = self._storage.load()
+        except (OSError, StorageCorrupt) as error:
+            if not self._keeps_storage:
+                raise
+            write_log("storage-lost", level="error", reason=str(error))
+            return None
+        self._writer = DiskWriter(self._storage, self.post)
+        return loaded
+
     @property
     def core(self) -> NodeCore:
         """Return the core, to read what it knows."""
@@ -114,6 +124,8 @@
         """Listen for other nodes and begin to tick."""
         await self._peer_server.start(self._peer.listen)
         self._tasks.append(asyncio.create_task(self._tick_forever()))
+        if self._storage is not None and self._writer is None:
+            self._recover_storage_soon()
 
     async def stop_peers(self) -> None:
         """Send what is queued, stop ticking and close all that is shared."""
@@ -209,8 +221,11 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(STORAGE_RETRY_SECONDS)
-            with contextlib.suppress(StorageFailed, StorageCorrupt):
+            try:
                 loaded = await loop.run_in_executor(None, self._storage.recover)
+            except (OSError, StorageFailed, StorageCorrupt) as error:
+                write_log("storage-still-lost", level="debug", reason=str(error))
+            else:
                 break
         if self._writer is not None:
             self._writer.abandon()
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -154,6 +154,7 @@
             CLOCK,
             random.Random(1),
             lambda: 1,
+            self.runners.streams,
         )
         self.forwarder.load(TABLE)
 
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -25,7 +25,7 @@
 def make(nodes: int = 10, leaving: str = "") -> tuple[Placer, RunnerTable]:
     table = RunnerTable("dc", random.Random(1))
     table.load(listing(leaving))
-    return Placer(table, random.Random(1), lambda: nodes), table
+    return Placer(table, random.Random(1), lambda: nodes * table.streams()), table
 
 
 def prompt(tokens: int, part: str = "x") -> Prompt:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,9 +1,10 @@
+import os
 import shlex
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hawthornshelf.logs import format_line
+from hawthornshelf.logs import BoundedStream, format_line
 
 
 def line(**fields: object) -> str:
@@ -31,3 +32,68 @@
 def test_plain_lines_split_as_a_shell_would() -> None:
     parts = shlex.split(line(step="read", reason="a b"))
     assert parts[-1] == "reason=a b"
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def drain(file: int) -> bytes:
+    os.set_blocking(file, False)
+    data = b""
+    try:
+        while piece := os.read(file, 65536):
+            data += piece
+    except BlockingIOError:
+        pass
+    return data
+
+
+def test_a_full_pipe_never_blocks_and_lines_stay_whole_and_counted() -> None:
+    reader, writer = os.pipe()
+    clock = Clock()
+    stream = BoundedStream(writer, clock)
+    sent = 0
+    for second in range(40):
+        clock.now = float(second)
+        for _ in range(BoundedStream.MAX_LINES_PER_SECOND):
+            stream.write(f"line={sent} {'x' * 200}\n")
+            sent += 1
+    data = drain(reader)
+    for _ in range(20):
+        stream.flush()
+        data += drain(reader)
+    clock.now = 100.0
+    stream.write("line=last\n")
+    data += drain(reader)
+    lines = data.decode().splitlines()
+    kept = [line for line in lines if line.startswith("line=")]
+    left_out = [line for line in lines if "lines-left-out" in line]
+    counted = sum(int(line.rpartition("=")[2]) for line in left_out)
+    assert lines[-1] == "line=last"
+    assert len(kept) + counted == sent + 1
+    assert all(line.endswith("x" * 200) for line in kept[:-1])
+
+
+def test_more_lines_than_the_rate_are_left_out_and_counted() -> None:
+    reader, writer = os.pipe()
+    clock = Clock()
+    stream = BoundedStream(writer, clock)
+    for _ in range(BoundedStream.MAX_LINES_PER_SECOND + 7):
+        stream.write("a\n")
+    clock.now = 1.0
+    stream.write("b\n")
+    lines = drain(reader).decode().splitlines()
+    assert lines[-2:] == ["level=info event=lines-left-out count=7", "b"]
+
+
+def test_a_reader_that_is_gone_stops_nothing() -> None:
+    reader, writer = os.pipe()
+    os.close(reader)
+    stream = BoundedStream(writer, Clock())
+    stream.write("a\n")
+    stream.write("b\n")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -98,3 +98,16 @@
         net.run(20)
         rates.append(net.messages / count / 20)
     assert rates[1] <= rates[0] * 1.1
+
+
+def test_every_node_estimates_all_conversations_from_those_it_hears_of() -> None:
+    net = Net(11)
+    for number, table in enumerate(net.tables.values()):
+        table.streams = number
+    net.run(20)
+    estimates = [table.estimate_streams(net.now) for table in net.tables.values()]
+    assert all(abs(estimate - 55) < 20 for estimate in estimates)
+    for table in net.tables.values():
+        table.streams = 0
+    net.run(10)
+    assert all(t.estimate_streams(net.now) == 0 for t in net.tables.values())
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -162,3 +162,38 @@
             storage.write([Persist(1, 1, "", entries(1, 1))])
     with pytest.raises(StorageFailed, match="stopped earlier"):
         storage.write([Persist(2, 1, "", entries(1, 1))])
+
+
+@pytest.mark.parametrize("call", ["write", "fsync"])
+def test_a_failed_storage_is_written_anew_before_it_counts_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str
+) -> None:
+    """Sync all that is held to new files: the page cache may hold what no disk has."""
+    storage = DiskStorage(tmp_path, "r1")
+    storage.load()
+    storage.write([Persist(1, 3, "r2", entries(1, 4))])
+
+    def fail(*_: object) -> int:
+        raise OSError(28, "no space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, call, fail)
+        with pytest.raises(StorageFailed):
+            storage.write([Persist(2, 3, "r2", entries(5, 6))])
+        with pytest.raises(StorageFailed):
+            storage.recover()
+    synced: list[int] = []
+    fsync = os.fsync
+
+    def note(file: int) -> None:
+        synced.append(file)
+        fsync(file)
+
+    monkeypatch.setattr(os, "fsync", note)
+    loaded = storage.recover()
+    assert len(synced) >= 4
+    assert (loaded.term, loaded.voted_for) == (3, "r2")
+    assert loaded.entries[:4] == entries(1, 4)
+    storage.write([Persist(3, 4, "r1", entries(5, 5, term=4))])
+    again = DiskStorage(tmp_path, "r1").load()
+    assert again.entries == entries(1, 4) + entries(5, 5, term=4)
