--- a/hawthornshelf/logs.py
+++ b/hawthornshelf/logs.py
@@ -1,5 +1,6 @@
 """Write eliot's messages as one key=value line for each event."""
 
+import logging
 import os
 import sys
 from collections import deque
@@ -14,11 +15,13 @@
     "BoundedStream",
     "format_line",
     "start_logging",
+    "take_library_logs",
     "write_log",
 ]
 
 LEVELS = {"debug": 0, "info": 1, "error": 2}
 _HIDDEN = frozenset({"task_uuid", "task_level", "timestamp", "message_type", "level"})
+MAX_REASON_CHARACTERS = 200
 _PLAIN = frozenset("-_.:/@+,%[]")
 
 
@@ -95,6 +98,23 @@
     eliot.add_destinations(_make_destination(LEVELS[level], stream))
 
 
+class _LibraryLines(logging.Handler):
+    """Turn what a library logs into one line of ours, without its traceback."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        text = str(error or record.getMessage()).partition("\n")[0]
+        write_log("library", logger=record.name, reason=text[:MAX_REASON_CHARACTERS])
+
+
+def take_library_logs(*names: str) -> None:
+    """Log what libraries log as lines of ours, so that they are bounded too."""
+    for name in names:
+        logger = logging.getLogger(name)
+        logger.handlers = [_LibraryLines(logging.WARNING)]
+        logger.propagate = False
+
+
 def write_log(event: str, /, level: Any = "info", **fields: Any) -> None:
     """Log one event with its fields."""
     eliot.log_message(message_type=event, level=level, **fields)
--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -60,7 +60,8 @@
         self, own: MemberRow, seeds: Iterable[MemberRow], rng: random.Random
     ) -> None:
         self.own = own
-        self._seeds = {seed.node: seed for seed in seeds if seed.node != own.node}
+        self._seeds: dict[str, MemberRow] = {}
+        self.update_seeds(seeds)
         self._rows: dict[str, MemberRow] = {}
         self._changed_at: dict[str, float] = {}
         self._fresh: dict[str, int] = {own.node: FRESH_SENDS}
@@ -75,6 +76,10 @@
         self.streams = 0
         self._streams_of: dict[str, tuple[float, int]] = {}
 
+    def update_seeds(self, seeds: Iterable[MemberRow]) -> None:
+        """Take other nodes to turn to while nothing is known of them."""
+        self._seeds = {seed.node: seed for seed in seeds if seed.node != self.own.node}
+
     def rows(self) -> tuple[MemberRow, ...]:
         """Return all rows, this node's first."""
         return (self.own, *self._rows.values())
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -359,6 +359,11 @@
             nodes.update(m.node for m in self.control.membership().members)
         return sorted(nodes)
 
+    def update_seeds(self, control: dict[str, str]) -> None:
+        """Take other control nodes to turn to first."""
+        self.settings = self.settings._replace(control=control)
+        self.members.update_seeds(_seeds(self.settings))
+
     def restart_control(self, now: float, loaded: Loaded) -> None:
         """Run the control replica anew from what its storage holds."""
         self.control = self._make_control(loaded, self._rng, now)
--- /dev/null
+++ b/tests/southernveil/test_boundary.py
@@ -0,0 +1,24 @@
+"""Check that the platform's names stay inside the adapter."""
+
+import re
+from pathlib import Path
+
+import hawthornshelf
+
+FOLDER = Path(hawthornshelf.__file__).parent
+PLATFORM_NAMES = re.compile(
+    r"X-(Answer-Stamp|Expect-|Kv-|Token-Counts|Prompt-Prefix|Not-Executed|Stage"
+    r"|Deadline-Ms|Request-Id|Request-Priority|Pin-Ms)|Kv-Fetch|KvHandle|Config\.(Get"
+    r"|Replace)|HAWTHORNSHELF_BOOT|PathPrefix|TimeoutMs|SloMs|ColdLeftMs|PageToken"
+    r"|TrafficSplit|MaxAttempts|southernveil|readyz",
+)
+
+
+def test_the_product_names_nothing_of_the_platform() -> None:
+    found = [
+        f"{path.name}:{number}"
+        for path in sorted(FOLDER.rglob("*.py"))
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if PLATFORM_NAMES.search(line)
+    ]
+    assert found == []
