Free handles nobody took, answer unsent requests truthfully, avoid faulty engines

Change: 503 with Retry-After while nothing was sent, nothing is sent with under 10 ms left; handles are dropped in the background; a share of failures that fades with a half-life of 5 s keeps faulty engines out while others are sound.

--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -139,7 +139,7 @@
 
     @abstractmethod
     async def drop_handle(self, handle: MemoryHandle) -> None:
-        """Free a prompt's memory that nobody will take."""
+        """Free a prompt's memory that nobody will take; raise AttemptFailed."""
 
 
 class CallerSide(ABC):
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -106,6 +106,7 @@
         self._gate = EngineGate(Placer(runners, rng, count_streams), clock)
         self._usual_budgets: dict[str, float] = {}
         self._index = RouteIndex()
+        self._drops: set[asyncio.Task[None]] = set()
         self.open_requests = 0
 
     @property
@@ -116,6 +117,9 @@
     def load(self, table: RouteTable) -> None:
         """Take a newer route table; requests under way keep the old one."""
         self._index = RouteIndex(table)
+        names = {route.name for route in table.routes}
+        budgets = self._usual_budgets.items()
+        self._usual_budgets = {name: usual for name, usual in budgets if name in names}
 
     async def serve(self, inbound: Inbound, caller: CallerSide) -> None:
         """Answer one request; return once the caller has its last byte."""
@@ -172,16 +176,34 @@
         except TimeoutError:
             self._note_silence(course)
             course.reason = course.reason or "deadline passed"
-            await self._fail(course, 504)
+            await self._fail(course, 504 if course.may_have_run else 503)
         except asyncio.CancelledError:
             self._note_end(course, "caller-gone")
             raise
+        finally:
+            if course.source is not None:
+                self._drop_soon(course.source)
+
+    def _drop_soon(self, source: MemoryHandle) -> None:
+        """Free a prompt's memory that no engine took, without waiting for it."""
+        task = asyncio.create_task(self._drop(source))
+        self._drops.add(task)
+        task.add_done_callback(self._drops.discard)
+
+    async def _drop(self, source: MemoryHandle) -> None:
+        try:
+            await self._side.drop_handle(source)
+        except AttemptFailed as error:
+            write_log("handle-left", peer=error.peer, reason=error.reason)
 
     def _note_silence(self, course: _Course) -> None:
-        """Hold it against a plain runner if a request's time passed there."""
+        """Hold it against a runner if a request's time passed there in silence.
+
+        Not if the request was late anyway: then it waited behind all others.
+        """
         state = self._runners.find(course.last_runner)
-        if state is not None and course.inbound.prompt is None:
-            self._runners.note_bad(state)
+        if state is not None and not course.is_late and not course.first_at:
+            self._runners.note_bad(self._clock.monotonic(), state)
 
     async def _try_runners(self, course: _Course) -> None:
         while not await self._try_next(course):
@@ -192,10 +214,13 @@
 
     async def _try_next(self, course: _Course) -> bool:
         """Send a request to one more runner; return if its caller has an answer."""
+        now = self._clock.monotonic()
+        if course.deadline - now < LEAST_SECONDS:
+            await self._turn_away(course, TurnedAway("no time left", 0.0))
+            return True
         prompt = course.inbound.prompt
         if prompt is not None and course.route.is_generation:
             return await self._try_engine(course, prompt)
-        now = self._clock.monotonic()
         state = self._runners.choose_plain(now, course.service, course.tried)
         if state is None:
             await self._turn_away(course, TurnedAway("no runner", RETRY_AFTER_SECONDS))
@@ -353,7 +378,7 @@
         if answer.status < 500:
             self._runners.note_good(state)
         else:
-            self._runners.note_bad(state)
+            self._runners.note_bad(self._clock.monotonic(), state)
         self._note_end(course, "complete", answer.status)
         return True
 
@@ -431,7 +456,7 @@
     def _note_answer_failed(
         self, course: _Course, state: RunnerState, status: int
     ) -> None:
-        self._runners.note_bad(state)
+        self._runners.note_bad(self._clock.monotonic(), state)
         write_log(
             "attempt-failed",
             request=course.inbound.request,
--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -81,13 +81,13 @@
         Late ones go to an engine even if it is busy: it puts them behind all others.
         """
         stages = (Stage.DECODE, Stage.MIXED)
-        decoders = self._runners.usable(now, service, stages, tried)
+        decoders = self._runners.engines(now, service, stages, tried)
         if not decoders:
             return None
         quiet = self._quiet(decoders)
         if not is_long(prompt):
             return Placement(self._least_loaded(quiet))
-        readers = self._runners.usable(now, service, (Stage.PREFILL,), tried)
+        readers = self._runners.engines(now, service, (Stage.PREFILL,), tried)
         mixed = [state for state in decoders if state not in quiet]
         home = _find_home([*readers, *mixed] or decoders, _key(prompt), is_late)
         if home is None:
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -21,6 +21,10 @@
 FAULT_SHARE = 0.1
 """Weight of the newest outcome in a runner's running share of failures."""
 
+FAULT_HALF_LIFE_SECONDS = 5.0
+FAULTY_SHARE = 0.25
+"""From this share of failures on an engine is used only if all others are as bad."""
+
 
 class Stage(Enum):
     """Name the part of the work that an engine does."""
@@ -59,6 +63,7 @@
     long_prompts: int = 0
     failures: int = 0
     fault_share: float = 0.0
+    fault_at: float = 0.0
     down_until: float = 0.0
 
     @property
@@ -66,6 +71,11 @@
         """Return how many conversations this node has at the runner."""
         return self.in_flight - self.long_runs
 
+    def faults(self, now: float) -> float:
+        """Return the share of failures, which fades so that the runner is tried."""
+        age = max(0.0, now - self.fault_at)
+        return self.fault_share * 0.5 ** (age / FAULT_HALF_LIFE_SECONDS)
+
 
 class RunnerTable:
     """Hold all listed runners, indexed by service."""
@@ -123,12 +133,19 @@
         ]
         return [state for state in listed if now >= state.down_until] or listed
 
+    def engines(
+        self, now: float, service: str, stages: Iterable[Stage], tried: Iterable[str]
+    ) -> list[RunnerState]:
+        """Return the engines that may take new work, without those that often fail."""
+        states = self.usable(now, service, stages, tried)
+        return [s for s in states if s.faults(now) < FAULTY_SHARE] or states
+
     def choose_plain(
         self, now: float, service: str, tried: Iterable[str]
     ) -> RunnerState | None:
         """Return the least loaded runner of a plain service, near ones first."""
         states = self.usable(now, service, (Stage.MIXED,), tried)
-        return min(states, key=self._plain_cost, default=None)
+        return min(states, key=lambda s: self._plain_cost(now, s), default=None)
 
     def note_good(self, state: RunnerState) -> None:
         """Note a good answer."""
@@ -136,9 +153,11 @@
         state.down_until = 0.0
         state.fault_share -= FAULT_SHARE * state.fault_share
 
-    def note_bad(self, state: RunnerState) -> None:
+    def note_bad(self, now: float, state: RunnerState) -> None:
         """Note an answer that failed, or none: the runner itself may be sound."""
-        state.fault_share += FAULT_SHARE * (1.0 - state.fault_share)
+        share = state.faults(now)
+        state.fault_share = share + FAULT_SHARE * (1.0 - share)
+        state.fault_at = now
 
     def note_failed(self, now: float, state: RunnerState) -> float:
         """Leave a runner out for a while; return for how many seconds.
@@ -146,7 +165,7 @@
         What fails while it is left out anyway tells nothing new: one crash breaks
         all that is open there.
         """
-        self.note_bad(state)
+        self.note_bad(now, state)
         if now < state.down_until:
             return state.down_until - now
         state.failures += 1
@@ -154,9 +173,9 @@
         state.down_until = now + seconds
         return seconds
 
-    def _plain_cost(self, state: RunnerState) -> tuple[float, float]:
+    def _plain_cost(self, now: float, state: RunnerState) -> tuple[float, float]:
         runner = state.runner
         distance = 0.0 if runner.data_centre == self._data_centre else HOP_LOAD
         load = state.in_flight / max(1, runner.slots)
-        faults = FAULT_LOAD * state.fault_share
+        faults = FAULT_LOAD * state.faults(now)
         return (load + distance + faults, self._rng.random())
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -136,6 +136,7 @@
     sent: list[Attempt] = field(default_factory=list)
     prefills: list[Attempt] = field(default_factory=list)
     answers: list[FakeAnswer] = field(default_factory=list)
+    dropped: list[MemoryHandle] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.runners = RunnerTable("dc", random.Random(1))
@@ -177,12 +178,17 @@
         return reply
 
     async def drop_handle(self, handle: MemoryHandle) -> None:
-        return None
+        self.dropped.append(handle)
 
     def ask(self, path: str, **options: object) -> Caller:
         """Serve one request to its end and return what its caller got."""
         caller = Caller()
-        asyncio.run(self.forwarder.serve(make_inbound(path, **options), caller))
+
+        async def serve() -> None:
+            await self.forwarder.serve(make_inbound(path, **options), caller)
+            await asyncio.sleep(0)
+
+        asyncio.run(serve())
         assert self.forwarder.open_requests == 0
         for name in ("a0", "a1", "a2", "d0", "d1", "p0"):
             state = self.runners.find(name)
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -12,6 +12,7 @@
     PromptPart,
 )
 from hawthornshelf.gateway.routes import RouteTable
+from hawthornshelf.gateway.runners import Stage
 from tests.gateway.fakes import (
     Caller,
     FakeAnswer,
@@ -294,3 +295,35 @@
         fleet.ask("/once/x")
     to_grey = sum(attempt.runner.name == "a0" for attempt in fleet.sent)
     assert to_grey < 20
+
+
+def test_a_handle_that_nobody_took_is_freed() -> None:
+    handle = MemoryHandle("h:12", "abc")
+
+    def wrong_stage(attempt: Attempt) -> FakeAnswer:
+        return FakeAnswer(421, refuses=True)
+
+    fleet = Fleet([wrong_stage], lambda attempt: handle, NO_SLACK)
+    caller = prefilled(fleet)
+    assert caller.status == 503
+    assert fleet.dropped == [handle]
+
+
+def test_a_request_whose_time_passed_unsent_has_not_run_and_is_told_so() -> None:
+    fleet = Fleet([ok])
+    caller = fleet.ask("/safe/x", seconds=0.0)
+    assert caller.status == 503 and caller.retry_after > 0
+    assert fleet.sent == []
+
+
+def test_an_engine_that_often_fails_gives_way_and_is_tried_again_later() -> None:
+    fleet = Fleet([ok])
+    state = fleet.runners.find("d0")
+    assert state is not None
+    for _ in range(10):
+        fleet.runners.note_bad(100.0, state)
+    decode = (Stage.DECODE,)
+    names = [s.runner.name for s in fleet.runners.engines(100.0, "llm", decode, ())]
+    assert names == ["d1"]
+    names = [s.runner.name for s in fleet.runners.engines(120.0, "llm", decode, ())]
+    assert names == ["d0", "d1"]
