Let a broken run go on from a copy of its memory

Ruled out: running them again (they may run once); resuming without a copy. Change: such a run names a second engine that keeps a copy of its memory as it grows; if it breaks off after an event, that engine goes on with the same run. A failure that comes in place of a resumed stream is never written into it.

--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -79,7 +79,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """Hold one send of a request to a runner; `seconds_left` bounds its work."""
+    """Hold one send of a request to a runner; `seconds_left` bounds its work.
+
+    `source` holds memory to go on from; at `backup`, if given, another engine is to
+    keep a copy of the run's memory as it grows.
+    """
 
     inbound: Inbound
     runner: Runner
@@ -87,6 +91,7 @@
     rank: int
     resume_after: str = ""
     source: MemoryHandle | None = None
+    backup: str = ""
 
 
 class AttemptFailed(HawthornshelfError):
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -73,6 +73,15 @@
     source: MemoryHandle | None = None
     prefills: int = 0
     is_late: bool = False
+    backup: RunnerState | None = None
+
+    @property
+    def is_recoverable(self) -> bool:
+        """Tell if a run that broke off can go on from the copy of its memory.
+
+        That is the same run, so it holds for requests that may run once, too.
+        """
+        return self.backup is not None and self.last_event != ""
 
     @property
     def is_repeatable(self) -> bool:
@@ -219,6 +228,8 @@
             await self._turn_away(course, TurnedAway("no time left", 0.0))
             return True
         prompt = course.inbound.prompt
+        if course.is_recoverable and course.backup is not None:
+            return await self._recover(course, course.backup)
         if prompt is not None and course.route.is_generation:
             return await self._try_engine(course, prompt)
         state = self._runners.choose_plain(now, course.service, course.tried)
@@ -231,6 +242,18 @@
         finally:
             state.in_flight -= 1
 
+    async def _recover(self, course: _Course, backup: RunnerState) -> bool:
+        """Let the engine that holds a copy of a broken run's memory go on with it."""
+        course.backup = None
+        request = course.inbound.request
+        course.source = MemoryHandle(backup.runner.address, request)
+        backup.in_flight += 1
+        try:
+            return await self._send(course, backup, None)
+        finally:
+            course.source = None
+            backup.in_flight -= 1
+
     async def _try_engine(self, course: _Course, prompt: Prompt) -> bool:
         wish = Wish(
             course.inbound.request,
@@ -248,6 +271,7 @@
             return True
         course.granted_at = self._clock.monotonic()
         course.is_late = grant.is_late
+        course.backup = grant.placement.backup if self._is_kept(course) else None
         try:
             if course.source is None:
                 course.source = await self._prefill(course, grant)
@@ -255,6 +279,10 @@
         finally:
             grant.end()
 
+    def _is_kept(self, course: _Course) -> bool:
+        """Tell if a copy of a run is worth its memory: it may not run again else."""
+        return course.route.repeat is Repeat.STREAM and not course.route.resumable
+
     async def _turn_away(self, course: _Course, turned_away: TurnedAway) -> None:
         course.reason = "; ".join(filter(None, (course.reason, turned_away.reason)))
         wait = turned_away.retry_after or RETRY_AFTER_SECONDS
@@ -263,10 +291,11 @@
     def _may_repeat(self, course: _Course) -> bool:
         """Tell if a request that has no answer yet may be sent once more."""
         now = self._clock.monotonic()
-        if course.may_have_run and not course.is_repeatable:
-            return False
-        if course.runs >= course.route.max_attempts:
-            return False
+        if not course.is_recoverable:
+            if course.may_have_run and not course.is_repeatable:
+                return False
+            if course.runs >= course.route.max_attempts:
+                return False
         if course.deadline - now < LEAST_SECONDS:
             return False
         nodes = self._count_nodes()
@@ -307,6 +336,7 @@
             LATE_RANK if course.is_late else course.route.rank,
             course.last_event or course.inbound.resume_after,
             course.source,
+            course.backup.runner.address if course.backup else "",
         )
 
     async def _send(
@@ -364,6 +394,9 @@
         answer: RunnerAnswer,
         grant: Grant | None,
     ) -> bool:
+        if course.caller.began and not (answer.is_stream and answer.status < 300):
+            reason = f"status {answer.status}"
+            raise AttemptFailed("resume", state.runner.name, reason, sent=True)
         if answer.is_stream and answer.status < 300:
             await self._relay_stream(course, answer, grant)
         else:
--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -37,6 +37,7 @@
 
     run: RunnerState
     prefill: RunnerState | None = None
+    backup: RunnerState | None = None
 
     @property
     def reader(self) -> RunnerState:
@@ -86,7 +87,10 @@
             return None
         quiet = self._quiet(decoders)
         if not is_long(prompt):
-            return Placement(self._least_loaded(quiet))
+            run = self._least_loaded(quiet)
+            others = [state for state in decoders if state is not run]
+            backup = self._least_loaded(others) if others else None
+            return Placement(run, backup=backup)
         readers = self._runners.engines(now, service, (Stage.PREFILL,), tried)
         mixed = [state for state in decoders if state not in quiet]
         home = _find_home([*readers, *mixed] or decoders, _key(prompt), is_late)
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -134,9 +134,12 @@
 
 def test_a_broken_stream_that_may_not_resume_never_looks_complete() -> None:
     fleet = Fleet([stream(1, breaks=True)])
+    other = fleet.runners.find("d1")
+    assert other is not None
+    other.runner = other.runner._replace(is_leaving=True)
     caller = fleet.ask("/read/x", prompt=SHORT)
     assert caller.aborted and not caller.ended
-    assert len(fleet.sent) == 1
+    assert len(fleet.sent) == 1 and not fleet.sent[0].backup
 
 
 def test_a_long_prompt_is_read_at_one_engine_and_runs_at_another() -> None:
@@ -327,3 +330,34 @@
     assert names == ["d1"]
     names = [s.runner.name for s in fleet.runners.engines(120.0, "llm", decode, ())]
     assert names == ["d0", "d1"]
+
+
+def test_a_run_that_broke_goes_on_from_the_copy_of_its_memory() -> None:
+    """Let even a stream that may run once go on: it is the same run."""
+    fleet = Fleet([stream(1, 2, breaks=True), stream(3)])
+    caller = fleet.ask("/read/x", prompt=SHORT)
+    assert caller.data == b"".join(event(n) for n in (1, 2, 3)) and caller.ended
+    first, second = fleet.sent
+    assert first.backup == second.runner.address != first.runner.address
+    assert second.source == MemoryHandle(second.runner.address, "r1")
+    assert second.resume_after == "2" and not second.backup
+
+
+def test_without_a_copy_a_run_that_broke_is_cut_and_never_runs_again() -> None:
+    fleet = Fleet([stream(1, breaks=True), not_run])
+    caller = fleet.ask("/read/x", prompt=SHORT)
+    assert caller.aborted and not caller.ended
+    assert len(fleet.sent) == 2
+
+
+def test_a_run_that_broke_before_its_first_event_is_not_run_again() -> None:
+    fleet = Fleet([stream(breaks=True)])
+    assert fleet.ask("/read/x", prompt=SHORT).status == 502
+    assert len(fleet.sent) == 1
+
+
+def test_a_failure_in_place_of_a_resumed_stream_never_reaches_the_caller() -> None:
+    fleet = Fleet([stream(1, breaks=True), status(500)])
+    caller = fleet.ask("/talk/x", prompt=SHORT)
+    assert caller.data == event(1)
+    assert caller.aborted and not caller.ended
--- a/tests/southernveil/standins.py
+++ b/tests/southernveil/standins.py
@@ -152,6 +152,7 @@
     seen: list[dict[str, str]] = field(default_factory=list)
     bodies: list[bytes] = field(default_factory=list)
     gone: asyncio.Event = field(default_factory=asyncio.Event)
+    copies: set[str] = field(default_factory=set)
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return this runner's entry of the list."""
@@ -180,6 +181,9 @@
         if request.headers.get("X-Stage") == "prefill":
             answer = {"KvHandle": "3fa0", "Tokens": 9000, "Version": 1}
             return web.Response(body=json.dumps(answer).encode(), headers=reply)
+        source = request.headers.get("X-Kv-Source", "")
+        if source and not source.endswith("/3fa0") and source not in self.copies:
+            return web.Response(status=503, headers={**reply, "X-Not-Executed": "1"})
         reply["X-Answer-Stamp"] = f"stamp.{self.name}"
         if request.raw_path.startswith(("/read/", "/t/")):
             return await self._stream(request, reply)
--- a/tests/southernveil/test_path.py
+++ b/tests/southernveil/test_path.py
@@ -200,6 +200,25 @@
     play(tmp_path, story)
 
 
+def test_a_run_that_broke_goes_on_where_a_copy_of_its_memory_is(
+    tmp_path: Path,
+) -> None:
+    async def story(fleet: Fleet) -> None:
+        for decoder in fleet.decoders:
+            decoder.copies.add(f"{decoder.address}/id-/read/breaks")
+        status, body, headers = await fleet.ask("/read/breaks", **SHORT)
+        assert status == 200
+        assert body == b"".join(b"id: %d\ndata: x\n\n" % n for n in (1, 2, 3))
+        first, second = (decoder.seen[-1] for decoder in fleet.decoders)
+        if "X-Kv-Source" in first:
+            first, second = second, first
+        assert second["X-Kv-Source"].startswith(first["X-Kv-Backup"] + "/")
+        assert second["Last-Event-Id"] == "2"
+        assert "X-Kv-Backup" not in second
+
+    play(tmp_path, story)
+
+
 def test_a_consumer_that_leaves_ends_the_work_at_the_runner(tmp_path: Path) -> None:
     async def story(fleet: Fleet) -> None:
         task = asyncio.create_task(fleet.ask("/unsafe/hang"))
