--- a/hawthornshelf/cli.py
+++ b/hawthornshelf/cli.py
@@ -30,6 +30,7 @@
     print_configuration,
 )
 from hawthornshelf.errors import DeclarationError, HawthornshelfError, RequestRefused
+from hawthornshelf.explain import describe_story
 from hawthornshelf.settings import SETTINGS, read_settings
 from hawthornshelf.texttable import format_table
 
@@ -430,6 +431,33 @@
         return EXIT_OK
 
 
+class _Explain(Command):
+    name = "explain"
+    description = "Tell what became of a request, from the logs of the nodes"
+    help = _help(
+        "hawthornshelf explain 9c41d07be2a35f68 /var/log/nodes/*.log",
+        "Reads standard input if no file is named.",
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("request", "the request's id"),
+        argument("files", "log files of the nodes", optional=True, multiple=True),
+    ]
+    options: ClassVar[list[Option]] = [option("json", None, "print JSON", True)]
+
+    def handle(self) -> int:
+        """Print the story; exit with 1 if no line names the request."""
+        try:
+            story = porcelain.explain(self.argument("request"), self.argument("files"))
+        except OSError as error:
+            print(f"can't read logs: {error}", file=sys.stderr)
+            return EXIT_BAD_INPUT
+        if self.option("json"):
+            print(msgspec.json.encode(story).decode())
+        else:
+            print(describe_story(story))
+        return EXIT_OK if story.steps else EXIT_REFUSED
+
+
 class _Version(Command):
     name = "version"
     description = "Print the version"
@@ -458,6 +486,7 @@
     _ReplicaAdd,
     _ReplicaRemove,
     _ReportBurn,
+    _Explain,
     _Version,
 )
 
--- a/hawthornshelf/gateway/admission.py
+++ b/hawthornshelf/gateway/admission.py
@@ -15,11 +15,12 @@
 
 MIN_RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 2.0
-LATE_RANK = 100
-"""Added to the rank of requests that can't be on time: they go behind all others."""
+LATE_LEARNING_SHARE = 0.2
+LATE_HALF_LIFE_SECONDS = 1.0
+"""How fast a bad experience of late requests fades: a burst lasts a few seconds."""
 
-LATE_SHARE = 0.5
-"""Part of the time left that a late request waits; the rest is for its answer."""
+LATE_CERTAINTY = 0.9
+"""Part of the time left that late requests may lately have taken."""
 
 
 class Verdict(NamedTuple):
@@ -47,7 +48,7 @@
 
     Answers bursts beyond what the engines can read: a request that could not have
     its first token in time goes behind all that can, so that those still are on
-    time; it is turned away as soon as it can't expect an answer at all.
+    time; it is turned away at once while such requests lately waited in vain.
     """
 
     def __init__(self) -> None:
@@ -57,6 +58,8 @@
         self._start_seconds = START_SECONDS
         self._release_seconds = 0.0
         self._released_at = float("-inf")
+        self._late_seconds = 0.0
+        self._late_at = 0.0
 
     def __len__(self) -> int:
         return self._count
@@ -71,6 +74,9 @@
         if now + self._start_seconds <= target_at:
             excess = now + self._expected_wait(rank) - on_time.start_by
             return Verdict(False, rank, retry_after=self._bound(excess))
+        wait = self._late_wait(now)
+        if wait > (deadline - now) * LATE_CERTAINTY:
+            return Verdict(False, rank, retry_after=self._bound(wait))
         return Verdict(True, rank, now, is_late=True)
 
     def enter(self, rank: int, start_by: float) -> Ticket:
@@ -101,6 +107,12 @@
         """Learn how long a sent request took to its first token."""
         self._start_seconds += LEARNING_SHARE * (seconds - self._start_seconds)
 
+    def note_late(self, now: float, seconds: float) -> None:
+        """Learn how long a late request took to its first token, or in vain."""
+        wait = self._late_wait(now)
+        self._late_seconds = wait + LATE_LEARNING_SHARE * (seconds - wait)
+        self._late_at = now
+
     def note_released(self, now: float) -> None:
         """Learn how often room comes free while requests wait."""
         if self._count:
@@ -108,6 +120,10 @@
             self._release_seconds += LEARNING_SHARE * (gap - self._release_seconds)
         self._released_at = now
 
+    def _late_wait(self, now: float) -> float:
+        age = max(0.0, now - self._late_at)
+        return self._late_seconds * 0.5 ** (age / LATE_HALF_LIFE_SECONDS)
+
     def _expected_wait(self, rank: int) -> float:
         ahead = sum(not t.is_gone and t.rank <= rank for t in self._tickets)
         return ahead * self._release_seconds
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -66,6 +66,7 @@
     last_event: str = ""
     last_runner: str = ""
     granted_at: float = 0.0
+    reader: str = ""
     first_at: float = 0.0
     last_event_at: float = 0.0
     longest_pause: float = 0.0
@@ -210,6 +211,9 @@
 
         Not if the request was late anyway: then it waited behind all others.
         """
+        now = self._clock.monotonic()
+        if course.is_late and not course.first_at:
+            self._gate.note_late(course.service, now - course.granted_at)
         state = self._runners.find(course.last_runner)
         if state is not None and not course.is_late and not course.first_at:
             self._runners.note_bad(self._clock.monotonic(), state)
@@ -270,6 +274,7 @@
             await self._turn_away(course, turned_away)
             return True
         course.granted_at = self._clock.monotonic()
+        course.reader = grant.placement.reader.runner.name
         course.is_late = grant.is_late
         course.backup = grant.placement.backup if self._is_kept(course) else None
         try:
@@ -453,7 +458,9 @@
         if grant is not None:
             grant.note_read()
             prompt = course.inbound.prompt
-            if prompt is not None and is_long(prompt) and not course.is_late:
+            if course.is_late:
+                self._gate.note_late(course.service, now - course.granted_at)
+            elif prompt is not None and is_long(prompt):
                 self._gate.note_started(course.service, now - course.granted_at)
 
     async def _fail(
@@ -522,7 +529,9 @@
         is_fault = outcome in ("failed", "cut", "refused")
         work = course.route.repeat.value
         self._metrics.record(wall, Ended(work, outcome, seconds, is_fault))
-        first = course.first_at - course.inbound.arrived_at if course.first_at else 0.0
+        arrived = course.inbound.arrived_at
+        first = course.first_at - arrived if course.first_at else 0.0
+        waited = course.granted_at - arrived if course.granted_at else 0.0
         write_log(
             "request-ended",
             request=course.inbound.request,
@@ -530,7 +539,10 @@
             outcome=outcome,
             status=status,
             runner=course.last_runner,
+            reader=course.reader,
+            late=course.is_late,
             sends=course.sends,
+            waited=round(waited, 4),
             seconds=round(seconds, 4),
             first=round(first, 4),
             pause=round(course.longest_pause, 4),
--- a/hawthornshelf/gateway/gate.py
+++ b/hawthornshelf/gateway/gate.py
@@ -110,6 +110,11 @@
         """Learn how long an engine took to the first token of a long prompt."""
         self._queues.setdefault(service, Queue()).note_started(seconds)
 
+    def note_late(self, service: str, seconds: float) -> None:
+        """Learn how long a late request took to its first token, or in vain."""
+        queue = self._queues.setdefault(service, Queue())
+        queue.note_late(self._clock.monotonic(), seconds)
+
     def pump(self, service: str) -> None:
         """Give room that came free to those that wait."""
         now = self._clock.monotonic()
--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -18,6 +18,12 @@
 QUIET_FILL = 0.75
 """Part of an engine's slots that conversations fill before they take another one."""
 
+QUIET_STREAMS = 64
+"""Conversations from which one more engine is taken, however many slots are left.
+
+More of them slow each other's tokens until the longest answers miss their deadline.
+"""
+
 PREFILL_WEIGHT = 2.0
 """An engine of the prefill stage reads a prompt twice as fast as one that decodes."""
 
@@ -111,7 +117,8 @@
         Every node ranks them alike and has about the same count of conversations.
         """
         ranked = sorted(decoders, key=lambda state: _hash("quiet", state))
-        wanted = self._count_streams() / (QUIET_FILL * ranked[0].runner.slots)
+        full = min(QUIET_FILL * ranked[0].runner.slots, QUIET_STREAMS)
+        wanted = self._count_streams() / full
         return ranked[: max(1, math.ceil(wanted))]
 
     def _least_loaded(self, states: list[RunnerState]) -> RunnerState:
--- a/hawthornshelf/porcelain.py
+++ b/hawthornshelf/porcelain.py
@@ -1,6 +1,7 @@
 """Offer what operators do as plain functions."""
 
 import asyncio
+import fileinput
 import secrets
 from collections.abc import Sequence
 from datetime import UTC, datetime
@@ -13,6 +14,7 @@
 from hawthornshelf.commands import ProposeConfiguration, Result
 from hawthornshelf.configuration import Configuration
 from hawthornshelf.errors import ControlUnavailable, RequestRefused
+from hawthornshelf.explain import Story, explain_request
 from hawthornshelf.messages import CODEC
 from hawthornshelf.metrics import WindowRow
 from hawthornshelf.operatorapi import TOKEN_HEADER, AddressAnswer, ReplicaAnswer
@@ -23,6 +25,7 @@
     "call_any",
     "change_replica",
     "describe_status",
+    "explain",
     "drain_upstream",
     "fetch_addresses",
     "fetch_configuration",
@@ -40,6 +43,11 @@
 Answer = TypeVar("Answer")
 
 
+def explain(request: str, files: Sequence[str]) -> Story:
+    """Return a request's story from log files, or standard input; raise OSError."""
+    return explain_request(request, fileinput.input(files or ("-",)))
+
+
 def make_change_id() -> str:
     """Return a change id that no other change has."""
     return secrets.token_hex(8)
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -73,3 +73,16 @@
         queue.note_started(0.15)
     verdict = queue.judge(0.0, 0, TARGET, BUDGET)
     assert abs(verdict.start_by - (TARGET - 0.15)) < 0.01
+
+
+def test_late_requests_are_turned_away_while_such_wait_in_vain_and_tried_again() -> (
+    None
+):
+    """Answer an overload that lasts: nobody waits to a deadline for nothing."""
+    queue = Queue()
+    for step in range(20):
+        queue.note_late(10.0 + step / 10, 1.7)
+    refused = queue.judge(12.0, 0, 11.9, 13.0)
+    assert not refused.admitted and refused.retry_after >= MIN_RETRY_SECONDS
+    assert queue.judge(12.0, 0, 11.9, 15.0).is_late
+    assert queue.judge(14.0, 0, 13.9, 15.0).is_late
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,84 @@
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+from hawthornshelf.explain import describe_story, explain_request, parse_line
+
+HEAD = "time=2026-05-15T04:15:54.873+00:00 level=info"
+REFUSED = [
+    f"  2.7 a-1 {HEAD} event=routes-in-force number=9 routes=16 node=a-1",
+    f"  2.8 a-2 {HEAD} event=routes-in-force number=9 routes=16 node=a-2",
+    f"  3.1 a-1 {HEAD} event=request-ended request=other outcome=complete node=a-1",
+    f"  5.2 a-1 {HEAD} event=request-ended request=7fc6 route=r-8ydv outcome=refused "
+    'status=503 runner="" reader=i-998a late=True sends=0 waited=0.0 seconds=1.9098 '
+    'first=0.0 budget=1.91 routes=9 reason="deadline passed" node=a-1',
+]
+CUT = [
+    f"{HEAD} event=attempt-failed request=d85e runner=i-998a step=connect "
+    "reason=\"ConnectionTimeoutError('no answer')\" sent=False attempt=0 node=b-1",
+    f'{HEAD} event=attempt-failed request=d85e runner=i-d201 step="read answer" '
+    'reason="ClientPayloadError(\\"broke off\\")" sent=True attempt=1 node=b-1',
+    f"{HEAD} event=request-ended request=d85e outcome=cut status=0 runner=i-d201 "
+    'seconds=0.8319 reason="read answer: broke off" node=b-1',
+]
+LATE = [
+    f"{HEAD} event=attempt-failed request=630b runner=i-998a step=connect "
+    'reason="no answer" sent=False attempt=0 node=b-2',
+    f"{HEAD} event=request-ended request=630b outcome=complete status=200 "
+    "runner=i-bf28 seconds=1.4095 first=1.4094 pause=0.0 node=b-2",
+]
+
+
+def test_a_refused_request_is_told_with_what_its_node_believed() -> None:
+    story = explain_request("7fc6", REFUSED)
+    assert story.verdict == (
+        "refused at a-1 after 1.9098 s, not run: it could not be on time, "
+        "and i-998a did not come to it (deadline passed)"
+    )
+    assert [row.node for row in story.beliefs] == ["a-1"]
+    assert len(story.steps) == 1
+
+
+def test_a_cut_request_names_the_runner_and_each_step_before() -> None:
+    story = explain_request("d85e", CUT)
+    assert story.verdict == (
+        "cut at b-1 at i-d201 after 0.8319 s: read answer: broke off"
+    )
+    assert [row.fields["runner"] for row in story.steps][:2] == ["i-998a", "i-d201"]
+
+
+def test_a_late_request_shows_where_its_time_went() -> None:
+    story = explain_request("630b", LATE)
+    assert "first piece after 1.4094 s" in story.verdict
+    assert story.steps[0].fields["step"] == "connect"
+
+
+def test_an_unknown_request_and_one_without_an_end_are_told_apart() -> None:
+    assert "no line names this request" in explain_request("none", LATE).verdict
+    assert "no end at b-2" in explain_request("630b", LATE[:1]).verdict
+
+
+def test_lines_of_others_are_passed_over() -> None:
+    assert parse_line("a line of another program") is None
+    assert parse_line('time=1 event="unclosed') is None
+    assert parse_line("") is None
+
+
+def test_steps_keep_their_order_whatever_the_clocks_say() -> None:
+    swapped = [CUT[0].replace("04:15:54", "09:00:00"), *CUT[1:]]
+    story = explain_request("d85e", swapped)
+    assert [row.place for row in story.steps] == [1, 2, 3]
+
+
+def test_the_command_reads_files_and_tells_by_its_exit_code(tmp_path: Path) -> None:
+    log = tmp_path / "b.log"
+    log.write_text("\n".join(CUT))
+
+    def run(request: str, *options: str) -> subprocess.CompletedProcess[str]:
+        words = [sys.executable, "-m", "hawthornshelf", "explain", request, str(log)]
+        return subprocess.run([*words, *options], capture_output=True, text=True)
+
+    assert describe_story(explain_request("d85e", CUT)) in run("d85e").stdout
+    assert json.loads(run("d85e", "--json").stdout)[0] == "d85e"
+    assert run("none").returncode == 1
