Let what was learnt of engines' starts fade

Cause: the expected time to the first token is learnt only from requests that can be on time; once it exceeds the target none can, so nothing new is learnt and every request is late from then on. Ruled out: learning from late requests too (they wait behind all others). Change: what was learnt fades towards the first guess with a half-life of 1 s.

--- a/hawthornshelf/gateway/admission.py
+++ b/hawthornshelf/gateway/admission.py
@@ -10,6 +10,7 @@
 START_SECONDS = 0.06
 """First guess of the time from sending a long prompt to its first token."""
 
+START_HALF_LIFE_SECONDS = 1.0
 LEARNING_SHARE = 0.1
 """Weight of a new sample in a running mean."""
 
@@ -56,6 +57,7 @@
         self._numbers = itertools.count()
         self._count = 0
         self._start_seconds = START_SECONDS
+        self._start_at = 0.0
         self._release_seconds = 0.0
         self._released_at = float("-inf")
         self._late_seconds = 0.0
@@ -68,10 +70,11 @@
         self, now: float, rank: int, target_at: float, deadline: float
     ) -> Verdict:
         """Tell if a request that comes now may wait; times in monotonic seconds."""
-        on_time = Verdict(True, rank, target_at - self._start_seconds)
+        start = self._start_wait(now)
+        on_time = Verdict(True, rank, target_at - start)
         if now + self._expected_wait(rank) <= on_time.start_by:
             return on_time
-        if now + self._start_seconds <= target_at:
+        if now + start <= target_at:
             excess = now + self._expected_wait(rank) - on_time.start_by
             return Verdict(False, rank, retry_after=self._bound(excess))
         wait = self._late_wait(now)
@@ -103,9 +106,11 @@
         """Return when one that waited in vain should come back, in seconds."""
         return self._bound(self._count * self._release_seconds)
 
-    def note_started(self, seconds: float) -> None:
+    def note_started(self, now: float, seconds: float) -> None:
         """Learn how long a sent request took to its first token."""
-        self._start_seconds += LEARNING_SHARE * (seconds - self._start_seconds)
+        start = self._start_wait(now)
+        self._start_seconds = start + LEARNING_SHARE * (seconds - start)
+        self._start_at = now
 
     def note_late(self, now: float, seconds: float) -> None:
         """Learn how long a late request took to its first token, or in vain."""
@@ -120,6 +125,16 @@
             self._release_seconds += LEARNING_SHARE * (gap - self._release_seconds)
         self._released_at = now
 
+    def _start_wait(self, now: float) -> float:
+        """Return the time to the first token to expect now.
+
+        What was learnt fades: if it once exceeds the target, nothing is sent on time
+        any more, and nothing new would be learnt.
+        """
+        age = max(0.0, now - self._start_at)
+        learnt = self._start_seconds - START_SECONDS
+        return START_SECONDS + learnt * 0.5 ** (age / START_HALF_LIFE_SECONDS)
+
     def _late_wait(self, now: float) -> float:
         age = max(0.0, now - self._late_at)
         return self._late_seconds * 0.5 ** (age / LATE_HALF_LIFE_SECONDS)
--- a/hawthornshelf/gateway/gate.py
+++ b/hawthornshelf/gateway/gate.py
@@ -108,7 +108,8 @@
 
     def note_started(self, service: str, seconds: float) -> None:
         """Learn how long an engine took to the first token of a long prompt."""
-        self._queues.setdefault(service, Queue()).note_started(seconds)
+        queue = self._queues.setdefault(service, Queue())
+        queue.note_started(self._clock.monotonic(), seconds)
 
     def note_late(self, service: str, seconds: float) -> None:
         """Learn how long a late request took to its first token, or in vain."""
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -70,7 +70,7 @@
 def test_slow_engines_make_requests_leave_the_queue_earlier() -> None:
     queue = Queue()
     for _ in range(100):
-        queue.note_started(0.15)
+        queue.note_started(0.0, 0.15)
     verdict = queue.judge(0.0, 0, TARGET, BUDGET)
     assert abs(verdict.start_by - (TARGET - 0.15)) < 0.01
 
@@ -86,3 +86,13 @@
     assert not refused.admitted and refused.retry_after >= MIN_RETRY_SECONDS
     assert queue.judge(12.0, 0, 11.9, 15.0).is_late
     assert queue.judge(14.0, 0, 13.9, 15.0).is_late
+
+
+def test_engines_that_were_too_slow_for_the_target_are_tried_again() -> None:
+    """Come back from an overload in which no request could be on time."""
+    queue = Queue()
+    for step in range(100):
+        queue.note_started(step / 100, 0.5)
+    assert queue.judge(1.0, 0, 1.0 + TARGET, 1.0 + BUDGET).is_late
+    verdict = queue.judge(4.0, 0, 4.0 + TARGET, 4.0 + BUDGET)
+    assert verdict.admitted and not verdict.is_late
