Read the list as often as the platform's rate allows for this many nodes

Ruled out: a few readers that spread the news (what a dead reader knew is lost just when a runner leaves). Change: the interval grows with the nodes, up to 0.7 of the time of a drain.

--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -13,6 +13,7 @@
 from hawthornshelf.gateway.contract import RouteCodec, RunnerSource
 from hawthornshelf.gateway.exchange import RunnerSide
 from hawthornshelf.gateway.forwarder import Forwarder
+from hawthornshelf.gateway.pacing import ListPace, list_interval
 from hawthornshelf.gateway.runners import RunnerTable
 from hawthornshelf.logs import write_log
 from hawthornshelf.metrics import Metrics
@@ -22,10 +23,9 @@
 
 __all__ = ["ControlNode", "GatewayNode", "StopTiming"]
 
-LIST_SECONDS = 1.0
-"""How often the platform's list is read; a leaving runner is seen this much later."""
+LIST_RETRY_SHARE = 0.3
+"""Part of the usual interval after which a list that could not be read is tried."""
 
-LIST_RETRY_SECONDS = 0.3
 COMMAND_SECONDS = 3.0
 """An operator's call gets an answer within this time, or is told to ask again."""
 
@@ -56,10 +56,12 @@
         source: RunnerSource,
         side: RunnerSide,
         limits: RetryLimits,
+        pace: ListPace,
     ) -> None:
         super().__init__(settings, peer, None, clock, rng)
         self._codec = codec
         self._source = source
+        self._pace = pace
         self._number = 0
         self.metrics = Metrics()
         self.runners = RunnerTable(settings.data_centre, rng)
@@ -126,11 +128,12 @@
     async def _follow_list(self) -> None:
         regained = True
         while True:
-            wait = LIST_SECONDS
+            nodes = self._core.members.entry_count()
+            wait = list_interval(self._pace, nodes) * self._rng.uniform(0.9, 1.0)
             try:
                 listing = await self._source.read()
             except HawthornshelfError as error:
-                wait = LIST_RETRY_SECONDS
+                wait *= LIST_RETRY_SHARE
                 if regained:
                     write_log("list-lost", peer=error.peer, reason=error.reason)
                 regained = False
--- /dev/null
+++ b/hawthornshelf/gateway/pacing.py
@@ -0,0 +1,32 @@
+"""Decide how often a node reads the platform's list of runners."""
+
+from typing import NamedTuple
+
+__all__ = ["ListPace", "list_interval"]
+
+LEAST_SECONDS = 1.0
+RATE_SHARE = 0.6
+"""Part of the platform's rate that is used: the count of nodes may be wrong."""
+
+DRAIN_SHARE = 0.7
+"""Part of the time after which a leaving runner must get no more work.
+
+The rest is for one read that fails.
+"""
+
+
+class ListPace(NamedTuple):
+    """Bound the reads: calls a second of all nodes, and seconds until a drain holds."""
+
+    rate: float = 10.0
+    drain_seconds: float = 3.0
+
+
+def list_interval(pace: ListPace, nodes: int) -> float:
+    """Return the seconds between two reads of one node.
+
+    Every node reads by itself, so that none depends on another's word about a
+    runner that leaves; with more nodes each reads more rarely.
+    """
+    wanted = max(LEAST_SECONDS, nodes / (RATE_SHARE * pace.rate))
+    return min(wanted, max(LEAST_SECONDS, DRAIN_SHARE * pace.drain_seconds))
