--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 demo: $(STAMP)
 	$(PYTHON) scripts/demo.py
+	$(PYTHON) scripts/demo_platform.py
 
 check: $(STAMP)
 	$(VENV)/bin/ruff check .
