--- /dev/null
+++ b/hawthornshelf/gateway/course.py
@@ -0,0 +1,69 @@
+"""Hold one request on its way, and tell if it may be sent again."""
+
+from dataclasses import dataclass, field
+
+from hawthornshelf.gateway.exchange import CallerSide, Inbound, MemoryHandle
+from hawthornshelf.gateway.routes import Repeat, Route
+from hawthornshelf.gateway.runners import RunnerState
+
+__all__ = ["LEAST_SECONDS", "Course"]
+
+LEAST_SECONDS = 0.01
+"""With less time left a request can't be answered, so it is not sent."""
+
+
+@dataclass(slots=True)
+class Course:
+    """Hold one request on its way; times are monotonic seconds.
+
+    `routes` is the number of the route document that it follows to its end.
+    """
+
+    inbound: Inbound
+    route: Route
+    routes: int
+    service: str
+    caller: CallerSide
+    deadline: float
+    target_at: float
+    tried: set[str] = field(default_factory=set)
+    sends: int = 0
+    runs: int = 0
+    may_have_run: bool = False
+    last_event: str = ""
+    last_runner: str = ""
+    granted_at: float = 0.0
+    reader: str = ""
+    first_at: float = 0.0
+    last_event_at: float = 0.0
+    longest_pause: float = 0.0
+    reason: str = ""
+    source: MemoryHandle | None = None
+    prefills: int = 0
+    is_late: bool = False
+    backup: RunnerState | None = None
+
+    @property
+    def is_recoverable(self) -> bool:
+        """Tell if a run that broke off can go on from the copy of its memory.
+
+        That is the same run, so it holds for requests that may run once, too.
+        """
+        return self.backup is not None and self.last_event != ""
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell if the request may run again, from its last whole event on."""
+        if self.route.repeat is Repeat.STREAM:
+            return self.route.resumable
+        return self.route.repeat is Repeat.SAFE
+
+    def may_go_on(self, now: float) -> bool:
+        """Tell if a request that has no answer yet may be sent once more."""
+        if self.deadline - now < LEAST_SECONDS:
+            return False
+        if self.is_recoverable:
+            return True
+        if self.may_have_run and not self.is_repeatable:
+            return False
+        return self.runs < self.route.max_attempts
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -3,10 +3,10 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.gateway.budget import RetryBudget
+from hawthornshelf.gateway.course import LEAST_SECONDS, Course
 from hawthornshelf.gateway.eventstream import EventSplitter
 from hawthornshelf.gateway.exchange import (
     Attempt,
@@ -21,76 +21,25 @@
 )
 from hawthornshelf.gateway.gate import EngineGate, Grant, TurnedAway, Wish
 from hawthornshelf.gateway.placement import Placer, is_long
+from hawthornshelf.gateway.recorder import Recorder
 from hawthornshelf.gateway.routes import Repeat, Route, RouteIndex, RouteTable
 from hawthornshelf.gateway.runners import RunnerState, RunnerTable
 from hawthornshelf.logs import write_log
-from hawthornshelf.metrics import Ended, Metrics
+from hawthornshelf.metrics import Metrics
 
 __all__ = ["Forwarder"]
 
-LEAST_SECONDS = 0.01
-"""With less time left a request can't be answered, so it is not sent."""
-
 RETRY_AFTER_SECONDS = 0.3
 """When to come back if no runner took a request; about a second of queue is short."""
 
 NOT_READY_SECONDS = 0.5
 
-WRONG_RUNNER = 421
-"""The status of a runner that is another one, or in another stage, than expected."""
-
 PATIENCE_SHARE = 0.4
 """Part of the time left that a runner may be silent if the request may run again."""
 
 LATE_RANK = 9
 """The rank at engines of requests that can't be on time: behind all others."""
 
-BUSY_SECONDS = 0.2
-"""How long a runner that refused work is left out."""
-
-
-@dataclass(slots=True)
-class _Course:
-    """Hold one request on its way."""
-
-    inbound: Inbound
-    route: Route
-    service: str
-    caller: CallerSide
-    deadline: float
-    target_at: float
-    tried: set[str] = field(default_factory=set)
-    sends: int = 0
-    runs: int = 0
-    may_have_run: bool = False
-    last_event: str = ""
-    last_runner: str = ""
-    granted_at: float = 0.0
-    reader: str = ""
-    first_at: float = 0.0
-    last_event_at: float = 0.0
-    longest_pause: float = 0.0
-    reason: str = ""
-    source: MemoryHandle | None = None
-    prefills: int = 0
-    is_late: bool = False
-    backup: RunnerState | None = None
-
-    @property
-    def is_recoverable(self) -> bool:
-        """Tell if a run that broke off can go on from the copy of its memory.
-
-        That is the same run, so it holds for requests that may run once, too.
-        """
-        return self.backup is not None and self.last_event != ""
-
-    @property
-    def is_repeatable(self) -> bool:
-        """Tell if the request may run again, from its last whole event on."""
-        if self.route.repeat is Repeat.STREAM:
-            return self.route.resumable
-        return self.route.repeat is Repeat.SAFE
-
 
 class Forwarder:
     """Run every open request; decisions are left to the tables it is given."""
@@ -109,7 +58,7 @@
         self._side = side
         self._runners = runners
         self._budget = budget
-        self._metrics = metrics
+        self._notes = Recorder(runners, metrics, clock)
         self._clock = clock
         self._rng = rng
         self._count_nodes = count_nodes
@@ -146,13 +95,21 @@
         finally:
             self.open_requests -= 1
 
-    def _begin(self, inbound: Inbound, route: Route, caller: CallerSide) -> _Course:
+    def _begin(self, inbound: Inbound, route: Route, caller: CallerSide) -> Course:
         weights = [split.weight for split in route.splits]
         split = self._rng.choices(route.splits, weights)[0]
         self._budget.note_request(self._clock.monotonic(), split.service)
         deadline = min(inbound.deadline, inbound.arrived_at + route.timeout)
         target_at = self._first_seen(inbound, route) + route.target
-        return _Course(inbound, route, split.service, caller, deadline, target_at)
+        return Course(
+            inbound,
+            route,
+            self._index.table.number,
+            split.service,
+            caller,
+            deadline,
+            target_at,
+        )
 
     def _first_seen(self, inbound: Inbound, route: Route) -> float:
         """Return when the caller began to ask, judged by the time it has left.
@@ -168,17 +125,12 @@
     async def _refuse_early(
         self, inbound: Inbound, caller: CallerSide, status: int, reason: str
     ) -> None:
-        write_log(
-            "request-refused",
-            request=inbound.request,
-            status=status,
-            reason=reason,
-            routes=self._index.table.number,
-        )
+        number = self._index.table.number
+        self._notes.note_refused_early(inbound.request, status, reason, number)
         wait = NOT_READY_SECONDS if status == 503 else 0.0
         await caller.refuse(status, reason, wait)
 
-    async def _run_course(self, course: _Course) -> None:
+    async def _run_course(self, course: Course) -> None:
         left = course.deadline - self._clock.monotonic()
         try:
             async with asyncio.timeout(max(0.0, left)):
@@ -188,7 +140,7 @@
             course.reason = course.reason or "deadline passed"
             await self._fail(course, 504 if course.may_have_run else 503)
         except asyncio.CancelledError:
-            self._note_end(course, "caller-gone")
+            self._notes.note_end(course, "caller-gone")
             raise
         finally:
             if course.source is not None:
@@ -206,7 +158,7 @@
         except AttemptFailed as error:
             write_log("handle-left", peer=error.peer, reason=error.reason)
 
-    def _note_silence(self, course: _Course) -> None:
+    def _note_silence(self, course: Course) -> None:
         """Hold it against a runner if a request's time passed there in silence.
 
         Not if the request was late anyway: then it waited behind all others.
@@ -218,14 +170,14 @@
         if state is not None and not course.is_late and not course.first_at:
             self._runners.note_bad(self._clock.monotonic(), state)
 
-    async def _try_runners(self, course: _Course) -> None:
+    async def _try_runners(self, course: Course) -> None:
         while not await self._try_next(course):
             if not self._may_repeat(course):
                 await self._fail(course, 502 if course.may_have_run else 503)
                 return
             self._budget.spend(self._clock.monotonic(), course.service)
 
-    async def _try_next(self, course: _Course) -> bool:
+    async def _try_next(self, course: Course) -> bool:
         """Send a request to one more runner; return if its caller has an answer."""
         now = self._clock.monotonic()
         if course.deadline - now < LEAST_SECONDS:
@@ -246,7 +198,7 @@
         finally:
             state.in_flight -= 1
 
-    async def _recover(self, course: _Course, backup: RunnerState) -> bool:
+    async def _recover(self, course: Course, backup: RunnerState) -> bool:
         """Let the engine that holds a copy of a broken run's memory go on with it."""
         course.backup = None
         request = course.inbound.request
@@ -258,7 +210,7 @@
             course.source = None
             backup.in_flight -= 1
 
-    async def _try_engine(self, course: _Course, prompt: Prompt) -> bool:
+    async def _try_engine(self, course: Course, prompt: Prompt) -> bool:
         wish = Wish(
             course.inbound.request,
             course.service,
@@ -284,24 +236,19 @@
         finally:
             grant.end()
 
-    def _is_kept(self, course: _Course) -> bool:
+    def _is_kept(self, course: Course) -> bool:
         """Tell if a copy of a run is worth its memory: it may not run again else."""
         return course.route.repeat is Repeat.STREAM and not course.route.resumable
 
-    async def _turn_away(self, course: _Course, turned_away: TurnedAway) -> None:
+    async def _turn_away(self, course: Course, turned_away: TurnedAway) -> None:
         course.reason = "; ".join(filter(None, (course.reason, turned_away.reason)))
         wait = turned_away.retry_after or RETRY_AFTER_SECONDS
         await self._fail(course, 502 if course.may_have_run else 503, wait)
 
-    def _may_repeat(self, course: _Course) -> bool:
+    def _may_repeat(self, course: Course) -> bool:
         """Tell if a request that has no answer yet may be sent once more."""
         now = self._clock.monotonic()
-        if not course.is_recoverable:
-            if course.may_have_run and not course.is_repeatable:
-                return False
-            if course.runs >= course.route.max_attempts:
-                return False
-        if course.deadline - now < LEAST_SECONDS:
+        if not course.may_go_on(now):
             return False
         nodes = self._count_nodes()
         allowed = self._budget.may_spend(now, course.service, nodes)
@@ -309,7 +256,7 @@
             course.reason += "; retry budget is spent"
         return allowed
 
-    async def _prefill(self, course: _Course, grant: Grant) -> MemoryHandle | None:
+    async def _prefill(self, course: Course, grant: Grant) -> MemoryHandle | None:
         """Have the prompt read at one runner; None leaves it to the other."""
         state = grant.placement.prefill
         if state is None:
@@ -325,14 +272,14 @@
             return await self._side.prefill(self._attempt(course, state))
         except PrefillRefused as error:
             self._budget.spend(now, course.service)
-            self._note_refusal(course, state, error.status)
+            self._notes.note_refusal(course, state, error.status)
         except AttemptFailed as error:
-            self._note_failure(course, state, error)
+            self._notes.note_failure(course, state, error)
         finally:
             grant.note_read()
         return None
 
-    def _attempt(self, course: _Course, state: RunnerState) -> Attempt:
+    def _attempt(self, course: Course, state: RunnerState) -> Attempt:
         left = course.deadline - self._clock.monotonic()
         return Attempt(
             course.inbound,
@@ -346,7 +293,7 @@
 
     async def _send(
         self,
-        course: _Course,
+        course: Course,
         state: RunnerState,
         grant: Grant | None,
     ) -> bool:
@@ -360,9 +307,7 @@
             answer = await self._await_head(course, state)
             if answer.not_run:
                 course.may_have_run = may_have_run
-                if answer.status != WRONG_RUNNER:
-                    course.source = None
-                self._note_refusal(course, state, answer.status)
+                self._notes.note_refusal(course, state, answer.status)
                 return False
             course.runs += 1
             course.source = None
@@ -371,13 +316,13 @@
             course.source = None
             course.may_have_run = may_have_run or error.sent
             course.runs += error.sent and answer is None
-            self._note_failure(course, state, error)
+            self._notes.note_failure(course, state, error)
             return False
         finally:
             if answer is not None:
                 answer.close()
 
-    async def _await_head(self, course: _Course, state: RunnerState) -> RunnerAnswer:
+    async def _await_head(self, course: Course, state: RunnerState) -> RunnerAnswer:
         """Send an attempt; give a silent runner up while another one has time."""
         sending = self._side.send(self._attempt(course, state))
         is_last = course.runs + 1 >= course.route.max_attempts
@@ -394,7 +339,7 @@
 
     async def _relay(
         self,
-        course: _Course,
+        course: Course,
         state: RunnerState,
         answer: RunnerAnswer,
         grant: Grant | None,
@@ -409,23 +354,19 @@
             if answer.status >= 500 and course.is_repeatable:
                 course.reason = f"runner answered {answer.status}"
                 if self._may_repeat(course) and self._has_other(course):
-                    self._note_answer_failed(course, state, answer.status)
+                    self._notes.note_bad_answer(course, state, answer.status)
                     return False
             course.first_at = self._clock.monotonic()
             await course.caller.answer(answer.status, answer.headers, body)
-        if answer.status < 500:
-            self._runners.note_good(state)
-        else:
-            self._runners.note_bad(self._clock.monotonic(), state)
-        self._note_end(course, "complete", answer.status)
+        self._notes.note_answered(course, state, answer.status)
         return True
 
-    def _has_other(self, course: _Course) -> bool:
+    def _has_other(self, course: Course) -> bool:
         now = self._clock.monotonic()
         return self._runners.choose_plain(now, course.service, course.tried) is not None
 
     async def _relay_stream(
-        self, course: _Course, answer: RunnerAnswer, grant: Grant | None
+        self, course: Course, answer: RunnerAnswer, grant: Grant | None
     ) -> None:
         """Pass whole events on, so that a broken stream can go on elsewhere."""
         splitter = EventSplitter()
@@ -435,7 +376,7 @@
                 if not caller.began:
                     self._note_first(course, grant)
                     await caller.begin(answer.status, answer.headers)
-                self._note_event(course)
+                self._notes.note_event(course)
                 await caller.write(event.data)
                 course.last_event = event.event_id or course.last_event
         if not caller.began:
@@ -445,14 +386,7 @@
             await caller.write(rest)
         await caller.end()
 
-    def _note_event(self, course: _Course) -> None:
-        now = self._clock.monotonic()
-        if course.last_event_at:
-            pause = now - course.last_event_at
-            course.longest_pause = max(course.longest_pause, pause)
-        course.last_event_at = now
-
-    def _note_first(self, course: _Course, grant: Grant | None) -> None:
+    def _note_first(self, course: Course, grant: Grant | None) -> None:
         now = self._clock.monotonic()
         course.first_at = now
         if grant is not None:
@@ -464,92 +398,13 @@
                 self._gate.note_started(course.service, now - course.granted_at)
 
     async def _fail(
-        self, course: _Course, status: int, wait: float = RETRY_AFTER_SECONDS
+        self, course: Course, status: int, wait: float = RETRY_AFTER_SECONDS
     ) -> None:
         """End a request without a runner's answer."""
         if course.caller.began:
             course.caller.abort()
-            self._note_end(course, "cut")
+            self._notes.note_end(course, "cut")
             return
         wait = wait if status == 503 else 0.0
         await course.caller.refuse(status, course.reason, wait)
-        self._note_end(course, "refused" if status == 503 else "failed", status)
-
-    # What is logged and counted
-
-    def _note_refusal(self, course: _Course, state: RunnerState, status: int) -> None:
-        course.reason = f"runner refused with {status}"
-        now = self._clock.monotonic()
-        if status == WRONG_RUNNER:
-            self._runners.note_failed(now, state)
-        else:
-            state.down_until = max(state.down_until, now + BUSY_SECONDS)
-        write_log(
-            "attempt-refused",
-            request=course.inbound.request,
-            runner=state.runner.name,
-            status=status,
-            attempt=course.sends,
-            list_age=self._list_age(),
-        )
-
-    def _note_answer_failed(
-        self, course: _Course, state: RunnerState, status: int
-    ) -> None:
-        self._runners.note_bad(self._clock.monotonic(), state)
-        write_log(
-            "attempt-failed",
-            request=course.inbound.request,
-            runner=state.runner.name,
-            status=status,
-            attempt=course.sends,
-        )
-
-    def _note_failure(
-        self, course: _Course, state: RunnerState, error: AttemptFailed
-    ) -> None:
-        down = self._runners.note_failed(self._clock.monotonic(), state)
-        course.reason = f"{error.step}: {error.reason}"
-        write_log(
-            "attempt-failed",
-            request=course.inbound.request,
-            runner=state.runner.name,
-            step=error.step,
-            reason=error.reason,
-            sent=error.sent,
-            attempt=course.sends,
-            down=down,
-            list_age=self._list_age(),
-        )
-
-    def _note_end(self, course: _Course, outcome: str, status: int = 0) -> None:
-        now = self._clock.monotonic()
-        seconds = now - course.inbound.arrived_at
-        wall = self._clock.now().timestamp()
-        is_fault = outcome in ("failed", "cut", "refused")
-        work = course.route.repeat.value
-        self._metrics.record(wall, Ended(work, outcome, seconds, is_fault))
-        arrived = course.inbound.arrived_at
-        first = course.first_at - arrived if course.first_at else 0.0
-        waited = course.granted_at - arrived if course.granted_at else 0.0
-        write_log(
-            "request-ended",
-            request=course.inbound.request,
-            route=course.route.name,
-            outcome=outcome,
-            status=status,
-            runner=course.last_runner,
-            reader=course.reader,
-            late=course.is_late,
-            sends=course.sends,
-            waited=round(waited, 4),
-            seconds=round(seconds, 4),
-            first=round(first, 4),
-            pause=round(course.longest_pause, 4),
-            budget=round(course.deadline - course.inbound.arrived_at, 3),
-            routes=self._index.table.number,
-            reason=course.reason,
-        )
-
-    def _list_age(self) -> float:
-        return round(self._clock.monotonic() - self._runners.read_at, 3)
+        self._notes.note_end(course, "refused" if status == 503 else "failed", status)
