Bound the list's reads of all nodes together

Change: at most 25 calls a second of all nodes, within 0.7 of the time of a drain. Small fleets read each second as before.

--- a/hawthornshelf/gateway/pacing.py
+++ b/hawthornshelf/gateway/pacing.py
@@ -8,6 +8,9 @@
 RATE_SHARE = 0.6
 """Part of the platform's rate that is used: the count of nodes may be wrong."""
 
+CALLS_PER_SECOND = 25.0
+"""Calls of all nodes together, however many more the platform would take."""
+
 DRAIN_SHARE = 0.7
 """Part of the time after which a leaving runner must get no more work.
 
@@ -28,5 +31,6 @@
     Every node reads by itself, so that none depends on another's word about a
     runner that leaves; with more nodes each reads more rarely.
     """
-    wanted = max(LEAST_SECONDS, nodes / (RATE_SHARE * pace.rate))
+    calls = min(CALLS_PER_SECOND, RATE_SHARE * pace.rate)
+    wanted = max(LEAST_SECONDS, nodes / calls)
     return min(wanted, max(LEAST_SECONDS, DRAIN_SHARE * pace.drain_seconds))
--- a/tests/gateway/test_pacing.py
+++ b/tests/gateway/test_pacing.py
@@ -11,5 +11,9 @@
     assert interval < 4.0
 
 
+def test_a_generous_platform_is_not_asked_more_often() -> None:
+    assert 70 / list_interval(ListPace(500.0, 6.0), 70) <= 25.0
+
+
 def test_the_time_of_a_drain_goes_before_the_rate() -> None:
     assert list_interval(ListPace(10.0, 4.0), 1000) == 2.8
