--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	$(PYTHON) scripts/measure_membership.py
 	$(PYTHON) scripts/measure_slopes.py
 	$(PYTHON) scripts/measure_policy.py
+	$(PYTHON) scripts/measure_gateway.py
 
 trials: $(STAMP)
 	$(PYTHON) scripts/trials.py
