--- a/hawthornshelf/gateway/budget.py
+++ b/hawthornshelf/gateway/budget.py
@@ -10,6 +10,10 @@
 """Part of the fleet's allowance that is spent: the count of nodes may be wrong."""
 
 
+UNKNOWN_SLACK = 1.0
+"""Extra sends of a node that does not know the others: far below any share."""
+
+
 class RetryLimits(NamedTuple):
     """Bound a service's extra sends, over all nodes, in any window.
 
@@ -54,11 +58,15 @@
         self._find(self._requests, service).add(now)
 
     def may_spend(self, now: float, service: str, nodes: int) -> bool:
-        """Tell if one more extra send to a service fits, for a fleet of `nodes`."""
+        """Tell if one more extra send to a service fits, for a fleet of `nodes`.
+
+        While their number is unknown (0) a node has one of the slack, not a share.
+        """
         limits = self._limits
         requests = self._find(self._requests, service).count(now)
-        allowed = limits.ratio * requests + limits.slack / max(1, nodes)
-        return self._find(self._extra, service).count(now) + 1 <= allowed * SHARE_MARGIN
+        slack = SHARE_MARGIN * limits.slack / nodes if nodes else UNKNOWN_SLACK
+        allowed = SHARE_MARGIN * limits.ratio * requests + min(slack, limits.slack)
+        return self._find(self._extra, service).count(now) + 1 <= allowed
 
     def spend(self, now: float, service: str) -> None:
         """Count an extra send."""
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -26,6 +26,9 @@
 LIST_RETRY_SHARE = 0.3
 """Part of the usual interval after which a list that could not be read is tried."""
 
+BUDGET_SETTLE_SECONDS = 5.0
+"""By then gossip has told of all nodes that are up."""
+
 COMMAND_SECONDS = 3.0
 """An operator's call gets an answer within this time, or is told to ask again."""
 
@@ -62,6 +65,7 @@
         self._codec = codec
         self._source = source
         self._pace = pace
+        self._started_at = clock.monotonic()
         self._number = 0
         self.metrics = Metrics()
         self.runners = RunnerTable(settings.data_centre, rng)
@@ -72,7 +76,7 @@
             self.metrics,
             clock,
             rng,
-            self._core.members.entry_count,
+            lambda: self.count_nodes(clock.monotonic()),
             self._estimate_streams,
         )
         self.is_leaving = False
@@ -122,6 +126,16 @@
         self.forwarder.load(table)
         write_log("routes-in-force", number=routes.number, routes=len(table.routes))
 
+    def count_nodes(self, now: float) -> int:
+        """Return by how many nodes a shared budget is divided, or 0 if unknown yet.
+
+        A node that has just started knows too few others, and after a loss of all
+        nodes each would take the whole budget for itself.
+        """
+        if now < self._started_at + BUDGET_SETTLE_SECONDS:
+            return 0
+        return self._core.members.entry_total()
+
     def _estimate_streams(self) -> float:
         return self._core.members.estimate_streams(self._clock.monotonic())
 
--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -109,6 +109,13 @@
         dead = MemberStatus.DEAD
         return max(1, sum(r.entry and r.status is not dead for r in self.rows()))
 
+    def entry_total(self) -> int:
+        """Return the number of entry nodes heard of lately, dead ones included.
+
+        One that is only cut off from here goes on spending its share of a budget.
+        """
+        return max(1, sum(row.entry for row in self.rows()))
+
     def estimate_streams(self, now: float) -> float:
         """Return the conversations at all entry nodes, from those heard of lately."""
         heard = [self.streams]
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -49,3 +49,13 @@
     while budget.may_spend(0.0, "s", 1):
         budget.spend(0.0, "s")
     assert budget.may_spend(0.0, "t", 1)
+
+
+def test_nodes_that_all_start_at_once_do_not_each_take_the_whole_slack() -> None:
+    """Play the loss of all nodes: none knows another, and all requests fail."""
+    spent = 0
+    for budget in [RetryBudget(LIMITS) for _ in range(NODES)]:
+        while budget.may_spend(0.0, "s", 0):
+            budget.spend(0.0, "s")
+            spent += 1
+    assert spent == NODES
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -111,3 +111,14 @@
         table.streams = 0
     net.run(10)
     assert all(t.estimate_streams(net.now) == 0 for t in net.tables.values())
+
+
+def test_nodes_that_are_cut_off_still_count_where_a_budget_is_shared() -> None:
+    net = Net(11)
+    net.run(10)
+    table = net.tables["n3"]
+    for name in net.tables:
+        net.cuts |= {("n3", name), (name, "n3")}
+    net.run(20)
+    assert table.entry_count() == 1
+    assert table.entry_total() == 11
