Remove what nothing calls in the gateway, and ask the clock once

Cause: a last reading of the whole change: four methods, a field of Wish and an index of services that nothing used; _note_silence read the clock and tested first_at twice; an import stood after __all__. Change: removed and flattened; behaviour as before.

--- a/hawthornshelf/gateway/budget.py
+++ b/hawthornshelf/gateway/budget.py
@@ -1,15 +1,13 @@
 """Bound what is sent beyond each request's first send, over a sliding window."""
 
 from collections import deque
+from typing import NamedTuple
 
 __all__ = ["RetryBudget", "RetryLimits"]
 
-from typing import NamedTuple
-
 SHARE_MARGIN = 0.6
 """Part of the fleet's allowance that is spent: the count of nodes may be wrong."""
 
-
 UNKNOWN_SLACK = 1.0
 """Extra sends of a node that does not know the others: far below any share."""
 
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -164,11 +164,14 @@
         Not if the request was late anyway: then it waited behind all others.
         """
         now = self._clock.monotonic()
-        if course.is_late and not course.first_at:
+        if course.first_at:
+            return
+        if course.is_late:
             self._gate.note_late(course.service, now - course.granted_at)
+            return
         state = self._runners.find(course.last_runner)
-        if state is not None and not course.is_late and not course.first_at:
-            self._runners.note_bad(self._clock.monotonic(), state)
+        if state is not None:
+            self._runners.note_bad(now, state)
 
     async def _try_runners(self, course: Course) -> None:
         while not await self._try_next(course):
@@ -212,7 +215,6 @@
 
     async def _try_engine(self, course: Course, prompt: Prompt) -> bool:
         wish = Wish(
-            course.inbound.request,
             course.service,
             prompt,
             course.route.rank,
--- a/hawthornshelf/gateway/gate.py
+++ b/hawthornshelf/gateway/gate.py
@@ -23,7 +23,6 @@
 class Wish(NamedTuple):
     """Hold what a request wants of a service; times are monotonic seconds."""
 
-    request: str
     service: str
     prompt: Prompt
     rank: int
@@ -82,10 +81,6 @@
         self._queues: dict[str, Queue] = {}
         self._waiters: dict[str, dict[int, _Waiter]] = {}
 
-    def waiting(self) -> int:
-        """Return how many requests wait here."""
-        return sum(len(waiters) for waiters in self._waiters.values())
-
     async def acquire(self, wish: Wish) -> Grant:
         """Return a place at an engine; raise TurnedAway."""
         now = self._clock.monotonic()
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -209,7 +209,3 @@
                 return result
         write_log("command-unanswered", command=type(command).__name__)
         return None
-
-    def known_leader(self) -> str:
-        """Return the node believed to lead the control group."""
-        return self._core.control.leader_node() if self._core.control else ""
--- a/hawthornshelf/gateway/routes.py
+++ b/hawthornshelf/gateway/routes.py
@@ -124,7 +124,6 @@
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in table.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
-        self._services = {service.name: service for service in table.services}
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
@@ -137,11 +136,3 @@
             if route is not None:
                 return route
         return None
-
-    def has_host(self, host: str) -> bool:
-        """Tell if any route has this host."""
-        return host in self._hosts
-
-    def service(self, name: str) -> ServiceSpec | None:
-        """Return a service by its name."""
-        return self._services.get(name)
