Count conversations when gossip or a placement asks, not each step

Cause: a node summed its conversations over all listed runners after each step of its core, some fifty a second, though only pings and placements use the sum. Ruled out: a running count kept by grants; it would have to follow every place that changes a runner's load.

--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -80,6 +80,7 @@
             lambda: self.count_nodes(clock.monotonic()),
             self._estimate_streams,
         )
+        self._core.members.count_streams = self.runners.streams
         self.is_leaving = False
 
     async def start(self) -> None:
@@ -114,7 +115,6 @@
     def on_step(self) -> None:
         """Take a newer route document from the shared view."""
         self._core.is_serving = self.is_ready()
-        self._core.members.streams = self.runners.streams()
         routes = self._core.view.routes
         if routes.number <= self._number:
             return
--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -1,7 +1,7 @@
 """Keep the list of nodes by gossip with suspicion and incarnation numbers (SWIM)."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import NamedTuple
 
@@ -73,7 +73,7 @@
         self._ping_due = 0.0
         self.revision = 0
         self.age = float("inf")
-        self.streams = 0
+        self.count_streams: Callable[[], int] = _count_none
         self._streams_of: dict[str, tuple[float, int]] = {}
 
     def update_seeds(self, seeds: Iterable[MemberRow]) -> None:
@@ -118,7 +118,7 @@
 
     def estimate_streams(self, now: float) -> float:
         """Return the conversations at all entry nodes, from those heard of lately."""
-        heard = [self.streams]
+        heard = [self.count_streams()]
         for row in self._rows.values():
             at, streams = self._streams_of.get(row.node, (float("-inf"), 0))
             if row.entry and at > now - STREAMS_SECONDS:
@@ -226,11 +226,13 @@
 
     def _ping(self, sequence: int, origin: str) -> Ping:
         news = self._news()
-        return Ping(sequence, origin, self.revision, self.age, news, self.streams)
+        streams = self.count_streams()
+        return Ping(sequence, origin, self.revision, self.age, news, streams)
 
     def _reply(self, sequence: int, origin: str) -> PingReply:
         news = self._news()
-        return PingReply(sequence, origin, self.revision, self.age, news, self.streams)
+        streams = self.count_streams()
+        return PingReply(sequence, origin, self.revision, self.age, news, streams)
 
     def _news(self) -> tuple[MemberRow, ...]:
         """Return this node's row, rows that changed lately, and random others."""
@@ -304,3 +306,7 @@
     def _next_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
+
+
+def _count_none() -> int:
+    return 0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,5 @@
 import random
+from functools import partial
 
 from hawthornshelf.membership import MembershipTable
 from hawthornshelf.messages import MemberRow, MemberStatus
@@ -103,12 +104,12 @@
 def test_every_node_estimates_all_conversations_from_those_it_hears_of() -> None:
     net = Net(11)
     for number, table in enumerate(net.tables.values()):
-        table.streams = number
+        table.count_streams = partial(int, number)
     net.run(20)
     estimates = [table.estimate_streams(net.now) for table in net.tables.values()]
     assert all(abs(estimate - 55) < 20 for estimate in estimates)
     for table in net.tables.values():
-        table.streams = 0
+        table.count_streams = int
     net.run(10)
     assert all(t.estimate_streams(net.now) == 0 for t in net.tables.values())
 
