Take no patient caller for one that comes back, and refuse none while engines could read

Callers of one route differ in the time they allow (1.7 to 2.0 s, 12.8 to 15 s in the logs), and whoever allowed less than the most was taken for one that had been refused before. Ruled out: waiting before arrival (p50 was 74 ms); a constant for the spread, since other fleets' callers need not differ by as much.

--- a/hawthornshelf/gateway/admission.py
+++ b/hawthornshelf/gateway/admission.py
@@ -49,7 +49,8 @@
 
     Answers bursts beyond what the engines can read: a request that could not have
     its first token in time goes behind all that can, so that those still are on
-    time; it is turned away at once while such requests lately waited in vain.
+    time and no engine is idle; it is turned away at once while such requests lately
+    waited in vain.
     """
 
     def __init__(self) -> None:
@@ -70,17 +71,14 @@
         self, now: float, rank: int, target_at: float, deadline: float
     ) -> Verdict:
         """Tell if a request that comes now may wait; times in monotonic seconds."""
-        start = self._start_wait(now)
-        on_time = Verdict(True, rank, target_at - start)
-        if now + self._expected_wait(rank) <= on_time.start_by:
+        on_time = Verdict(True, rank, target_at - self._start_wait(now))
+        ahead = self._expected_wait(rank)
+        if now + ahead <= on_time.start_by:
             return on_time
-        if now + start <= target_at:
-            excess = now + self._expected_wait(rank) - on_time.start_by
-            return Verdict(False, rank, retry_after=self._bound(excess))
         wait = self._late_wait(now)
-        if wait > (deadline - now) * LATE_CERTAINTY:
-            return Verdict(False, rank, retry_after=self._bound(wait))
-        return Verdict(True, rank, now, is_late=True)
+        if wait <= (deadline - now) * LATE_CERTAINTY:
+            return Verdict(True, rank, now, is_late=True)
+        return Verdict(False, rank, retry_after=self._bound(max(ahead, wait)))
 
     def enter(self, rank: int, start_by: float) -> Ticket:
         """Add a request to those that wait."""
@@ -102,10 +100,6 @@
         """Return those that wait, the next one first."""
         return sorted(ticket for ticket in self._tickets if not ticket.is_gone)
 
-    def retry_after(self) -> float:
-        """Return when one that waited in vain should come back, in seconds."""
-        return self._bound(self._count * self._release_seconds)
-
     def note_started(self, now: float, seconds: float) -> None:
         """Learn how long a sent request took to its first token."""
         start = self._start_wait(now)
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -20,6 +20,7 @@
     RunnerSide,
 )
 from hawthornshelf.gateway.gate import EngineGate, Grant, TurnedAway, Wish
+from hawthornshelf.gateway.patience import Patience
 from hawthornshelf.gateway.placement import Placer, is_long
 from hawthornshelf.gateway.recorder import Recorder
 from hawthornshelf.gateway.routes import Repeat, Route, RouteIndex, RouteTable
@@ -63,7 +64,7 @@
         self._rng = rng
         self._count_nodes = count_nodes
         self._gate = EngineGate(Placer(runners, rng, count_streams), clock)
-        self._usual_budgets: dict[str, float] = {}
+        self._patience: dict[str, Patience] = {}
         self._index = RouteIndex()
         self._drops: set[asyncio.Task[None]] = set()
         self.open_requests = 0
@@ -77,8 +78,8 @@
         """Take a newer route table; requests under way keep the old one."""
         self._index = RouteIndex(table)
         names = {route.name for route in table.routes}
-        budgets = self._usual_budgets.items()
-        self._usual_budgets = {name: usual for name, usual in budgets if name in names}
+        known = self._patience.items()
+        self._patience = {name: kept for name, kept in known if name in names}
 
     async def serve(self, inbound: Inbound, caller: CallerSide) -> None:
         """Answer one request; return once the caller has its last byte."""
@@ -112,15 +113,11 @@
         )
 
     def _first_seen(self, inbound: Inbound, route: Route) -> float:
-        """Return when the caller began to ask, judged by the time it has left.
-
-        A caller that comes back after a refusal has less time than is usual on its
-        route, and can't have its answer by its target any more.
-        """
+        """Return when the caller began to ask, judged by the time it has left."""
         budget = inbound.deadline - inbound.arrived_at
-        usual = max(budget, self._usual_budgets.get(route.name, 0.0))
-        self._usual_budgets[route.name] = usual
-        return inbound.arrived_at - (usual - budget)
+        patience = self._patience.setdefault(route.name, Patience())
+        patience.note(budget)
+        return inbound.arrived_at - patience.elapsed(budget)
 
     async def _refuse_early(
         self, inbound: Inbound, caller: CallerSide, status: int, reason: str
--- a/hawthornshelf/gateway/gate.py
+++ b/hawthornshelf/gateway/gate.py
@@ -89,12 +89,7 @@
         queue = self._queues.setdefault(wish.service, Queue())
         verdict = queue.judge(now, wish.rank, wish.target_at, wish.deadline)
         if verdict.is_late:
-            placement = self._placer.place(
-                now, wish.service, wish.prompt, set(wish.tried), is_late=True
-            )
-            if placement is None:
-                raise TurnedAway("no runner", 0.0)
-            return Grant(wish, placement, self, is_late=True)
+            return self._place_late(now, wish)
         if not queue:
             grant = self._try_place(now, wish)
             if grant is not None:
@@ -133,6 +128,15 @@
         placement = self._placer.place(now, wish.service, wish.prompt, tried)
         return Grant(wish, placement, self) if placement is not None else None
 
+    def _place_late(self, now: float, wish: Wish) -> Grant:
+        tried = set(wish.tried)
+        placement = self._placer.place(
+            now, wish.service, wish.prompt, tried, is_late=True
+        )
+        if placement is None:
+            raise TurnedAway("no runner", 0.0)
+        return Grant(wish, placement, self, is_late=True)
+
     async def _wait(
         self, now: float, wish: Wish, queue: Queue, verdict: Verdict
     ) -> Grant:
@@ -146,8 +150,12 @@
             async with asyncio.timeout(max(0.0, ticket.start_by - now)):
                 return await granted
         except TimeoutError as error:
-            wait = queue.retry_after()
-            raise TurnedAway("no engine came free in time", wait) from error
+            now = self._clock.monotonic()
+            verdict = queue.judge(now, wish.rank, wish.target_at, wish.deadline)
+            if verdict.is_late:
+                return self._place_late(now, wish)
+            reason = "no engine came free in time"
+            raise TurnedAway(reason, verdict.retry_after) from error
         except asyncio.CancelledError:
             if granted.done() and not granted.cancelled():
                 granted.result().end()
--- /dev/null
+++ b/tests/gateway/load.py
@@ -0,0 +1,263 @@
+"""Play a load of long prompts on forwarders and engines in virtual time."""
+
+import asyncio
+import heapq
+import itertools
+import random
+import selectors
+from collections.abc import AsyncIterator, Coroutine
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+
+from hawthornshelf.clock import Clock
+from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
+from hawthornshelf.gateway.exchange import (
+    Attempt,
+    AttemptFailed,
+    Header,
+    Inbound,
+    MemoryHandle,
+    Prompt,
+    PromptPart,
+    RunnerAnswer,
+    RunnerSide,
+)
+from hawthornshelf.gateway.forwarder import Forwarder
+from hawthornshelf.gateway.routes import Repeat, Route, RouteTable, Split
+from hawthornshelf.gateway.runners import Listing, Runner, RunnerTable, Stage
+from hawthornshelf.metrics import Metrics
+from tests.gateway.fakes import Caller, event
+
+__all__ = ["Load", "Outcome", "play"]
+
+NODES = 10
+TOKENS = 3000
+TOKENS_PER_SECOND = 300_000.0
+TARGET, LEAST_BUDGET, MOST_BUDGET = 0.2, 1.7, 2.0
+TRANSFER_SECONDS = 0.01
+
+
+class VirtualClock(Clock):
+    """Stand still until the loop has nothing to do but wait."""
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+
+    def monotonic(self) -> float:
+        return self.seconds
+
+    def now(self) -> datetime:
+        return datetime.fromtimestamp(self.seconds, UTC)
+
+
+class _Selector(selectors.SelectSelector):
+    def __init__(self, clock: VirtualClock) -> None:
+        super().__init__()
+        self._clock = clock
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        assert timeout is not None, "nothing will ever happen"
+        self._clock.seconds += max(0.0, timeout)
+        return super().select(0)
+
+
+class _Loop(asyncio.SelectorEventLoop):
+    def __init__(self, clock: VirtualClock) -> None:
+        super().__init__(_Selector(clock))
+        self._clock = clock
+
+    def time(self) -> float:
+        return self._clock.seconds
+
+
+def play(clock: VirtualClock, main: Coroutine[object, object, "Outcome"]) -> "Outcome":
+    """Run a coroutine to its end in virtual time."""
+    with asyncio.Runner(loop_factory=lambda: _Loop(clock)) as runner:
+        return runner.run(main)
+
+
+class _Engine:
+    """Read prompts one after another, the lowest rank and oldest first."""
+
+    def __init__(self, clock: VirtualClock, tokens_per_second: float) -> None:
+        self._clock = clock
+        self._speed = tokens_per_second
+        self._queue: list[tuple[int, int, float, asyncio.Future[bool]]] = []
+        self._numbers = itertools.count()
+        self._busy = False
+        self.read_seconds = 0.0
+
+    async def read(self, tokens: int, rank: int, seconds_left: float) -> bool:
+        """Return once a prompt has been read, or False if its time ran out first."""
+        done = asyncio.get_running_loop().create_future()
+        until = self._clock.monotonic() + seconds_left
+        heapq.heappush(self._queue, (rank, next(self._numbers), until, done))
+        if not self._busy:
+            self._busy = True
+            asyncio.get_running_loop().create_task(self._work(tokens))
+        return await done
+
+    async def _work(self, tokens: int) -> None:
+        seconds = tokens / self._speed
+        while self._queue:
+            _, _, until, done = heapq.heappop(self._queue)
+            if done.done():
+                continue
+            if self._clock.monotonic() >= until:
+                done.set_result(False)
+                continue
+            await asyncio.sleep(seconds)
+            self.read_seconds += seconds
+            if not done.done():
+                done.set_result(True)
+        self._busy = False
+
+
+class _Answer(RunnerAnswer):
+    def __init__(self) -> None:
+        self.status, self.is_stream, self.not_run = 200, True, False
+        self.headers: tuple[Header, ...] = ()
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        yield event(1)
+        yield event(2)
+
+    async def read(self) -> bytes:
+        return b""
+
+    def close(self) -> None:
+        """Hold nothing."""
+
+
+class _Engines(RunnerSide):
+    """Hold two engines that read and two that generate, which read half as fast."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self.engines: dict[str, _Engine] = {}
+        self.runners: list[Runner] = []
+        for name, stage in (
+            ("p0", Stage.PREFILL),
+            ("p1", Stage.PREFILL),
+            ("d0", Stage.DECODE),
+            ("d1", Stage.DECODE),
+        ):
+            share = 1.0 if stage is Stage.PREFILL else 0.5
+            self.engines[name] = _Engine(clock, share * TOKENS_PER_SECOND)
+            self.runners.append(Runner(name, "llm", name, "dc", 48, stage=stage))
+
+    async def send(self, attempt: Attempt) -> RunnerAnswer:
+        if attempt.source is None:
+            await self._read(attempt)
+        await asyncio.sleep(TRANSFER_SECONDS)
+        return _Answer()
+
+    async def prefill(self, attempt: Attempt) -> MemoryHandle:
+        await self._read(attempt)
+        return MemoryHandle(attempt.runner.address, "handle")
+
+    async def drop_handle(self, handle: MemoryHandle) -> None:
+        """Hold nothing."""
+
+    async def _read(self, attempt: Attempt) -> None:
+        name = attempt.runner.name
+        engine = self.engines[name]
+        if not await engine.read(TOKENS, attempt.rank, attempt.seconds_left):
+            raise AttemptFailed("read prompt", name, "too late", sent=True)
+
+
+@dataclass
+class Outcome:
+    """Count what callers got, by whether their first token was on time."""
+
+    on_time: int = 0
+    late: int = 0
+    in_vain: int = 0
+    refusals: int = 0
+
+    @property
+    def asked(self) -> int:
+        return self.on_time + self.late + self.in_vain
+
+
+@dataclass
+class Load:
+    """Let callers ask at a steady rate, and once more if they are told when."""
+
+    rate: float
+    seconds: float
+    seed: int = 1
+    outcome: Outcome = field(default_factory=Outcome)
+
+    def __post_init__(self) -> None:
+        self.clock = VirtualClock()
+        self._rng = random.Random(self.seed)
+        self._side = _Engines(self.clock)
+        self._nodes = [self._make_node(n) for n in range(NODES)]
+        self._numbers = itertools.count()
+
+    def play(self) -> Outcome:
+        """Return what all callers got."""
+        return play(self.clock, self._play())
+
+    @property
+    def read_share(self) -> float:
+        """Return which part of the time the engines were reading."""
+        engines = self._side.engines.values()
+        busy = sum(engine.read_seconds for engine in engines) / len(engines)
+        return busy / self.clock.seconds
+
+    async def _play(self) -> Outcome:
+        async with asyncio.TaskGroup() as callers:
+            while self.clock.monotonic() < self.seconds:
+                callers.create_task(self._call())
+                await asyncio.sleep(self._rng.expovariate(self.rate))
+        return self.outcome
+
+    async def _call(self) -> None:
+        began = self.clock.monotonic()
+        deadline = began + self._rng.uniform(LEAST_BUDGET, MOST_BUDGET)
+        for _ in range(2):
+            caller = Caller()
+            await self._rng.choice(self._nodes).serve(self._ask(deadline), caller)
+            if caller.status != 503:
+                break
+            self.outcome.refusals += 1
+            left = deadline - self.clock.monotonic()
+            await asyncio.sleep(min(caller.retry_after, left / 3))
+        waited = self.clock.monotonic() - began
+        if caller.status != 200:
+            self.outcome.in_vain += 1
+        elif waited <= TARGET:
+            self.outcome.on_time += 1
+        else:
+            self.outcome.late += 1
+
+    def _ask(self, deadline: float) -> Inbound:
+        number = next(self._numbers)
+        part = PromptPart(f"part-{number}", TOKENS)
+        prompt = Prompt(TOKENS, 2, (part,))
+        now = self.clock.monotonic()
+        name = f"r{number}"
+        return Inbound(name, "POST", "/read/x", "h", (), b"", now, deadline, prompt)
+
+    def _make_node(self, number: int) -> Forwarder:
+        runners = RunnerTable("dc", random.Random(number))
+        runners.load(Listing(tuple(self._side.runners), 0.0))
+        forwarder = Forwarder(
+            self._side,
+            runners,
+            RetryBudget(RetryLimits(0.2, 60.0, 10.0)),
+            Metrics(),
+            self.clock,
+            random.Random(number),
+            lambda: NODES,
+            lambda: 1.0,
+        )
+        split = (Split("llm", 1),)
+        route = Route("read", "h", "/read/", Repeat.STREAM, 2.0, TARGET, 0, split, 2)
+        forwarder.load(
+            RouteTable(1, (route._replace(resumable=True, is_generation=True),))
+        )
+        return forwarder
