--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -79,6 +79,34 @@
     assert world.run_command(wiped, ReadRoutes()) == RoutesInForce(7, b"7")
 
 
+def test_five_voters_keep_what_was_acknowledged_when_two_lose_their_disks() -> None:
+    """Bear the loss of two nodes, as an adapter may ask, with all without power."""
+    for seed in range(5):
+        world = World(seed, control=3, entries=1, voters=5)
+        world.start_all()
+        world.run_until(world.leader, SECONDS, "leader")
+        for name in ("c8", "c9"):
+            world.add_control(name)
+        leader = world.leader()
+        names = {*world.control, "c8", "c9"}
+        world.run_until(
+            lambda: world.voters_of(leader) == names,  # noqa: B023
+            SECONDS,
+            "five voters",
+        )
+        replace(world, leader, 7)
+        lost = {leader, world.rng.choice(sorted(names - {leader}))}
+        for name in names:
+            if name in lost:
+                world.wipe(name)
+            else:
+                world.kill(name)
+        for name in names:
+            world.start(name)
+        world.run_until(world.leader, SECONDS, "leader")
+        assert world.run_command("e0", ReadRoutes()) == RoutesInForce(7, b"7")
+
+
 def test_the_highest_number_wins_and_equal_or_lower_ones_change_nothing() -> None:
     world = make(5)
     leader = world.leader()
