Send callers of a stopping node elsewhere once the linger is over

Ruled out: a new connection (the listener was closed at 35.0 already). Tests: forwarder and whole path, which fail before.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -34,6 +34,8 @@
 """When to come back if no runner took a request; about a second of queue is short."""
 
 NOT_READY_SECONDS = 0.5
+ELSEWHERE_SECONDS = 0.05
+"""When to come back from a node that stops: any other one takes the request."""
 
 PATIENCE_SHARE = 0.4
 """Part of the time left that a runner may be silent if the request may run again."""
@@ -68,12 +70,17 @@
         self._index = RouteIndex()
         self._drops: set[asyncio.Task[None]] = set()
         self.open_requests = 0
+        self.is_closed = False
 
     @property
     def has_routes(self) -> bool:
         """Tell if a route table is in force here."""
         return self._index.table.number > 0
 
+    def close(self) -> None:
+        """Take no more requests; those under way go on."""
+        self.is_closed = True
+
     def load(self, table: RouteTable) -> None:
         """Take a newer route table; requests under way keep the old one."""
         self._index = RouteIndex(table)
@@ -83,6 +90,9 @@
 
     async def serve(self, inbound: Inbound, caller: CallerSide) -> None:
         """Answer one request; return once the caller has its last byte."""
+        if self.is_closed:
+            await self._refuse_early(inbound, caller, 503, "this node stops")
+            return
         if not self.has_routes:
             await self._refuse_early(inbound, caller, 503, "no routes yet")
             return
@@ -124,7 +134,9 @@
     ) -> None:
         number = self._index.table.number
         self._notes.note_refused_early(inbound.request, status, reason, number)
-        wait = NOT_READY_SECONDS if status == 503 else 0.0
+        wait = 0.0
+        if status == 503:
+            wait = ELSEWHERE_SECONDS if self.is_closed else NOT_READY_SECONDS
         await caller.refuse(status, reason, wait)
 
     async def _run_course(self, course: Course) -> None:
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -39,11 +39,12 @@
 class StopTiming(NamedTuple):
     """Bound a graceful stop, in seconds from when it was asked for.
 
-    New connections are taken for `linger`, since callers keep an address for a
-    while; at `grace` the process ends whatever is open.
+    Requests are taken for `linger`, since callers keep an address for a while; one
+    that comes later might not end by `grace`, at which the process ends whatever is
+    open.
     """
 
-    linger: float = 3.0
+    linger: float = 2.8
     grace: float = 7.7
 
 
@@ -105,6 +106,7 @@
         self._core.is_serving = False
         self.post(StopAsked())
         await asyncio.sleep(timing.linger)
+        self.forwarder.close()
 
     async def finish(self, seconds: float) -> None:
         """Wait until no request is open, within a bound."""
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -319,6 +319,27 @@
     assert fleet.sent == []
 
 
+def test_a_closed_forwarder_sends_callers_elsewhere_and_ends_what_is_open() -> None:
+    """Answer a caller that keeps its connection while the node stops."""
+    fleet = Fleet([ok])
+
+    async def play() -> tuple[Caller, Caller]:
+        first, second = Caller(), Caller()
+        running = asyncio.create_task(
+            fleet.forwarder.serve(make_inbound("/once/x"), first)
+        )
+        await asyncio.sleep(0)
+        fleet.forwarder.close()
+        await fleet.forwarder.serve(make_inbound("/once/x"), second)
+        await running
+        return first, second
+
+    first, second = asyncio.run(play())
+    assert first.status == 200
+    assert second.status == 503 and second.retry_after > 0
+    assert len(fleet.sent) == 1
+
+
 def test_an_engine_that_often_fails_gives_way_and_is_tried_again_later() -> None:
     fleet = Fleet([ok])
     state = fleet.runners.find("d0")
--- a/tests/southernveil/test_path.py
+++ b/tests/southernveil/test_path.py
@@ -290,6 +290,21 @@
     return not await check
 
 
+def test_a_kept_connection_is_sent_elsewhere_once_a_node_stops(tmp_path: Path) -> None:
+    """Answer a consumer that comes back after the linger on a connection it kept."""
+
+    async def story(fleet: Fleet) -> None:
+        assert (await fleet.ask("/safe/x"))[0] == 200
+        await fleet.entry.node.drain(StopTiming(0.0, 1.0))
+        seen = len(fleet.app.seen)
+        status, _, headers = await fleet.ask("/safe/x")
+        assert status == 503 and headers["Connection"] == "close"
+        assert float(headers["Retry-After"]) > 0
+        assert len(fleet.app.seen) == seen
+
+    play(tmp_path, story)
+
+
 def test_a_runner_that_leaves_gets_no_new_work(tmp_path: Path) -> None:
     async def story(fleet: Fleet) -> None:
         fleet.cloud.entries = [fleet.app.entry("draining")]
