Choose the less loaded of two engines for a conversation, and never put one back

Change: gateway/loads.py asks two quiet engines for their load where three or more are quiet; square-root staffing in place of 0.75 of the slots; a fifth of the decoding engines is ready at the start; newer counts weigh more in the estimate; engine ranks put long prompts behind conversations. The engines of a decision are found once, not twice.

--- a/hawthornshelf/gateway/admission.py
+++ b/hawthornshelf/gateway/admission.py
@@ -5,7 +5,16 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-__all__ = ["Queue", "Ticket", "Verdict"]
+from hawthornshelf.gateway.exchange import Prompt
+from hawthornshelf.gateway.placement import is_long
+
+__all__ = ["Queue", "Ticket", "Verdict", "engine_rank"]
+
+LATE_RANK = 9
+"""The rank at engines of requests that can't be on time: behind all others."""
+
+LONG_RANKS = range(4, 9)
+"""The ranks of long prompts, by the ranks of their routes; short ones are before."""
 
 LEARNING_SHARE = 0.1
 """Weight of a new sample in a running mean."""
@@ -118,3 +127,16 @@
 
     def _bound(self, seconds: float) -> float:
         return min(max(seconds, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS)
+
+
+def engine_rank(prompt: Prompt, route_rank: int, is_late: bool) -> int:
+    """Return the rank of a request among those that wait at an engine; 0 goes first.
+
+    Answers engines whose batch is full: a long prompt that comes must not put a
+    conversation back in the middle, whose caller would notice the pause.
+    """
+    if is_late:
+        return LATE_RANK
+    if is_long(prompt):
+        return min(LONG_RANKS.start + route_rank, LONG_RANKS.stop - 1)
+    return min(route_rank, LONG_RANKS.start - 1)
--- a/hawthornshelf/gateway/course.py
+++ b/hawthornshelf/gateway/course.py
@@ -33,6 +33,7 @@
     last_event: str = ""
     last_runner: str = ""
     granted_at: float = 0.0
+    rank: int = 0
     reader: str = ""
     first_at: float = 0.0
     last_event_at: float = 0.0
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -12,6 +12,7 @@
     "Attempt",
     "AttemptFailed",
     "CallerSide",
+    "EngineLoad",
     "Header",
     "Inbound",
     "MemoryHandle",
@@ -86,6 +87,7 @@
 class Attempt:
     """Hold one send of a request to a runner; `seconds_left` bounds its work.
 
+    `rank` orders what waits at an engine: 0 goes first, 9 last.
     `source` holds memory to go on from; at `backup`, if given, another engine is to
     keep a copy of the run's memory as it grows.
     """
@@ -115,6 +117,13 @@
         self.status = status
 
 
+class EngineLoad(NamedTuple):
+    """Count the requests that an engine runs and that wait there."""
+
+    running: int
+    waiting: int
+
+
 class RunnerAnswer(ABC):
     """Read one answer of a runner."""
 
@@ -147,6 +156,10 @@
     async def prefill(self, attempt: Attempt) -> MemoryHandle:
         """Have a prompt read and kept; raise PrefillRefused or AttemptFailed."""
 
+    @abstractmethod
+    async def read_load(self, runner: Runner) -> EngineLoad:
+        """Return what an engine says of its load; raise AttemptFailed."""
+
     @abstractmethod
     async def drop_handle(self, handle: MemoryHandle) -> None:
         """Free a prompt's memory that nobody will take; raise AttemptFailed."""
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from hawthornshelf.clock import Clock
+from hawthornshelf.gateway.admission import engine_rank
 from hawthornshelf.gateway.budget import RetryBudget
 from hawthornshelf.gateway.course import LEAST_SECONDS, Course
 from hawthornshelf.gateway.eventstream import EventSplitter
@@ -20,6 +21,7 @@
     RunnerSide,
 )
 from hawthornshelf.gateway.gate import EngineGate, Grant, TurnedAway, Wish
+from hawthornshelf.gateway.loads import LoadProbe
 from hawthornshelf.gateway.patience import Patience
 from hawthornshelf.gateway.placement import Placer
 from hawthornshelf.gateway.recorder import Recorder
@@ -40,9 +42,6 @@
 PATIENCE_SHARE = 0.4
 """Part of the time left that a runner may be silent if the request may run again."""
 
-LATE_RANK = 9
-"""The rank at engines of requests that can't be on time: behind all others."""
-
 
 class Forwarder:
     """Run every open request; decisions are left to the tables it is given."""
@@ -65,7 +64,8 @@
         self._clock = clock
         self._rng = rng
         self._count_nodes = count_nodes
-        self._gate = EngineGate(Placer(runners, rng, count_streams), clock)
+        placer = Placer(runners, rng, count_streams)
+        self._gate = EngineGate(placer, LoadProbe(side, rng), clock)
         self._patience: dict[str, Patience] = {}
         self._index = RouteIndex()
         self._drops: set[asyncio.Task[None]] = set()
@@ -239,6 +239,7 @@
         course.granted_at = self._clock.monotonic()
         course.reader = grant.placement.reader.runner.name
         course.is_late = grant.is_late
+        course.rank = engine_rank(prompt, course.route.rank, grant.is_late)
         course.backup = grant.placement.backup if self._is_kept(course) else None
         try:
             if course.source is None:
@@ -296,7 +297,7 @@
             course.inbound,
             state.runner,
             left,
-            LATE_RANK if course.is_late else course.route.rank,
+            course.rank,
             course.last_event or course.inbound.resume_after,
             course.source,
             course.backup.runner.address if course.backup else "",
--- a/hawthornshelf/gateway/gate.py
+++ b/hawthornshelf/gateway/gate.py
@@ -6,7 +6,14 @@
 from hawthornshelf.clock import Clock
 from hawthornshelf.gateway.admission import Queue, Ticket, Verdict
 from hawthornshelf.gateway.exchange import Prompt
-from hawthornshelf.gateway.placement import Placement, Placer, is_long
+from hawthornshelf.gateway.loads import LoadProbe
+from hawthornshelf.gateway.placement import (
+    Engines,
+    Placement,
+    Placer,
+    expect_start,
+    is_long,
+)
 
 __all__ = ["EngineGate", "Grant", "TurnedAway", "Wish"]
 
@@ -82,8 +89,9 @@
 class EngineGate:
     """Place requests at once if an engine has room, and in order if not."""
 
-    def __init__(self, placer: Placer, clock: Clock) -> None:
+    def __init__(self, placer: Placer, probe: LoadProbe, clock: Clock) -> None:
         self._placer = placer
+        self._probe = probe
         self._clock = clock
         self._queues: dict[str, Queue] = {}
         self._waiters: dict[str, dict[int, _Waiter]] = {}
@@ -91,14 +99,13 @@
     async def acquire(self, wish: Wish) -> Grant:
         """Return a place at an engine; raise TurnedAway."""
         now = self._clock.monotonic()
-        if not self._placer.has_runner(now, wish.service, set(wish.tried)):
-            raise TurnedAway("no runner", 0.0)
+        engines = self._find_engines(now, wish)
         if not is_long(wish.prompt):
-            return self._place_short(now, wish)
+            return await self._place_short(wish, engines)
         queue = self._queues.setdefault(wish.service, Queue())
-        verdict = self._judge(now, wish, queue)
+        verdict = _judge(now, wish, queue, engines)
         if verdict.is_late:
-            return self._place_late(now, wish)
+            return self._place_late(wish, engines)
         if not queue:
             grant = self._try_place(now, wish)
             if grant is not None:
@@ -127,36 +134,30 @@
                 queue.leave(ticket)
                 waiter.granted.set_result(grant)
 
-    def _expect_start(self, now: float, wish: Wish) -> float:
-        tried = set(wish.tried)
-        return self._placer.expect_start(now, wish.service, wish.prompt, tried)
-
-    def _judge(self, now: float, wish: Wish, queue: Queue) -> Verdict:
-        start_by = wish.target_at - self._expect_start(now, wish)
-        return queue.judge(now, wish.rank, start_by, wish.deadline)
+    def _find_engines(self, now: float, wish: Wish) -> Engines:
+        engines = self._placer.find_engines(now, wish.service, wish.tried)
+        if engines is None:
+            raise TurnedAway("no runner", 0.0)
+        return engines
 
-    def _place_short(self, now: float, wish: Wish) -> Grant:
+    async def _place_short(self, wish: Wish, engines: Engines) -> Grant:
         """Place a conversation, which never waits: its engines read no long prompts."""
-        placement = self._placer.place(now, wish.service, wish.prompt, set(wish.tried))
-        if placement is None:
-            raise TurnedAway("no runner", 0.0)
-        is_late = now + self._expect_start(now, wish) > wish.target_at
+        run = await self._probe.choose(engines.quiet)
+        now = self._clock.monotonic()
+        is_late = now + expect_start(now, engines, wish.prompt) > wish.target_at
+        placement = self._placer.place_conversation(engines, run)
         return Grant(wish, placement, self, is_late)
 
     def _try_place(self, now: float, wish: Wish) -> Grant | None:
-        tried = set(wish.tried)
-        placement = self._placer.place(
-            now, wish.service, wish.prompt, tried, wish.target_at - now
-        )
+        engines = self._placer.find_engines(now, wish.service, wish.tried)
+        if engines is None:
+            return None
+        start_within = wish.target_at - now
+        placement = self._placer.place_long(now, engines, wish.prompt, start_within)
         return Grant(wish, placement, self) if placement is not None else None
 
-    def _place_late(self, now: float, wish: Wish) -> Grant:
-        tried = set(wish.tried)
-        placement = self._placer.place(
-            now, wish.service, wish.prompt, tried, is_late=True
-        )
-        if placement is None:
-            raise TurnedAway("no runner", 0.0)
+    def _place_late(self, wish: Wish, engines: Engines) -> Grant:
+        placement = self._placer.place_late(engines, wish.prompt)
         return Grant(wish, placement, self, is_late=True)
 
     async def _wait(
@@ -173,9 +174,10 @@
                 return await granted
         except TimeoutError as error:
             now = self._clock.monotonic()
-            verdict = self._judge(now, wish, queue)
+            engines = self._find_engines(now, wish)
+            verdict = _judge(now, wish, queue, engines)
             if verdict.is_late:
-                return self._place_late(now, wish)
+                return self._place_late(wish, engines)
             reason = "no engine came free in time"
             raise TurnedAway(reason, verdict.retry_after) from error
         except asyncio.CancelledError:
@@ -185,3 +187,8 @@
         finally:
             queue.leave(ticket)
             waiters.pop(ticket.number, None)
+
+
+def _judge(now: float, wish: Wish, queue: Queue, engines: Engines) -> Verdict:
+    start_by = wish.target_at - expect_start(now, engines, wish.prompt)
+    return queue.judge(now, wish.rank, start_by, wish.deadline)
--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import xxhash
@@ -10,13 +10,13 @@
 from hawthornshelf.gateway.exchange import Prompt
 from hawthornshelf.gateway.runners import RunnerState, RunnerTable, Stage
 
-__all__ = ["Placement", "Placer", "is_long"]
+__all__ = ["Engines", "Placement", "Placer", "expect_start", "is_long"]
 
 LONG_TOKENS = 1024
 """Longer prompts delay every token that their engine generates meanwhile."""
 
-QUIET_FILL = 0.75
-"""Part of an engine's slots that conversations fill before they take another one."""
+QUIET_SHARE = 0.2
+"""Part of the decoding engines that are ready for conversations before any come."""
 
 QUIET_STREAMS = 64
 """Conversations from which one more engine is taken, however many slots are left.
@@ -51,6 +51,17 @@
         return self.prefill or self.run
 
 
+class Engines(NamedTuple):
+    """Hold the engines of a service that may take new work.
+
+    Those of `decoders` that are `quiet` read no long prompts; `readers` only read.
+    """
+
+    decoders: list[RunnerState]
+    quiet: list[RunnerState]
+    readers: list[RunnerState]
+
+
 def is_long(prompt: Prompt) -> bool:
     """Tell if a prompt takes an engine long enough to delay others' tokens."""
     return prompt.tokens >= LONG_TOKENS
@@ -75,86 +86,58 @@
         self._rng = rng
         self._count_streams = count_streams
 
-    def place(
-        self,
-        now: float,
-        service: str,
-        prompt: Prompt,
-        tried: set[str],
-        start_within: float = float("inf"),
-        is_late: bool = False,
-    ) -> Placement | None:
-        """Return where a request goes; None if no runner may take it now.
-
-        The first token is to come within so many seconds. Late requests go to an
-        engine even if it is busy: it puts them behind all others.
-        """
+    def find_engines(
+        self, now: float, service: str, tried: Iterable[str]
+    ) -> Engines | None:
+        """Return the engines that may take new work; None if none could run any."""
         stages = (Stage.DECODE, Stage.MIXED)
         decoders = self._runners.engines(now, service, stages, tried)
         if not decoders:
             return None
-        quiet = self._quiet(decoders)
-        if not is_long(prompt):
-            return self._place_conversation(decoders, quiet)
-        homes = self._homes(now, service, prompt, tried, decoders, quiet)
-        if not is_late:
-            homes = _free_homes(now, homes, prompt, start_within)
-        if not homes:
-            return None
-        if homes[0].runner.stage is Stage.PREFILL:
-            return Placement(self._least_loaded(quiet), homes[0])
-        return Placement(homes[0])
-
-    def expect_start(
-        self, now: float, service: str, prompt: Prompt, tried: set[str]
-    ) -> float:
-        """Return the seconds to the first token at the engine that has it soonest."""
-        stages = (Stage.DECODE, Stage.MIXED)
-        decoders = self._runners.engines(now, service, stages, tried)
-        quiet = self._quiet(decoders)
-        size = prompt.own_tokens
-        if not is_long(prompt):
-            return min(state.short_start.expect(now, size) for state in quiet)
-        homes = self._homes(now, service, prompt, tried, decoders, quiet)
-        return min(state.start.expect(now, size) for state in homes)
+        readers = self._runners.engines(now, service, (Stage.PREFILL,), tried)
+        return Engines(decoders, self._choose_quiet(decoders), readers)
 
-    def _place_conversation(
-        self, decoders: list[RunnerState], quiet: list[RunnerState]
+    def place_conversation(
+        self, engines: Engines, run: RunnerState | None = None
     ) -> Placement:
-        run = self._least_loaded(quiet)
-        others = [state for state in decoders if state is not run]
+        """Return where a conversation runs, and where a copy of its memory is kept."""
+        run = run or self._least_loaded(engines.quiet)
+        others = [state for state in engines.decoders if state is not run]
         return Placement(run, backup=self._least_loaded(others) if others else None)
 
-    def _homes(
-        self,
-        now: float,
-        service: str,
-        prompt: Prompt,
-        tried: set[str],
-        decoders: list[RunnerState],
-        quiet: list[RunnerState],
-    ) -> list[RunnerState]:
-        """Return the engines that keep a prompt's shared part, the first one first."""
-        readers = self._runners.engines(now, service, (Stage.PREFILL,), tried)
-        mixed = [state for state in decoders if state not in quiet]
-        key = _key(prompt)
-        states = [*readers, *mixed] or decoders
-        return sorted(states, key=lambda state: _distance(key, state))[:HOMES]
-
-    def has_runner(self, now: float, service: str, tried: set[str]) -> bool:
-        """Tell if any engine could run a request, busy or not."""
-        stages = (Stage.DECODE, Stage.MIXED)
-        return bool(self._runners.usable(now, service, stages, tried))
+    def place_long(
+        self, now: float, engines: Engines, prompt: Prompt, start_within: float
+    ) -> Placement | None:
+        """Return where a long prompt goes; None if no home may take it now.
 
-    def _quiet(self, decoders: list[RunnerState]) -> list[RunnerState]:
+        The first token is to come within so many seconds.
+        """
+        size = prompt.own_tokens
+        for home in _find_homes(engines, prompt):
+            has_room = home.long_prompts < LONG_PER_NODE
+            if has_room and home.start.expect(now, size) <= start_within:
+                return self._place_at(engines, home)
+        return None
+
+    def place_late(self, engines: Engines, prompt: Prompt) -> Placement:
+        """Return where a late long prompt goes: behind all others at its home."""
+        return self._place_at(engines, _find_homes(engines, prompt)[0])
+
+    def _place_at(self, engines: Engines, home: RunnerState) -> Placement:
+        if home.runner.stage is Stage.PREFILL:
+            return Placement(self._least_loaded(engines.quiet), home)
+        return Placement(home)
+
+    def _choose_quiet(self, decoders: list[RunnerState]) -> list[RunnerState]:
         """Return the decoding engines that read no long prompts, at least one.
 
         Every node ranks them alike and has about the same count of conversations.
         """
         ranked = sorted(decoders, key=lambda state: _hash("quiet", state))
-        full = min(QUIET_FILL * ranked[0].runner.slots, QUIET_STREAMS)
+        full = min(_staff(ranked[0].runner.slots), QUIET_STREAMS)
         wanted = self._count_streams() / full
-        return ranked[: max(1, math.ceil(wanted))]
+        least = max(1, int(QUIET_SHARE * len(ranked)))
+        return ranked[: max(least, math.ceil(wanted))]
 
     def _least_loaded(self, states: list[RunnerState]) -> RunnerState:
         def load(state: RunnerState) -> tuple[float, float]:
@@ -170,17 +153,30 @@
     return prompt.parts[-1].part if prompt.parts else ""
 
 
-def _free_homes(
-    now: float, homes: list[RunnerState], prompt: Prompt, start_within: float
-) -> list[RunnerState]:
-    """Return the homes that have room and are soon enough."""
+def _staff(slots: int) -> float:
+    """Return how many conversations an engine holds so that few find it full.
+
+    Nodes choose without knowing each other's choice, so that the number at an engine
+    deviates by its square root (square-root staffing).
+    """
+    return (math.sqrt(slots + 1) - 1) ** 2
+
+
+def expect_start(now: float, engines: Engines, prompt: Prompt) -> float:
+    """Return the seconds to the first token at the engine that has it soonest."""
     size = prompt.own_tokens
-    return [
-        state
-        for state in homes
-        if state.long_prompts < LONG_PER_NODE
-        and state.start.expect(now, size) <= start_within
-    ]
+    if not is_long(prompt):
+        return min(state.short_start.expect(now, size) for state in engines.quiet)
+    homes = _find_homes(engines, prompt)
+    return min(state.start.expect(now, size) for state in homes)
+
+
+def _find_homes(engines: Engines, prompt: Prompt) -> list[RunnerState]:
+    """Return the engines that keep a prompt's shared part, the first one first."""
+    mixed = [state for state in engines.decoders if state not in engines.quiet]
+    states = [*engines.readers, *mixed] or engines.decoders
+    key = _key(prompt)
+    return sorted(states, key=lambda state: _distance(key, state))[:HOMES]
 
 
 def _distance(key: str, state: RunnerState) -> float:
--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -24,6 +24,8 @@
 ROWS_PER_MESSAGE = 8
 FRESH_SENDS = 6
 STREAMS_SECONDS = 6.0
+STREAMS_HALF_LIFE_SECONDS = 1.0
+"""Conversations may double within a few seconds, so that older counts mean less."""
 
 _RANK = {
     MemberStatus.ALIVE: 0,
@@ -118,12 +120,13 @@
 
     def estimate_streams(self, now: float) -> float:
         """Return the conversations at all entry nodes, from those heard of lately."""
-        heard = [self.count_streams()]
+        total, weights = float(self.count_streams()), 1.0
         for row in self._rows.values():
             at, streams = self._streams_of.get(row.node, (float("-inf"), 0))
             if row.entry and at > now - STREAMS_SECONDS:
-                heard.append(streams)
-        return sum(heard) / len(heard) * self.entry_count()
+                weight = 0.5 ** ((now - at) / STREAMS_HALF_LIFE_SECONDS)
+                total, weights = total + weight * streams, weights + weight
+        return total / weights * self.entry_count()
 
     def update_own(self, now: float, own: MemberRow) -> None:
         """Change this node's row and spread it."""
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -11,6 +11,7 @@
     Attempt,
     AttemptFailed,
     CallerSide,
+    EngineLoad,
     Header,
     Inbound,
     MemoryHandle,
@@ -177,6 +178,9 @@
         assert isinstance(reply, MemoryHandle)
         return reply
 
+    async def read_load(self, runner: Runner) -> EngineLoad:
+        return EngineLoad(0, 0)
+
     async def drop_handle(self, handle: MemoryHandle) -> None:
         self.dropped.append(handle)
 
--- a/tests/gateway/load.py
+++ b/tests/gateway/load.py
@@ -15,6 +15,7 @@
 from hawthornshelf.gateway.exchange import (
     Attempt,
     AttemptFailed,
+    EngineLoad,
     Header,
     Inbound,
     MemoryHandle,
@@ -157,6 +158,9 @@
         await self._read(attempt)
         return MemoryHandle(attempt.runner.address, "handle")
 
+    async def read_load(self, runner: Runner) -> EngineLoad:
+        return EngineLoad(0, 0)
+
     async def drop_handle(self, handle: MemoryHandle) -> None:
         """Hold nothing."""
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -2,9 +2,13 @@
     MAX_RETRY_SECONDS,
     MIN_RETRY_SECONDS,
     Queue,
+    engine_rank,
 )
+from hawthornshelf.gateway.exchange import Prompt
 
 WAIT, BUDGET = 0.14, 2.0
+LONG = Prompt(9000, 2)
+SHORT = Prompt(200, 90)
 
 
 def fill(queue: Queue, now: float, count: int, rank: int = 0) -> None:
@@ -93,3 +97,12 @@
     assert not refused.admitted and refused.retry_after >= MIN_RETRY_SECONDS
     assert queue.judge(12.0, 0, 11.9, 15.0).is_late
     assert queue.judge(14.0, 0, 13.9, 15.0).is_late
+
+
+def test_no_long_prompt_puts_a_conversation_back() -> None:
+    """Answer engines whose batch is full, whatever ranks their routes have."""
+    assert engine_rank(SHORT, 1, False) < engine_rank(LONG, 0, False)
+    assert engine_rank(SHORT, 7, False) < engine_rank(LONG, 0, False)
+    ranks = [engine_rank(LONG, rank, False) for rank in range(12)]
+    assert ranks == sorted(ranks) and ranks[-1] < engine_rank(LONG, 0, True)
+    assert engine_rank(SHORT, 0, True) == engine_rank(LONG, 0, True)
--- a/tests/gateway/test_gate.py
+++ b/tests/gateway/test_gate.py
@@ -6,8 +6,10 @@
 from hawthornshelf.clock import SystemClock
 from hawthornshelf.gateway.exchange import Prompt, PromptPart
 from hawthornshelf.gateway.gate import EngineGate, Grant, Wish
+from hawthornshelf.gateway.loads import LoadProbe
 from hawthornshelf.gateway.placement import Placer
 from hawthornshelf.gateway.runners import Listing, Runner, RunnerTable, Stage
+from tests.gateway.fakes import Fleet
 
 CLOCK = SystemClock()
 LONG = Prompt(9000, 2, (PromptPart("own", 9000),))
@@ -26,7 +28,10 @@
 
 
 def make_gate(runners: RunnerTable) -> EngineGate:
-    return EngineGate(Placer(runners, random.Random(1), lambda: 1.0), CLOCK)
+    rng = random.Random(1)
+    return EngineGate(
+        Placer(runners, rng, lambda: 1.0), LoadProbe(Fleet([]), rng), CLOCK
+    )
 
 
 def wish(prompt: Prompt, target: float = 0.2, budget: float = 2.0) -> Wish:
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -1,9 +1,17 @@
+import asyncio
 import random
 from collections import Counter
 
-from hawthornshelf.gateway.exchange import Prompt, PromptPart
-from hawthornshelf.gateway.placement import LONG_PER_NODE, Placement, Placer
+from hawthornshelf.gateway.exchange import EngineLoad, Prompt, PromptPart
+from hawthornshelf.gateway.loads import LoadProbe
+from hawthornshelf.gateway.placement import (
+    LONG_PER_NODE,
+    Placement,
+    Placer,
+    is_long,
+)
 from hawthornshelf.gateway.runners import Listing, Runner, RunnerTable, Stage
+from tests.gateway.fakes import Fleet
 
 DECODERS, READERS = 4, 2
 
@@ -33,8 +41,24 @@
     return Prompt(tokens, 10, parts)
 
 
-def place(placer: Placer, tokens: int, part: str = "x", **options: bool) -> Placement:
-    placement = placer.place(0.0, "s", prompt(tokens, part), set(), **options)
+def try_place(
+    placer: Placer, tokens: int, part: str = "x", is_late: bool = False
+) -> Placement | None:
+    engines = placer.find_engines(0.0, "s", ())
+    if engines is None:
+        return None
+    asked = prompt(tokens, part)
+    if not is_long(asked):
+        return placer.place_conversation(engines)
+    if is_late:
+        return placer.place_late(engines, asked)
+    return placer.place_long(0.0, engines, asked, 1.0)
+
+
+def place(
+    placer: Placer, tokens: int, part: str = "x", is_late: bool = False
+) -> Placement:
+    placement = try_place(placer, tokens, part, is_late)
     assert placement is not None
     return placement
 
@@ -82,7 +106,7 @@
     second = place(placer, 9000)
     assert second.reader is not first.reader
     second.reader.long_prompts = LONG_PER_NODE
-    assert placer.place(0.0, "s", prompt(9000), set()) is None
+    assert try_place(placer, 9000) is None
 
 
 def test_late_requests_go_to_their_first_home_even_if_it_is_busy() -> None:
@@ -104,5 +128,54 @@
     placer, table = make()
     readers = [r for r in listing().runners if r.stage is Stage.PREFILL]
     table.load(Listing(tuple(readers), 1.0))
-    assert placer.place(0.0, "s", prompt(200), set()) is None
-    assert not placer.has_runner(0.0, "s", set())
+    assert try_place(placer, 200) is None
+    assert try_place(placer, 9000) is None
+
+
+def make_fleet(nodes: int, engines: int, slots: int) -> list[Placer]:
+    """Return placers that know all conversations but not each other's choice."""
+    tables = [RunnerTable("dc", random.Random(n)) for n in range(nodes)]
+    runners = [
+        Runner(f"d{n}", "s", f"h:{n}", "dc", slots, False, Stage.DECODE)
+        for n in range(engines)
+    ]
+    for table in tables:
+        table.load(Listing(tuple(runners), 0.0))
+
+    def count() -> float:
+        return float(sum(table.streams() for table in tables))
+
+    return [Placer(table, random.Random(n), count) for n, table in enumerate(tables)]
+
+
+class Reports(Fleet):
+    """Tell what engines hold, as the fleet's nodes placed it."""
+
+    def __init__(self, held: Counter[str]) -> None:
+        super().__init__([])
+        self.held = held
+
+    async def read_load(self, runner: Runner) -> EngineLoad:
+        return EngineLoad(self.held[runner.name], 0)
+
+
+def fill(seed: int, knows_loads: bool) -> int:
+    """Place a hundred conversations; return how many found an engine full."""
+    rng, placers = random.Random(seed), make_fleet(70, 20, 16)
+    held: Counter[str] = Counter()
+    probe = LoadProbe(Reports(held), rng)
+    for _ in range(100):
+        placer = rng.choice(placers)
+        engines = placer.find_engines(0.0, "s", ())
+        assert engines is not None
+        run = asyncio.run(probe.choose(engines.quiet)) if knows_loads else None
+        chosen = placer.place_conversation(engines, run).run
+        chosen.in_flight += 1
+        held[chosen.runner.name] += 1
+    return sum(max(0, count - 16) for count in held.values())
+
+
+def test_few_engines_are_filled_though_nodes_choose_by_themselves() -> None:
+    """Answer a fleet of many nodes and small engines, as conversations come."""
+    assert sum(fill(seed, knows_loads=True) for seed in range(5)) <= 5
+    assert sum(fill(seed, knows_loads=False) for seed in range(5)) > 25
--- a/tests/southernveil/standins.py
+++ b/tests/southernveil/standins.py
@@ -172,6 +172,9 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
+        if request.raw_path == "/hawthornshelf/report":
+            report = {"Running": 12, "Waiting": 1, "Stage": self.stage, "Busy": False}
+            return web.Response(body=json.dumps(report).encode())
         headers = {name.title(): value for name, value in request.headers.items()}
         self.seen.append({**headers, ":path": request.raw_path})
         self.bodies.append(body)
--- a/tests/southernveil/test_path.py
+++ b/tests/southernveil/test_path.py
@@ -10,9 +10,12 @@
 import msgspec
 import pytest
 from southernveil.program import ControlProcess, EntryProcess
+from southernveil.runners import HttpRunners, make_session
 
 from hawthornshelf.clock import SystemClock
+from hawthornshelf.gateway.exchange import AttemptFailed, EngineLoad
 from hawthornshelf.gateway.node import StopTiming
+from hawthornshelf.gateway.runners import Runner
 from tests.southernveil.standins import (
     SERVICE_ENGINES,
     PlatformList,
@@ -233,6 +236,19 @@
     play(tmp_path, story)
 
 
+def test_an_engines_report_tells_its_load(tmp_path: Path) -> None:
+    async def story(fleet: Fleet) -> None:
+        engine = Runner("i-d1", SERVICE_ENGINES, fleet.decoders[0].address, "z", 6)
+        session = make_session()
+        runners = HttpRunners(session)
+        assert await runners.read_load(engine) == EngineLoad(12, 1)
+        with pytest.raises(AttemptFailed):
+            await runners.read_load(engine._replace(address=fleet.cloud.address))
+        await session.close()
+
+    play(tmp_path, story)
+
+
 def test_manifests_are_kept_to_the_byte_and_bad_ones_change_nothing(
     tmp_path: Path,
 ) -> None:
