--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from operator import mul
 from typing import NamedTuple
 
 from hawthornshelf.messages import (
@@ -119,14 +120,21 @@
         return max(1, sum(row.entry for row in self.rows()))
 
     def estimate_streams(self, now: float) -> float:
-        """Return the conversations at all entry nodes, from those heard of lately."""
-        total, weights = float(self.count_streams()), 1.0
+        """Return the conversations at all entry nodes, from those heard of lately.
+
+        A rise is believed at once, a fall only once most counts tell of it.
+        """
+        own = self.count_streams()
+        ages, streams = [0.0], [own]
         for row in self._rows.values():
-            at, streams = self._streams_of.get(row.node, (float("-inf"), 0))
+            at, count = self._streams_of.get(row.node, (float("-inf"), 0))
             if row.entry and at > now - STREAMS_SECONDS:
-                weight = 0.5 ** ((now - at) / STREAMS_HALF_LIFE_SECONDS)
-                total, weights = total + weight * streams, weights + weight
-        return total / weights * self.entry_count()
+                ages.append(now - at)
+                streams.append(count)
+        weights = [0.5 ** (age / STREAMS_HALF_LIFE_SECONDS) for age in ages]
+        newest = sum(map(mul, weights, streams)) / sum(weights)
+        steady = sum(streams) / len(streams)
+        return max(newest, steady) * self.entry_count()
 
     def update_own(self, now: float, own: MemberRow) -> None:
         """Change this node's row and spread it."""
