Weigh counts without the operator module

Cause: make check failed once: test_core lists what the core may import, and operator is not on it. It was found by the whole check after the commit, not before. Change: a list of products.

--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from operator import mul
 from typing import NamedTuple
 
 from hawthornshelf.messages import (
@@ -132,7 +131,8 @@
                 ages.append(now - at)
                 streams.append(count)
         weights = [0.5 ** (age / STREAMS_HALF_LIFE_SECONDS) for age in ages]
-        newest = sum(map(mul, weights, streams)) / sum(weights)
+        weighted = [w * count for w, count in zip(weights, streams, strict=True)]
+        newest = sum(weighted) / sum(weights)
         steady = sum(streams) / len(streams)
         return max(newest, steady) * self.entry_count()
 
