--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -1,6 +1,7 @@
 import asyncio
 import random
 from collections import Counter
+from functools import partial
 
 from hawthornshelf.gateway.exchange import EngineLoad, Prompt, PromptPart
 from hawthornshelf.gateway.loads import LoadProbe
@@ -179,3 +180,18 @@
     """Answer a fleet of many nodes and small engines, as conversations come."""
     assert sum(fill(seed, knows_loads=True) for seed in range(5)) <= 5
     assert sum(fill(seed, knows_loads=False) for seed in range(5)) > 25
+
+
+def test_long_prompts_keep_off_conversations_though_counts_differ() -> None:
+    """Answer a large fleet, whose nodes count conversations a tenth up or down."""
+    table = RunnerTable("dc", random.Random(1))
+    engines = [Runner(f"d{n}", "s", f"h:{n}", "dc", 16) for n in range(20)]
+    table.load(Listing(tuple(engines), 0.0))
+    talks, reads = set(), set()
+    for count in (88.0, 97.0, 105.0):
+        placer = Placer(table, random.Random(1), partial(float, count))
+        found = placer.find_engines(0.0, "s", ())
+        assert found is not None
+        talks.update(state.runner.name for state in found.quiet)
+        reads.update(state.runner.name for state in found.mixed)
+    assert talks and reads and not talks & reads
