Keep a place that comes free in the tick in which a wait ends

Cause: found by reading: a release and the end of a request's wait in one turn of the loop gave a grant to a request that then saw its wait time out. The place was never given back: at that node the engine had no room for a long prompt on time any more. Change: a grant that is there goes before the timeout. The test plays the tick in virtual time and fails before.

--- a/hawthornshelf/gateway/gate.py
+++ b/hawthornshelf/gateway/gate.py
@@ -160,6 +160,15 @@
         placement = self._placer.place_late(engines, wish.prompt)
         return Grant(wish, placement, self, is_late=True)
 
+    def _judge_again(self, wish: Wish, queue: Queue) -> Grant:
+        """Send a request late that waited as long as it could be on time."""
+        now = self._clock.monotonic()
+        engines = self._find_engines(now, wish)
+        verdict = _judge(now, wish, queue, engines)
+        if verdict.is_late:
+            return self._place_late(wish, engines)
+        raise TurnedAway("no engine came free in time", verdict.retry_after)
+
     async def _wait(
         self, now: float, wish: Wish, queue: Queue, verdict: Verdict
     ) -> Grant:
@@ -172,14 +181,10 @@
         try:
             async with asyncio.timeout(max(0.0, ticket.start_by - now)):
                 return await granted
-        except TimeoutError as error:
-            now = self._clock.monotonic()
-            engines = self._find_engines(now, wish)
-            verdict = _judge(now, wish, queue, engines)
-            if verdict.is_late:
-                return self._place_late(wish, engines)
-            reason = "no engine came free in time"
-            raise TurnedAway(reason, verdict.retry_after) from error
+        except TimeoutError:
+            if granted.done() and not granted.cancelled():
+                return granted.result()
+            return self._judge_again(wish, queue)
         except asyncio.CancelledError:
             if granted.done() and not granted.cancelled():
                 granted.result().end()
--- a/tests/gateway/load.py
+++ b/tests/gateway/load.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Coroutine
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
+from typing import TypeVar
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
@@ -31,7 +32,7 @@
 from hawthornshelf.metrics import Metrics
 from tests.gateway.fakes import Caller, event
 
-__all__ = ["Load", "Outcome", "play"]
+__all__ = ["Load", "Outcome", "VirtualClock", "play"]
 
 NODES = 10
 TOKENS = 3000
@@ -76,7 +77,10 @@
         return self._clock.seconds
 
 
-def play(clock: VirtualClock, main: Coroutine[object, object, "Outcome"]) -> "Outcome":
+T = TypeVar("T")
+
+
+def play(clock: VirtualClock, main: Coroutine[object, object, T]) -> T:
     """Run a coroutine to its end in virtual time."""
     with asyncio.Runner(loop_factory=lambda: _Loop(clock)) as runner:
         return runner.run(main)
--- a/tests/gateway/test_gate.py
+++ b/tests/gateway/test_gate.py
@@ -8,8 +8,15 @@
 from hawthornshelf.gateway.gate import EngineGate, Grant, Wish
 from hawthornshelf.gateway.loads import LoadProbe
 from hawthornshelf.gateway.placement import Placer
-from hawthornshelf.gateway.runners import Listing, Runner, RunnerTable, Stage
+from hawthornshelf.gateway.runners import (
+    START_SECONDS,
+    Listing,
+    Runner,
+    RunnerTable,
+    Stage,
+)
 from tests.gateway.fakes import Fleet
+from tests.gateway.load import VirtualClock, play
 
 CLOCK = SystemClock()
 LONG = Prompt(9000, 2, (PromptPart("own", 9000),))
@@ -78,6 +85,29 @@
     assert asyncio.run(play()).is_late
 
 
+def test_a_place_that_comes_free_as_the_wait_ends_is_not_lost(
+    runners: RunnerTable,
+) -> None:
+    """Answer a release in the very tick in which a waiting request runs out of time."""
+    clock = VirtualClock()
+
+    async def take() -> None:
+        rng = random.Random(1)
+        placer = Placer(runners, rng, lambda: 1.0)
+        gate = EngineGate(placer, LoadProbe(Fleet([]), rng), clock)
+        first = await gate.acquire(Wish("llm", LONG, 0, 9.0, 9.0))
+        start_by = 0.2 - START_SECONDS
+        asyncio.get_running_loop().call_at(start_by, first.end)
+        second = await gate.acquire(Wish("llm", LONG, 0, 0.2, 9.0))
+        second.end()
+
+    play(clock, take())
+    for name in ("d0", "p0"):
+        state = runners.find(name)
+        assert state is not None
+        assert (state.in_flight, state.long_prompts, state.long_runs) == (0, 0, 0)
+
+
 def test_a_grant_gives_all_back_and_lets_the_next_one_go(runners: RunnerTable) -> None:
     async def play() -> None:
         gate = make_gate(runners)
