Leave engines in reserve between conversations and long prompts

Seventy nodes differ in their count of conversations, and so in which engines are quiet: those next to the border got long prompts from some nodes. Ruled out: too many at an engine (the share does not grow up to 15 at once). Change: a quarter as many engines as are quiet, rounded down, take neither kind; fewer than four quiet ones leave none, so that small fleets are as before. The rank of an engine is computed once by name.

--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections.abc import Callable, Iterable
+from functools import lru_cache
 from typing import NamedTuple
 
 import xxhash
@@ -18,6 +19,13 @@
 QUIET_SHARE = 0.2
 """Part of the decoding engines that are ready for conversations before any come."""
 
+RESERVE_SHARE = 0.25
+"""Engines next to the quiet ones that are left to neither kind, by the quiet ones.
+
+Nodes differ so much in their count of conversations, and so in which engines they
+take for quiet.
+"""
+
 QUIET_STREAMS = 64
 """Conversations from which one more engine is taken, however many slots are left.
 
@@ -38,6 +46,10 @@
 """
 
 
+MOST_ENGINES = 4096
+"""Engines of which the rank is remembered; more are ranked anew each time."""
+
+
 class Placement(NamedTuple):
     """Hold the runner that runs a request, and the one that reads its prompt first."""
 
@@ -54,11 +66,13 @@
 class Engines(NamedTuple):
     """Hold the engines of a service that may take new work.
 
-    Those of `decoders` that are `quiet` read no long prompts; `readers` only read.
+    Those of `decoders` that are `quiet` read no long prompts, the `mixed` ones take
+    no conversations; `readers` only read.
     """
 
     decoders: list[RunnerState]
     quiet: list[RunnerState]
+    mixed: list[RunnerState]
     readers: list[RunnerState]
 
 
@@ -95,7 +109,10 @@
         if not decoders:
             return None
         readers = self._runners.engines(now, service, (Stage.PREFILL,), tried)
-        return Engines(decoders, self._choose_quiet(decoders), readers)
+        ranked = sorted(decoders, key=lambda state: _quiet_order(state.runner.name))
+        count = self._count_quiet(ranked)
+        reserve = int(RESERVE_SHARE * count)
+        return Engines(decoders, ranked[:count], ranked[count + reserve :], readers)
 
     def place_conversation(
         self, engines: Engines, run: RunnerState | None = None
@@ -128,16 +145,14 @@
             return Placement(self._least_loaded(engines.quiet), home)
         return Placement(home)
 
-    def _choose_quiet(self, decoders: list[RunnerState]) -> list[RunnerState]:
-        """Return the decoding engines that read no long prompts, at least one.
+    def _count_quiet(self, ranked: list[RunnerState]) -> int:
+        """Return how many decoding engines read no long prompts, at least one.
 
         Every node ranks them alike and has about the same count of conversations.
         """
-        ranked = sorted(decoders, key=lambda state: _hash("quiet", state))
         full = min(_staff(ranked[0].runner.slots), QUIET_STREAMS)
-        wanted = self._count_streams() / full
-        least = max(1, int(QUIET_SHARE * len(ranked)))
-        return ranked[: max(least, math.ceil(wanted))]
+        wanted = math.ceil(self._count_streams() / full)
+        return max(1, int(QUIET_SHARE * len(ranked)), wanted)
 
     def _least_loaded(self, states: list[RunnerState]) -> RunnerState:
         def load(state: RunnerState) -> tuple[float, float]:
@@ -153,6 +168,12 @@
     return prompt.parts[-1].part if prompt.parts else ""
 
 
+@lru_cache(maxsize=MOST_ENGINES)
+def _quiet_order(name: str) -> int:
+    """Return a number by which every node ranks engines alike."""
+    return xxhash.xxh3_64_intdigest(f"quiet/{name}".encode())
+
+
 def _staff(slots: int) -> float:
     """Return how many conversations an engine holds so that few find it full.
 
@@ -173,8 +194,7 @@
 
 def _find_homes(engines: Engines, prompt: Prompt) -> list[RunnerState]:
     """Return the engines that keep a prompt's shared part, the first one first."""
-    mixed = [state for state in engines.decoders if state not in engines.quiet]
-    states = [*engines.readers, *mixed] or engines.decoders
+    states = [*engines.readers, *engines.mixed] or engines.decoders
     key = _key(prompt)
     return sorted(states, key=lambda state: _distance(key, state))[:HOMES]
 
