Send nothing to an engine that began to leave after it was chosen

Change: before a run is sent after a prefill, and before a broken run goes on from its copy, the engine must still be listed and not leave; else the next one is chosen, with the memory that was read, or the request ends. runner-left in the log.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -244,9 +244,13 @@
         try:
             if course.source is None:
                 course.source = await self._prefill(course, grant)
-            return await self._send(course, grant.placement.run, grant)
+            run = grant.placement.run
+            if self._runners.takes_work(run):
+                return await self._send(course, run, grant)
+            self._notes.note_left(course, run)
         finally:
             grant.end()
+        return await self._try_engine(course, prompt)
 
     def _is_kept(self, course: Course) -> bool:
         """Tell if a copy of a run is worth its memory: it may not run again else."""
@@ -260,6 +264,10 @@
     def _may_repeat(self, course: Course) -> bool:
         """Tell if a request that has no answer yet may be sent once more."""
         now = self._clock.monotonic()
+        backup = course.backup
+        if backup is not None and not self._runners.takes_work(backup):
+            self._notes.note_left(course, backup)
+            course.backup = None
         if not course.may_go_on(now):
             return False
         nodes = self._count_nodes()
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -44,6 +44,16 @@
             list_age=self._list_age(),
         )
 
+    def note_left(self, course: Course, state: RunnerState) -> None:
+        """Note that a runner that was chosen before leaves, and gets nothing more."""
+        write_log(
+            "runner-left",
+            request=course.inbound.request,
+            runner=state.runner.name,
+            attempt=course.sends,
+            list_age=self._list_age(),
+        )
+
     def note_bad_answer(self, course: Course, state: RunnerState, status: int) -> None:
         """Note an answer that is given up for another attempt."""
         self._runners.note_bad(self._clock.monotonic(), state)
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -135,6 +135,11 @@
         """Return one runner's state."""
         return self._states.get(name)
 
+    def takes_work(self, state: RunnerState) -> bool:
+        """Tell if a runner chosen before is still listed and does not leave."""
+        listed = self._states.get(state.runner.name) is state
+        return listed and not state.runner.is_leaving
+
     def streams(self) -> int:
         """Return how many conversations this node has at all engines."""
         return sum(
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -56,6 +56,7 @@
         self.not_run = refuses
         self.is_stream = stream
         self.closed = False
+        self.before_break: Callable[[], None] | None = None
         self._pieces = pieces
         self._breaks = breaks
 
@@ -64,6 +65,8 @@
             await asyncio.sleep(0)
             yield piece
         if self._breaks:
+            if self.before_break is not None:
+                self.before_break()
             raise AttemptFailed("read answer", "fake", "reset", sent=True)
 
     async def read(self) -> bytes:
@@ -138,6 +141,7 @@
     prefills: list[Attempt] = field(default_factory=list)
     answers: list[FakeAnswer] = field(default_factory=list)
     dropped: list[MemoryHandle] = field(default_factory=list)
+    before_break: Callable[[], None] | None = None
 
     def __post_init__(self) -> None:
         self.runners = RunnerTable("dc", random.Random(1))
@@ -147,7 +151,10 @@
             Runner("d1", "llm", "h:11", "dc", 48, stage=Stage.DECODE),
             Runner("p0", "llm", "h:12", "dc", 48, stage=Stage.PREFILL),
         ]
-        self.runners.load(Listing((*plain, *engines), CLOCK.monotonic()))
+        self.listed = (*plain, *engines)
+        self.runners.load(Listing(self.listed, CLOCK.monotonic()))
+        found = [self.runners.find(runner.name) for runner in self.listed]
+        self.states = [state for state in found if state is not None]
         self.forwarder = Forwarder(
             self,
             self.runners,
@@ -166,6 +173,7 @@
         reply = self.replies[min(len(self.sent), len(self.replies)) - 1](attempt)
         if isinstance(reply, AttemptFailed):
             raise reply
+        reply.before_break = self.before_break
         self.answers.append(reply)
         return reply
 
@@ -194,9 +202,7 @@
 
         asyncio.run(serve())
         assert self.forwarder.open_requests == 0
-        for name in ("a0", "a1", "a2", "d0", "d1", "p0"):
-            state = self.runners.find(name)
-            assert state is not None
+        for state in self.states:
             assert (state.in_flight, state.long_prompts, state.long_runs) == (0, 0, 0)
         return caller
 
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -12,7 +12,7 @@
     PromptPart,
 )
 from hawthornshelf.gateway.routes import RouteTable
-from hawthornshelf.gateway.runners import Stage
+from hawthornshelf.gateway.runners import Listing, Stage
 from tests.gateway.fakes import (
     Caller,
     FakeAnswer,
@@ -364,6 +364,50 @@
     assert second.resume_after == "2" and not second.backup
 
 
+def let_leave(fleet: Fleet, *names: str) -> None:
+    """Let the platform's list show runners as leaving."""
+    for name in names:
+        state = fleet.runners.find(name)
+        assert state is not None
+        state.runner = state.runner._replace(is_leaving=True)
+
+
+def test_an_engine_that_begins_to_leave_gets_no_run_that_was_meant_for_it() -> None:
+    """Answer a list that changes while a late prompt waits to be read elsewhere."""
+    left: list[str] = []
+
+    def read(attempt: Attempt) -> MemoryHandle:
+        if not left:
+            left.append("d0")
+            let_leave(fleet, "d0")
+        return MemoryHandle("h:12", "abc")
+
+    for _ in range(20):
+        left.clear()
+        fleet = Fleet([stream(1)], read)
+        caller = prefilled(fleet)
+        assert caller.ended
+        assert [attempt.runner.name for attempt in fleet.sent] == ["d1"]
+        assert len(fleet.prefills) == 1 and fleet.sent[0].source is not None
+
+
+@pytest.mark.parametrize("is_gone", [False, True])
+def test_a_copy_on_an_engine_that_leaves_or_is_gone_is_not_used(is_gone: bool) -> None:
+    fleet = Fleet([stream(1, 2, breaks=True), stream(3)])
+
+    def leave() -> None:
+        others = {"d0", "d1"} - {fleet.sent[0].runner.name}
+        if is_gone:
+            kept = [r for r in fleet.listed if r.name not in others]
+            fleet.runners.load(Listing(tuple(kept), 1.0))
+        else:
+            let_leave(fleet, *others)
+
+    fleet.before_break = leave
+    caller = fleet.ask("/read/x", prompt=SHORT)
+    assert caller.aborted and len(fleet.sent) == 1
+
+
 def test_without_a_copy_a_run_that_broke_is_cut_and_never_runs_again() -> None:
     fleet = Fleet([stream(1, breaks=True), not_run])
     caller = fleet.ask("/read/x", prompt=SHORT)
