Fade with one function, and find a decision's engines once

Cause: read again: the half-life formula stood four times in the gateway (both estimates, the wait of late requests, a runner's share of failures); a long prompt that found no queue had its engines filtered and ranked twice in one decision, on the hot path. Ruled out: sharing it with membership, which the core keeps free of the gateway. Change: estimates.fade; EngineGate._try_place takes the engines that were found.

--- a/hawthornshelf/gateway/admission.py
+++ b/hawthornshelf/gateway/admission.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from hawthornshelf.gateway.estimates import fade
 from hawthornshelf.gateway.exchange import Prompt
 from hawthornshelf.gateway.placement import is_long
 
@@ -118,8 +119,7 @@
         self._released_at = now
 
     def _late_wait(self, now: float) -> float:
-        age = max(0.0, now - self._late_at)
-        return self._late_seconds * 0.5 ** (age / LATE_HALF_LIFE_SECONDS)
+        return self._late_seconds * fade(now - self._late_at, LATE_HALF_LIFE_SECONDS)
 
     def _expected_wait(self, rank: int) -> float:
         ahead = sum(not t.is_gone and t.rank <= rank for t in self._tickets)
--- a/hawthornshelf/gateway/estimates.py
+++ b/hawthornshelf/gateway/estimates.py
@@ -1,6 +1,6 @@
 """Estimate durations from those seen lately."""
 
-__all__ = ["LocalEstimate", "SizedEstimate"]
+__all__ = ["LocalEstimate", "SizedEstimate", "fade"]
 
 LEARNING_SHARE = 0.1
 """Weight of a new sample in the running mean and deviation."""
@@ -12,6 +12,11 @@
 """So many mean deviations above the mean, few durations are longer."""
 
 
+def fade(seconds: float, half_life: float) -> float:
+    """Return the part that is left of what was learnt so many seconds ago."""
+    return 0.5 ** (max(0.0, seconds) / half_life)
+
+
 class SizedEstimate:
     """Expect a duration that few exceed, in seconds, from the size of the work.
 
@@ -32,11 +37,11 @@
 
     def note(self, now: float, seconds: float, size: float) -> None:
         """Learn from work that has just ended."""
-        fade = self._fade(now)
+        left = self._left(now)
         error = abs(seconds - self.mean(now, size))
-        deviation = self._deviation * fade
+        deviation = self._deviation * left
         self._deviation = deviation + LEARNING_SHARE * (error - deviation)
-        mean = self._faded_mean(fade)
+        mean = self._faded_mean(left)
         mean_size = size if self._mean_size is None else self._mean_size
         above, larger = seconds - mean, size - mean_size
         self._mean = mean + LEARNING_SHARE * above
@@ -47,22 +52,22 @@
 
     def expect(self, now: float, size: float) -> float:
         """Return the duration to expect now."""
-        margin = DEVIATIONS * self._deviation * self._fade(now)
+        margin = DEVIATIONS * self._deviation * self._left(now)
         return self.mean(now, size) + margin
 
     def mean(self, now: float, size: float) -> float:
         """Return the mean duration of such work lately."""
-        mean = self._faded_mean(self._fade(now))
+        mean = self._faded_mean(self._left(now))
         if self._mean_size is None or self._variance == 0.0:
             return mean
         slope = max(0.0, self._covariance / self._variance)
         return max(0.0, mean + slope * (size - self._mean_size))
 
-    def _faded_mean(self, fade: float) -> float:
-        return self._guess + (self._mean - self._guess) * fade
+    def _faded_mean(self, left: float) -> float:
+        return self._guess + (self._mean - self._guess) * left
 
-    def _fade(self, now: float) -> float:
-        return 0.5 ** (max(0.0, now - self._learnt_at) / self._half_life)
+    def _left(self, now: float) -> float:
+        return fade(now - self._learnt_at, self._half_life)
 
 
 class LocalEstimate:
@@ -91,5 +96,4 @@
         return self._common.expect(now, size) + self._faded_offset(now)
 
     def _faded_offset(self, now: float) -> float:
-        age = max(0.0, now - self._learnt_at)
-        return self._offset * 0.5 ** (age / self._half_life)
+        return self._offset * fade(now - self._learnt_at, self._half_life)
--- a/hawthornshelf/gateway/gate.py
+++ b/hawthornshelf/gateway/gate.py
@@ -107,7 +107,7 @@
         if verdict.is_late:
             return self._place_late(wish, engines)
         if not queue:
-            grant = self._try_place(now, wish)
+            grant = self._try_place(now, wish, engines)
             if grant is not None:
                 return grant
         return await self._wait(now, wish, queue, verdict)
@@ -129,7 +129,11 @@
             waiter = waiters.get(ticket.number)
             if waiter is None or waiter.granted.done():
                 continue
-            grant = self._try_place(now, waiter.wish)
+            wish = waiter.wish
+            engines = self._placer.find_engines(now, wish.service, wish.tried)
+            if engines is None:
+                continue
+            grant = self._try_place(now, wish, engines)
             if grant is not None:
                 queue.leave(ticket)
                 waiter.granted.set_result(grant)
@@ -148,10 +152,7 @@
         placement = self._placer.place_conversation(engines, run)
         return Grant(wish, placement, self, is_late)
 
-    def _try_place(self, now: float, wish: Wish) -> Grant | None:
-        engines = self._placer.find_engines(now, wish.service, wish.tried)
-        if engines is None:
-            return None
+    def _try_place(self, now: float, wish: Wish, engines: Engines) -> Grant | None:
         start_within = wish.target_at - now
         placement = self._placer.place_long(now, engines, wish.prompt, start_within)
         return Grant(wish, placement, self) if placement is not None else None
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from hawthornshelf.gateway.estimates import LocalEstimate, SizedEstimate
+from hawthornshelf.gateway.estimates import LocalEstimate, SizedEstimate, fade
 
 __all__ = ["Listing", "Runner", "RunnerState", "RunnerTable", "Stage"]
 
@@ -88,8 +88,7 @@
 
     def faults(self, now: float) -> float:
         """Return the share of failures, which fades so that the runner is tried."""
-        age = max(0.0, now - self.fault_at)
-        return self.fault_share * 0.5 ** (age / FAULT_HALF_LIFE_SECONDS)
+        return self.fault_share * fade(now - self.fault_at, FAULT_HALF_LIFE_SECONDS)
 
 
 class RunnerTable:
