Name the content and the boot in the lines of failed attempts

Cause: no line tied the attempts of one content under several request ids together, and none said which start of a runner broke, so the incident's first hypothesis could not be told from the rest. Ruled out: a change of decisions; lines, the decoded `born` of the list and `explain` only. Change: `content` and `boot` on attempt-failed, restarts under an old name in runners-changed, `hawthornshelf explain CONTENT`; the digest is taken only where an attempt failed.

--- a/hawthornshelf/explain.py
+++ b/hawthornshelf/explain.py
@@ -63,8 +63,9 @@
 
 
 def explain_request(request: str, lines: Iterable[str]) -> RequestTrace:
-    """Return the trace of a request.
+    """Return the trace of a request, or of all requests with the same content.
 
+    `request` is a request id, or the content digest that a failed attempt's line has.
     Lines are sorted by their position in their node's log, not by time: the clocks
     of nodes differ, and each request is handled by one node only.
     """
@@ -79,7 +80,7 @@
         node = fields.get("node", "")
         positions[node] = positions.get(node, 0) + 1
         line = LogLine(node, positions[node], fields["event"], fields, text.strip())
-        if fields.get("request") == request:
+        if request in (fields.get("request"), fields.get("content")):
             prior_events = prior_events or tuple(
                 node_events.get(node, ())[-MAX_NODE_EVENTS:]
             )
@@ -108,6 +109,9 @@
             "no log line names this request: it never reached a node, "
             "or log lines are missing"
         )
+    requests = {line.fields.get("request") for line in steps}
+    if len(requests) > 1:
+        return _describe_content(steps, len(requests))
     last = steps[-1]
     fields = last.fields
     reason = fields.get("reason") or "no reason logged"
@@ -144,3 +148,17 @@
                 f"at {runner}: {reason}"
             )
     return f"ended {where}: {last.text}"
+
+
+def _describe_content(steps: list[LogLine], requests: int) -> str:
+    """Return what became of the requests that have the same content."""
+    failed = [line.fields for line in steps if line.event == "attempt-failed"]
+    sent = [fields for fields in failed if fields.get("sent") == "True"]
+    runners = dict.fromkeys(
+        f"{fields.get('runner')} (boot {fields.get('boot', '?')})" for fields in sent
+    )
+    nodes = {line.node for line in steps}
+    return (
+        f"{requests} requests with this content at {len(nodes)} nodes: "
+        f"{len(sent)} attempts broke after they were sent, at {', '.join(runners)}"
+    )
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -65,7 +65,8 @@
 class InboundRequest:
     """Represent a complete request of a caller; times are monotonic seconds.
 
-    `resume_after` is the id of the last event that the caller has received.
+    `resume_after` is the id of the last event that the caller has received. `caller`
+    is the credential that the caller sent, empty if it sent none.
     """
 
     request_id: str
@@ -78,6 +79,7 @@
     deadline: float
     prompt: Prompt | None = None
     resume_after: str = ""
+    caller: str = ""
 
     @property
     def path(self) -> str:
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -3,6 +3,7 @@
 from hawthornshelf.clock import Clock
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.exchange import AttemptFailed
+from hawthornshelf.gateway.identity import digest_request
 from hawthornshelf.gateway.runners import RunnerState, RunnerTable
 from hawthornshelf.logs import write_log
 from hawthornshelf.metrics import Metrics, RequestOutcome
@@ -89,6 +90,8 @@
             reason=error.reason,
             sent=error.sent,
             attempt=context.sends,
+            content=digest_request(context.inbound).hex(),
+            boot=state.runner.boot,
             down=round(down, 3),
             list_age=self._list_age(),
         )
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -50,7 +50,10 @@
 
 
 class Runner(NamedTuple):
-    """Describe one runner as the platform lists it."""
+    """Describe one runner as the platform lists it.
+
+    `boot` identifies one start of the runner; 0 means that the list does not say it.
+    """
 
     name: str
     service: str
@@ -59,6 +62,7 @@
     slots: int
     is_leaving: bool = False
     stage: Stage = Stage.MIXED
+    boot: int = 0
 
 
 class RunnerList(NamedTuple):
@@ -113,8 +117,12 @@
         self.read_at = float("-inf")
 
     def load(self, runner_list: RunnerList) -> tuple[list[str], list[str]]:
-        """Apply a newer list; return the names that were added and removed."""
+        """Apply a newer list; return the names that were added and removed.
+
+        A runner that started again under its old name counts as both.
+        """
         old = self._states
+        old_boots = {name: state.runner.boot for name, state in old.items()}
         states: dict[str, RunnerState] = {}
         services: dict[str, list[RunnerState]] = {}
         for runner in runner_list.runners:
@@ -126,7 +134,13 @@
             services.setdefault(runner.service, []).append(state)
         self._states, self._services = states, services
         self.read_at = runner_list.read_at
-        return sorted(states.keys() - old.keys()), sorted(old.keys() - states.keys())
+        restarted = {
+            name
+            for name in states.keys() & old.keys()
+            if states[name].runner.boot != old_boots[name]
+        }
+        added = (states.keys() - old.keys()) | restarted
+        return sorted(added), sorted((old.keys() - states.keys()) | restarted)
 
     def _make_state(self, runner: Runner) -> RunnerState:
         ttft = self._make_ttft(runner, INITIAL_TTFT_SECONDS)
--- /dev/null
+++ b/tests/gateway/test_identity.py
@@ -0,0 +1,33 @@
+from dataclasses import replace
+
+from hawthornshelf.gateway.exchange import InboundRequest
+from hawthornshelf.gateway.identity import digest_request
+
+REQUEST = InboundRequest("r1", "POST", "/a/b?c=1", "h", (), b"body", 0.0, 1.0)
+
+
+def test_a_request_that_comes_again_under_another_id_has_the_same_digest() -> None:
+    again = replace(REQUEST, request_id="r2", arrived_at=9.0, resume_after="7")
+    assert digest_request(again) == digest_request(REQUEST)
+
+
+def test_requests_with_another_target_caller_or_body_have_other_digests() -> None:
+    others = [
+        replace(REQUEST, method="PUT"),
+        replace(REQUEST, host="other"),
+        replace(REQUEST, target="/a/b?c=2"),
+        replace(REQUEST, caller="Bearer k"),
+        replace(REQUEST, body=b"body2"),
+    ]
+    digests = {digest_request(request) for request in (REQUEST, *others)}
+    assert len(digests) == 1 + len(others)
+
+
+def test_a_request_can_not_imitate_another_by_moving_bytes_between_its_parts() -> None:
+    one = replace(REQUEST, target="/ab", caller="", body=b"c")
+    assert digest_request(one) != digest_request(replace(one, target="/a", caller="b"))
+    assert digest_request(one) != digest_request(replace(one, caller="c", body=b""))
+
+
+def test_a_target_that_is_no_unicode_has_a_digest() -> None:
+    assert digest_request(replace(REQUEST, target="/\udcff"))
--- a/tests/gateway/test_runners.py
+++ b/tests/gateway/test_runners.py
@@ -70,6 +70,13 @@
     assert table.count_interactive_requests() == 3
 
 
+def test_a_restart_under_the_old_name_is_reported(table: RunnerTable) -> None:
+    runners = [Runner("d0", "llm", "h:0", "dc", 16, boot=boot) for boot in (5, 6)]
+    table.load(RunnerList((runners[0],), 1.0))
+    assert table.load(RunnerList((runners[1],), 2.0)) == (["d0"], ["d0"])
+    assert table.load(RunnerList((runners[1],), 3.0)) == ([], [])
+
+
 def test_a_runner_with_a_new_address_starts_with_new_state(table: RunnerTable) -> None:
     state = table.find("d0")
     assert state is not None
--- a/tests/southernveil/test_runnersource.py
+++ b/tests/southernveil/test_runnersource.py
@@ -30,6 +30,7 @@
     plain = {key: value for key, value in ENTRY.items() if key != "Stage"}
     assert decode_runner(plain).stage is Stage.MIXED
     assert decode_runner({**ENTRY, "State": "draining"}).is_leaving
+    assert decode_runner({**ENTRY, "born": 1789256658049}).boot == 1789256658049
 
 
 @pytest.mark.parametrize(
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -54,6 +54,20 @@
     assert trace.steps[0].fields["step"] == "connect"
 
 
+def test_the_attempts_of_one_content_are_found_under_all_request_ids() -> None:
+    failed = "event=attempt-failed step=send reason=reset sent=True content=c0ffee"
+    lines = [
+        f"{HEAD} {failed} request=r1 runner=i-1 boot=17 node=a-1",
+        f"{HEAD} {failed} request=r2 runner=i-2 boot=18 node=b-1",
+        f"{HEAD} {failed} request=r2 runner=i-3 boot=19 node=b-1",
+    ]
+    trace = explain_request("c0ffee", lines)
+    assert trace.conclusion == (
+        "2 requests with this content at 2 nodes: 3 attempts broke after they were "
+        "sent, at i-1 (boot 17), i-2 (boot 18), i-3 (boot 19)"
+    )
+
+
 def test_an_unknown_request_and_one_without_an_outcome_differ() -> None:
     assert "no log line names this request" in explain_request("none", SLOW).conclusion
     assert "no outcome at b-2" in explain_request("630b", SLOW[:1]).conclusion
