Reproduce the incident: a crashing request is sent on to every runner

Cause: not mended yet. Callers with other requests got 502 and 503 while one request, coming again each second under a new id, took one or two runners down with each arrival. Ruled out: a fault of one kind of route: safe, unsafe, resumable and prefilled requests all show it.

--- /dev/null
+++ b/tests/gateway/crashfleet.py
@@ -0,0 +1,441 @@
+"""Simulate entry nodes and runners, some of which crash, in virtual time."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+from hawthornshelf.effects import Send
+from hawthornshelf.events import MessageReceived
+from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
+from hawthornshelf.gateway.exchange import (
+    Attempt,
+    AttemptFailed,
+    EngineLoad,
+    Header,
+    InboundRequest,
+    KvCacheHandle,
+    Prompt,
+    PromptSegment,
+    RunnerClient,
+    RunnerResponse,
+)
+from hawthornshelf.gateway.forwarder import Forwarder
+from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteTable, Split
+from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable, Stage
+from hawthornshelf.messages import Message
+from hawthornshelf.metrics import Metrics
+from hawthornshelf.node import NodeCore, NodeSettings
+from tests.gateway.fakes import Caller, event
+from tests.gateway.load import VirtualClock, run_in_virtual_time
+
+__all__ = [
+    "CONTACT_SECONDS",
+    "LONG",
+    "POISON",
+    "SHORT",
+    "CrashFleet",
+    "Entry",
+    "SimRunner",
+]
+
+CONTACT_SECONDS = 3.0
+"""The platform's bound for what all nodes must have learnt."""
+
+POISON = b"poison"
+HOP_SECONDS = 0.001
+TICK_SECONDS = 0.05
+LIST_SECONDS = 1.0
+LIST_LAG_SECONDS = 0.8
+DOWN_SECONDS = 3.0
+CRASHED_LISTED_SECONDS = 2.5
+RUN_SECONDS = 0.3
+EVENTS = 4
+SHORT = Prompt(200, 50, (PromptSegment("x", 100), PromptSegment("own", 100)))
+LONG = Prompt(9000, 5, (PromptSegment("x", 6000), PromptSegment("own", 3000)))
+
+
+@dataclass
+class Arrival:
+    """Record one arrival of a request at a runner, and whether it may have run."""
+
+    at: float
+    runner: str
+    body: bytes
+    is_prefill: bool
+
+
+@dataclass
+class SimRunner:
+    """Simulate one runner, which a poison request crashes as it begins to run.
+
+    `silent_until` makes it unreachable, as behind a cut link or while it is frozen.
+    """
+
+    clock: VirtualClock
+    name: str
+    service: str
+    stage: Stage = Stage.MIXED
+    slots: int = 16
+    boot: int = 1
+    keeps_name: bool = False
+    is_up: bool = True
+    is_leaving: bool = False
+    crashes_silently: bool = False
+    silent_until: float = 0.0
+    crashes: list[float] = field(default_factory=list)
+    open: set[asyncio.Future[None]] = field(default_factory=set)
+    listed: list[tuple[float, Runner | None]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.address = f"{self.name}:80"
+        self.base = self.name
+        self.listed.append((float("-inf"), self.describe()))
+
+    def describe(self) -> Runner:
+        return Runner(
+            self.name,
+            self.service,
+            self.address,
+            "dc",
+            self.slots,
+            self.is_leaving,
+            self.stage,
+        )
+
+    def entry(self, now: float) -> Runner | None:
+        """Return the runner as the lagging list shows it."""
+        seen = [item for at, item in self.listed if at <= now - LIST_LAG_SECONDS]
+        return seen[-1]
+
+    def list_again(self, delay: float = 0.0) -> None:
+        item = self.describe() if self.is_up else None
+        self.listed.append((self.clock.monotonic() + delay, item))
+
+    def leave(self) -> None:
+        self.is_leaving = True
+        self.list_again()
+
+    def crash(self) -> None:
+        """End at once with all requests in flight; come back as a new boot."""
+        self.crashes.append(self.clock.monotonic())
+        self.end()
+        loop = asyncio.get_running_loop()
+        loop.call_later(DOWN_SECONDS, self.restart)
+
+    def end(self) -> None:
+        """Break all requests in flight and refuse connections."""
+        self.is_up = False
+        if self.crashes_silently:
+            self.silent_until = self.clock.monotonic() + DOWN_SECONDS
+        self.list_again(CRASHED_LISTED_SECONDS)
+        for future in [f for f in self.open if not f.done()]:
+            if not self.crashes_silently:
+                future.set_exception(ConnectionResetError())
+
+    def restart(self) -> None:
+        self.boot += 1
+        if not self.keeps_name:
+            self.name = f"{self.base}.{self.boot}"
+        self.is_up, self.is_leaving = True, False
+        self.list_again()
+
+    async def reach(self) -> None:
+        """Wait for one hop; hang while the runner is silent."""
+        await asyncio.sleep(HOP_SECONDS)
+        if self.clock.monotonic() < self.silent_until:
+            await asyncio.sleep(60.0)
+
+    async def work(self, seconds: float) -> None:
+        """Run for some time; raise ConnectionResetError if the runner ends first."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.open.add(future)
+        try:
+            async with asyncio.timeout(seconds):
+                await future
+        except TimeoutError:
+            if self.clock.monotonic() < self.silent_until:
+                await asyncio.sleep(60.0)
+        finally:
+            self.open.discard(future)
+
+
+class _Response(RunnerResponse):
+    def __init__(self, runner: SimRunner, attempt: Attempt, not_run: bool) -> None:
+        self._runner = runner
+        self._attempt = attempt
+        self.not_run = not_run
+        self.status = 421 if not_run else 200
+        self.is_stream = attempt.inbound.prompt is not None and not not_run
+        self.headers: tuple[Header, ...] = ()
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        first = int(self._attempt.resume_after or 0) + 1
+        for number in range(first, EVENTS + 1):
+            yield event(number)
+            try:
+                await self._runner.work(RUN_SECONDS / EVENTS)
+            except ConnectionResetError as error:
+                name = self._attempt.runner.name
+                raise AttemptFailed("read answer", name, "reset", True) from error
+
+    async def read(self) -> bytes:
+        return b"whole"
+
+    def close(self) -> None:
+        """Do nothing: there is no connection to release."""
+
+
+class _Client(RunnerClient):
+    """Carry one node's attempts to the runners; `reset` breaks answers on the way.
+
+    With `refuses`, links to the named runners refuse every connection, as some cut
+    links do.
+    """
+
+    def __init__(self, fleet: "CrashFleet") -> None:
+        self._fleet = fleet
+        self.resets: Callable[[Attempt], bool] = lambda attempt: False
+        self.refuses: set[str] = set()
+
+    def _find(self, address: str, name: str) -> SimRunner:
+        runner = self._fleet.by_address[address]
+        if address in self.refuses or (
+            not runner.is_up and not runner.crashes_silently
+        ):
+            raise AttemptFailed("connect", name, "refused", sent=False)
+        return runner
+
+    async def send(self, attempt: Attempt) -> RunnerResponse:
+        name = attempt.runner.name
+        runner = self._find(attempt.runner.address, name)
+        await runner.reach()
+        if runner.name != name:
+            return _Response(runner, attempt, not_run=True)
+        await self._begin(runner, attempt, is_prefill=False)
+        if attempt.inbound.prompt is None:
+            await self._work(runner, name, RUN_SECONDS)
+        if self.resets(attempt):
+            raise AttemptFailed("read answer", name, "reset", sent=True)
+        return _Response(runner, attempt, not_run=False)
+
+    async def _begin(
+        self, runner: SimRunner, attempt: Attempt, is_prefill: bool
+    ) -> None:
+        inbound = attempt.inbound
+        now = self._fleet.clock.monotonic()
+        self._fleet.arrivals.append(
+            Arrival(now, attempt.runner.name, inbound.body, is_prefill)
+        )
+        if inbound.body.startswith(POISON):
+            asyncio.get_running_loop().call_soon(runner.crash)
+            await self._work(runner, attempt.runner.name, 1.0)
+
+    async def _work(self, runner: SimRunner, name: str, seconds: float) -> None:
+        try:
+            await runner.work(seconds)
+        except ConnectionResetError as error:
+            raise AttemptFailed("send", name, "reset", sent=True) from error
+
+    async def prefill(self, attempt: Attempt) -> KvCacheHandle:
+        runner = self._find(attempt.runner.address, attempt.runner.name)
+        await runner.reach()
+        await self._begin(runner, attempt, is_prefill=True)
+        await self._work(runner, attempt.runner.name, 0.05)
+        return KvCacheHandle(runner.address, "handle")
+
+    async def read_load(self, runner: Runner) -> EngineLoad:
+        await self._find(runner.address, runner.name).reach()
+        return EngineLoad(0, 0)
+
+    async def drop_handle(self, handle: KvCacheHandle) -> None:
+        """Do nothing: runners keep no KV cache here."""
+
+
+class Entry:
+    """Run one entry node's core and forwarder on the simulated network."""
+
+    def __init__(self, fleet: "CrashFleet", name: str) -> None:
+        self.name = name
+        self.is_up = True
+        self._fleet = fleet
+        self._events: list[MessageReceived] = []
+        clock = fleet.clock
+        rng = random.Random(f"{fleet.seed}/{name}")
+        self.rng = rng
+        settings = NodeSettings(
+            node=name,
+            incarnation=f"{name}-{clock.monotonic()}",
+            data_centre="dc",
+            peer_address=name,
+            caller_address=name,
+            entry=False,
+            control={"control": "control"},
+            peers={n: n for n in fleet.entry_names if n != name},
+            started_ms=1 + int(clock.monotonic() * 1000),
+            gateway=True,
+            named_by_address=True,
+        )
+        self.core = NodeCore(settings, None, rng, clock.monotonic())
+        self.core.is_serving = True
+        self.client = _Client(fleet)
+        self.runners = RunnerTable("dc", rng)
+        self.forwarder = self._make_forwarder(rng)
+        self.forwarder.load(TABLE)
+        self._tasks = [asyncio.create_task(self._tick())]
+        self._tasks.append(asyncio.create_task(self._poll()))
+
+    def _make_forwarder(self, rng: random.Random) -> Forwarder:
+        return Forwarder(
+            self.client,
+            self.runners,
+            RetryBudget(RetryLimits(0.2, 60.0, 10.0)),
+            Metrics(),
+            self._fleet.clock,
+            rng,
+            lambda: len(self._fleet.entry_names),
+            self.runners.count_interactive_requests,
+        )
+
+    def kill(self) -> None:
+        self.is_up = False
+        for task in self._tasks:
+            task.cancel()
+
+    def receive(self, sender: str, message: Message) -> None:
+        if self.is_up:
+            self._events.append(MessageReceived(sender, message))
+
+    async def ask(
+        self, path: str, body: bytes, prompt: Prompt | None = None, budget: float = 2.0
+    ) -> Caller:
+        """Send one request and return the caller with its response."""
+        caller = Caller()
+        number = next(self._fleet.numbers)
+        now = self._fleet.clock.monotonic()
+        inbound = InboundRequest(
+            f"r{number}", "POST", path, "h", (), body, now, now + budget, prompt
+        )
+        await self.forwarder.serve(inbound, caller)
+        return caller
+
+    async def _tick(self) -> None:
+        while True:
+            events, self._events = self._events, []
+            now = self._fleet.clock.monotonic()
+            for effect in self.core.step(now, now, events):
+                if isinstance(effect, Send):
+                    self._fleet.deliver(self.name, effect.address, effect.message)
+            await asyncio.sleep(TICK_SECONDS if not self._events else HOP_SECONDS)
+
+    async def _poll(self) -> None:
+        while True:
+            now = self._fleet.clock.monotonic()
+            entries = [runner.entry(now) for runner in self._fleet.runners]
+            listed = tuple(entry for entry in entries if entry is not None)
+            self.runners.load(RunnerList(listed, now))
+            await asyncio.sleep(LIST_SECONDS * self.rng.uniform(0.9, 1.0))
+
+
+@dataclass
+class CrashFleet:
+    """Simulate entry nodes, engines and plain runners, without a control group.
+
+    `cut` names pairs of nodes that don't reach each other.
+    """
+
+    seed: int = 1
+    nodes: int = 3
+    engines: int = 5
+    apps: int = 5
+    prefillers: int = 0
+
+    def __post_init__(self) -> None:
+        self.clock = VirtualClock()
+        self.rng = random.Random(self.seed)
+        self.numbers = itertools.count()
+        self.arrivals: list[Arrival] = []
+        self.cut: set[tuple[str, str]] = set()
+        self.runners: list[SimRunner] = []
+        for number in range(self.engines):
+            stage = Stage.DECODE
+            self.runners.append(SimRunner(self.clock, f"d{number}", "llm", stage))
+        for number in range(self.prefillers):
+            stage = Stage.PREFILL
+            self.runners.append(SimRunner(self.clock, f"p{number}", "llm", stage))
+        for number in range(self.apps):
+            self.runners.append(SimRunner(self.clock, f"a{number}", "app"))
+        self.by_address = {runner.address: runner for runner in self.runners}
+        self.entry_names = [f"n{number}" for number in range(self.nodes)]
+        self.entries: dict[str, Entry] = {}
+
+    def run(self, scenario: Callable[["CrashFleet"], object]) -> None:
+        """Start the nodes, let them meet, and play a scenario (a coroutine)."""
+
+        async def main() -> None:
+            for name in self.entry_names:
+                self.start_entry(name)
+            await asyncio.sleep(3.0)
+            await scenario(self)  # type: ignore[misc]
+
+        run_in_virtual_time(self.clock, main())
+
+    def start_entry(self, name: str) -> Entry:
+        self.entries[name] = Entry(self, name)
+        return self.entries[name]
+
+    def deliver(self, sender: str, target: str, message: Message) -> None:
+        if (sender, target) in self.cut or (target, sender) in self.cut:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(HOP_SECONDS, self._receive, sender, target, message)
+
+    def _receive(self, sender: str, target: str, message: Message) -> None:
+        if target in self.entries:
+            self.entries[target].receive(sender, message)
+
+    def draw_entry(self) -> Entry:
+        """Return a random entry node that is up."""
+        return self.rng.choice([e for e in self.entries.values() if e.is_up])
+
+    def crash_times(self) -> list[float]:
+        """Return when runners crashed, in order."""
+        return sorted(at for runner in self.runners for at in runner.crashes)
+
+    def sends_after_third_crash(self, body: bytes = POISON) -> int:
+        """Count the sends of a request later than the contact time after its third."""
+        crashes = self.crash_times()
+        if len(crashes) < 3:
+            return 0
+        limit = crashes[2] + CONTACT_SECONDS
+        return sum(a.at > limit for a in self.arrivals if a.body == body)
+
+
+def _route(prefix: str, retry_policy: RetryPolicy, **changes: object) -> Route:
+    route = Route(
+        name=prefix,
+        host="h",
+        prefix=prefix,
+        retry_policy=retry_policy,
+        timeout=3.0,
+        target=1.0,
+        priority=1,
+        splits=(Split("app", 1),),
+        max_attempts=2,
+    )
+    return route._replace(**changes)
+
+
+LLM = (Split("llm", 1),)
+TABLE = RouteTable(
+    1,
+    (
+        _route("/safe/", RetryPolicy.SAFE),
+        _route("/once/", RetryPolicy.ONCE),
+        _route(
+            "/talk/", RetryPolicy.STREAM, splits=LLM, resumable=True, is_generation=True
+        ),
+        _route("/read/", RetryPolicy.STREAM, splits=LLM, is_generation=True),
+    ),
+)
