Quarantine requests that crash their runners, on all nodes

What callers saw: while one request came again and again, others got 502 and 503, as it took a runner or two down with each arrival. Cause: no node remembered a request beyond its own attempts; a caller's retry under a new id, at any node, started afresh. Class: state kept per attempt for a fault that belongs to the content. Change: the requests in flight at a crash are suspects by the digest of their content. A node tells a crash from a broken connection by the list of runners and a probe; tables of crashes are merged among all nodes by gossip, without a leader. A suspect runs apart from others; one in flight at three confirmed crashes is quarantined (503, Retry-After); one in flight at three unconfirmed ones is held for a second; one that completes is cleared.

--- /dev/null
+++ b/hawthornshelf/crashtable.py
@@ -0,0 +1,371 @@
+"""Store which requests were in flight when runners crashed, merged among all nodes.
+
+Every change is a union or a maximum, so that tables become equal in whatever order
+nodes exchange their rows, without a leader. Times are monotonic seconds of the node;
+rows carry ages instead.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import NamedTuple
+
+import msgspec
+
+__all__ = ["CrashRow", "CrashTable", "Evidence", "RowSummary", "Standing"]
+
+SILENT_SECONDS = 15.0
+"""Time for which an unreachable runner counts as crashed without further evidence."""
+
+REFUSED_CONFIRM_SECONDS = 20.0
+"""Time after which a runner that only refused connections counts as surely crashed.
+
+A link that is cut may refuse connections as well, and is usually healed by then.
+"""
+
+SUSPECT_SECONDS = 600.0
+"""Time for which a request stays under suspicion after a crash."""
+
+CRASHES_TO_QUARANTINE = 3
+MIN_QUARANTINE_SECONDS = 600.0
+QUARANTINE_GROWTH = 4
+"""Factor by which each further crash prolongs the quarantine."""
+
+MAX_QUARANTINE_SECONDS = 86_400.0
+MAX_SUSPECTS_PER_CRASH = 1024
+MAX_SUSPECTS = 8192
+"""Suspects in the table, counted once for each crash."""
+
+EXPIRE_INTERVAL_SECONDS = 1.0
+
+
+class Evidence(IntEnum):
+    """Rank what is known of a crash; the highest rank of all nodes counts.
+
+    SILENT: the runner does not answer. REFUSED: it refuses connections. GONE: it left
+    the platform's list without notice, or another boot took its place.
+    """
+
+    SILENT = 0
+    REFUSED = 1
+    GONE = 2
+
+
+class CrashRow(NamedTuple):
+    """Represent one crash between nodes; `age` is in seconds.
+
+    `crash` names the runner and its boot. `cleared` are the suspects that completed
+    at a runner since. `is_void` says that the runner did not crash after all.
+    """
+
+    crash: str
+    age: float
+    evidence: Evidence
+    suspects: tuple[bytes, ...] = ()
+    cleared: tuple[bytes, ...] = ()
+    is_void: bool = False
+
+
+class RowSummary(NamedTuple):
+    """Name a row and the checksum of its content."""
+
+    crash: str
+    checksum: int
+
+
+class Standing(NamedTuple):
+    """Tell what the table knows of one request.
+
+    `crashes` are those that count against it, `confirmed` the number that is certain.
+    `last_at` is when the last of them happened, in monotonic seconds.
+    """
+
+    crashes: tuple[str, ...] = ()
+    confirmed: int = 0
+    last_at: float = float("-inf")
+
+    @property
+    def quarantined_until(self) -> float:
+        """Return when the quarantine ends, in monotonic seconds; -inf without one."""
+        excess = self.confirmed - CRASHES_TO_QUARANTINE
+        if excess < 0:
+            return float("-inf")
+        seconds = MIN_QUARANTINE_SECONDS * QUARANTINE_GROWTH**excess
+        return self.last_at + min(seconds, MAX_QUARANTINE_SECONDS)
+
+    def is_quarantined(self, now: float) -> bool:
+        """Return whether the request may not run now."""
+        return now < self.quarantined_until
+
+    def is_held(self, now: float) -> bool:
+        """Return whether it waits for evidence on as many crashes as quarantine needs.
+
+        Once a quarantine has ended, the request may run again.
+        """
+        enough = len(self.crashes) >= CRASHES_TO_QUARANTINE
+        return enough and self.confirmed < CRASHES_TO_QUARANTINE
+
+
+@dataclass
+class _Crash:
+    """Store one crash; `at` is in monotonic seconds."""
+
+    at: float
+    evidence: Evidence
+    suspects: set[bytes] = field(default_factory=set)
+    cleared: set[bytes] = field(default_factory=set)
+    is_void: bool = False
+
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether the crash is certain."""
+        if self.evidence is Evidence.REFUSED:
+            return now >= self.at + REFUSED_CONFIRM_SECONDS
+        return self.evidence is Evidence.GONE
+
+    def is_expired(self, now: float) -> bool:
+        """Return whether the crash no longer says anything."""
+        is_silent = self.evidence is Evidence.SILENT
+        return now >= self.at + (SILENT_SECONDS if is_silent else SUSPECT_SECONDS)
+
+
+class CrashTable:
+    """Merge crashes reported by all nodes, and tell each request's standing."""
+
+    def __init__(self) -> None:
+        self._crashes: dict[str, _Crash] = {}
+        self._by_suspect: dict[bytes, set[str]] = {}
+        self._checksums: dict[str, int] = {}
+        self._news: dict[str, CrashRow] = {}
+        self._size = 0
+        self._expire_due = 0.0
+        self.checksum = 0
+
+    def __len__(self) -> int:
+        return len(self._crashes)
+
+    @property
+    def has_suspects(self) -> bool:
+        """Return whether any request is a suspect."""
+        return bool(self._by_suspect)
+
+    def suspects(self) -> tuple[bytes, ...]:
+        """Return the digests of all suspects."""
+        return tuple(self._by_suspect)
+
+    def report(
+        self,
+        now: float,
+        crash: str,
+        at: float,
+        evidence: Evidence,
+        suspects: Iterable[bytes],
+    ) -> bool:
+        """Record a crash seen by this node; return whether anything of it is new."""
+        return self.merge(now, CrashRow(crash, now - at, evidence, tuple(suspects)))
+
+    def void(self, now: float, crash: str) -> bool:
+        """Record that a runner did not crash; return whether that is new."""
+        known = self._crashes.get(crash)
+        if known is None:
+            return False
+        age = now - known.at
+        return self.merge(now, CrashRow(crash, age, known.evidence, is_void=True))
+
+    def clear(self, now: float, digest: bytes) -> bool:
+        """Record that a suspect completed; return whether it was one."""
+        crashes = self._by_suspect.get(digest, set())
+        for crash in tuple(crashes):
+            known = self._crashes[crash]
+            row = CrashRow(crash, now - known.at, known.evidence, (), (digest,))
+            self.merge(now, row)
+        return bool(crashes)
+
+    def standing(self, now: float, digest: bytes) -> Standing:
+        """Return what counts against a request."""
+        names = self._by_suspect.get(digest)
+        if not names:
+            return Standing()
+        rows = [(self._crashes[name], name) for name in sorted(names)]
+        counted = [(crash, name) for crash, name in rows if not crash.is_void]
+        if not counted:
+            return Standing()
+        return Standing(
+            tuple(name for _, name in counted),
+            sum(crash.is_confirmed(now) for crash, _ in counted),
+            max(crash.at for crash, _ in counted),
+        )
+
+    def merge(self, now: float, row: CrashRow) -> bool:
+        """Merge a row; return whether anything of it is new."""
+        at = now - row.age
+        known = self._crashes.get(row.crash)
+        if known is None:
+            known = self._crashes[row.crash] = _Crash(at, row.evidence)
+            is_new = True
+        else:
+            is_new = row.evidence > known.evidence or row.is_void > known.is_void
+        known.at = min(known.at, at)
+        known.evidence = max(known.evidence, row.evidence)
+        known.is_void = known.is_void or row.is_void
+        suspects = self._add_suspects(row.crash, known, row.suspects)
+        cleared = set(row.cleared) - known.cleared
+        for digest in cleared:
+            known.cleared.add(digest)
+            self._drop_index(row.crash, digest)
+        if not (is_new or suspects or cleared):
+            return False
+        self._update_checksum(row.crash)
+        if not known.is_expired(now):
+            self._add_news(
+                row._replace(suspects=tuple(suspects), cleared=tuple(cleared))
+            )
+        self._shrink()
+        return True
+
+    def take_news(self, now: float) -> tuple[CrashRow, ...]:
+        """Return and forget what is new since the last call, with current ages."""
+        news, self._news = self._news, {}
+        return tuple(
+            row._replace(age=now - self._crashes[row.crash].at)
+            for row in news.values()
+            if row.crash in self._crashes
+        )
+
+    def summaries(self) -> tuple[RowSummary, ...]:
+        """Return the checksum of each row."""
+        return tuple(RowSummary(*item) for item in self._checksums.items())
+
+    def rows_unlike(
+        self, now: float, summaries: Iterable[RowSummary]
+    ) -> tuple[CrashRow, ...]:
+        """Return the rows that another table with these summaries does not hold.
+
+        Expired rows are left out, or nodes that have just forgotten them would get
+        them back from others over and over.
+        """
+        theirs = dict(summaries)
+        rows = [
+            self._make_row(now, crash)
+            for crash, checksum in self._checksums.items()
+            if theirs.get(crash) != checksum
+        ]
+        return tuple(
+            row
+            for row in rows
+            if row.suspects or not self._crashes[row.crash].is_expired(now)
+        )
+
+    def expire(self, now: float) -> None:
+        """Forget crashes that say nothing any more, except of serious suspects."""
+        if now < self._expire_due:
+            return
+        self._expire_due = now + EXPIRE_INTERVAL_SECONDS
+        expired = [c for c, known in self._crashes.items() if known.is_expired(now)]
+        for crash in expired:
+            self._expire_crash(now, crash)
+
+    def _expire_crash(self, now: float, crash: str) -> None:
+        known = self._crashes[crash]
+        for digest in tuple(known.suspects):
+            if not self._is_remembered(now, digest):
+                self._drop_suspect(crash, digest)
+        if known.suspects:
+            known.cleared &= known.suspects
+            self._update_checksum(crash)
+        else:
+            self._drop_crash(crash)
+
+    def _is_remembered(self, now: float, digest: bytes) -> bool:
+        """Return whether a suspect was quarantined and may come back.
+
+        It is remembered after the end of its quarantine for as long again.
+        """
+        standing = self.standing(now, digest)
+        until = standing.quarantined_until
+        return now < until + (until - standing.last_at)
+
+    def _add_suspects(
+        self, crash: str, known: _Crash, digests: Iterable[bytes]
+    ) -> set[bytes]:
+        """Add suspects to a crash up to its limit, and return the new ones.
+
+        Requests that are suspects of another crash go first.
+        """
+        new = [d for d in dict.fromkeys(digests) if d not in known.suspects]
+        new.sort(key=lambda digest: digest not in self._by_suspect)
+        added = new[: max(0, MAX_SUSPECTS_PER_CRASH - len(known.suspects))]
+        for digest in added:
+            known.suspects.add(digest)
+            self._size += 1
+            if digest not in known.cleared:
+                self._by_suspect.setdefault(digest, set()).add(crash)
+        return set(added)
+
+    def _shrink(self) -> None:
+        """Keep the number of suspects within its limit.
+
+        Requests in flight at the fewest crashes go first, and of these the oldest.
+        """
+        while self._size > MAX_SUSPECTS:
+            by_age = sorted(self._crashes.items(), key=lambda item: item[1].at)
+            pairs = [(crash, d) for crash, known in by_age for d in known.suspects]
+            pairs.sort(key=lambda pair: len(self._by_suspect.get(pair[1], ())))
+            for crash, digest in pairs[: self._size - MAX_SUSPECTS]:
+                self._drop_suspect(crash, digest)
+                self._update_checksum(crash)
+
+    def _drop_suspect(self, crash: str, digest: bytes) -> None:
+        self._crashes[crash].suspects.discard(digest)
+        self._size -= 1
+        self._drop_index(crash, digest)
+
+    def _drop_index(self, crash: str, digest: bytes) -> None:
+        names = self._by_suspect.get(digest, set())
+        names.discard(crash)
+        if not names:
+            self._by_suspect.pop(digest, None)
+
+    def _drop_crash(self, crash: str) -> None:
+        del self._crashes[crash]
+        self.checksum ^= self._checksums.pop(crash, 0)
+
+    def _update_checksum(self, crash: str) -> None:
+        known = self._crashes[crash]
+        content = (
+            crash,
+            int(known.evidence),
+            known.is_void,
+            sorted(known.suspects),
+            sorted(known.cleared),
+        )
+        body = msgspec.msgpack.encode(content)
+        checksum = int.from_bytes(hashlib.blake2b(body, digest_size=8).digest(), "big")
+        self.checksum ^= self._checksums.get(crash, 0) ^ checksum
+        self._checksums[crash] = checksum
+
+    def _add_news(self, row: CrashRow) -> None:
+        pending = self._news.get(row.crash)
+        if pending is None:
+            self._news[row.crash] = row
+            return
+        self._news[row.crash] = row._replace(
+            evidence=max(pending.evidence, row.evidence),
+            suspects=(*pending.suspects, *row.suspects),
+            cleared=(*pending.cleared, *row.cleared),
+            is_void=pending.is_void or row.is_void,
+        )
+
+    def _make_row(self, now: float, crash: str) -> CrashRow:
+        known = self._crashes[crash]
+        suspects = known.suspects
+        if known.is_expired(now):
+            suspects = {d for d in suspects if self._is_remembered(now, d)}
+        return CrashRow(
+            crash,
+            now - known.at,
+            known.evidence,
+            tuple(suspects),
+            tuple(known.cleared),
+            known.is_void,
+        )
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from hawthornshelf.gateway.exchange import InboundRequest, KvCacheHandle, ResponseWriter
+from hawthornshelf.gateway.identity import digest_request
 from hawthornshelf.gateway.routes import RetryPolicy, Route
 from hawthornshelf.gateway.runners import RunnerState
 
@@ -20,6 +21,7 @@
     until it ends. `target_at` is when the first byte or token is due. `sends` counts
     attempts, `runs` those that may have been executed. `source` is a KV cache to
     continue from; `backup` is the engine that keeps a copy of the run's KV cache.
+    `is_suspect` tells whether the request was in flight when a runner crashed.
     """
 
     inbound: InboundRequest
@@ -46,6 +48,14 @@
     prefills: int = 0
     is_late: bool = False
     backup: RunnerState | None = None
+    is_suspect: bool = False
+    _digest: bytes = b""
+
+    def digest(self) -> bytes:
+        """Return the digest of the request's content, which is computed once."""
+        if not self._digest:
+            self._digest = digest_request(self.inbound)
+        return self._digest
 
     @property
     def is_recoverable(self) -> bool:
--- /dev/null
+++ b/hawthornshelf/gateway/crashdetector.py
@@ -0,0 +1,349 @@
+"""Tell crashes of runners from broken connections, and report who was in flight."""
+
+import asyncio
+import contextlib
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from hawthornshelf.clock import Clock
+from hawthornshelf.crashtable import CrashTable, Evidence
+from hawthornshelf.gateway.context import RequestContext
+from hawthornshelf.gateway.exchange import (
+    AttemptFailed,
+    ConnectionRefused,
+    RunnerReplaced,
+    RunnerSilent,
+)
+from hawthornshelf.gateway.runners import Runner, RunnerTable
+from hawthornshelf.logs import write_log
+
+__all__ = ["CrashDetector", "Flight"]
+
+PROBE_TIMEOUT_SECONDS = 0.25
+FIRST_INTERVAL_SECONDS = 0.25
+MAX_INTERVAL_SECONDS = 2.0
+"""Longest pause between two probes; it doubles from one to the next."""
+
+INVESTIGATION_SECONDS = 15.0
+"""Time for which a lost runner is probed, and lost requests wait for evidence.
+
+A crashed runner is back, or gone from the platform's list, by then.
+"""
+
+SILENT_PROBES = 2
+"""Probes without a response after which a runner counts as silent."""
+
+HALF_OPEN_SECONDS = 0.5
+"""Longest wait for the other connections to a runner that refuses new ones to break.
+
+A runner with too many connections refuses new ones too, but keeps its open ones.
+"""
+
+UNNAMED_BOOT_SECONDS = 10.0
+"""Time after which the platform's list would show that a runner started again.
+
+Until then a response that does not tell its boot can't rule out a restart.
+"""
+
+SETTLE_SECONDS = 0.2
+"""Longest wait of a retry for the evidence on the runner that broke."""
+
+RECENTLY_SECONDS = 0.5
+MAX_LOST_PER_RUNNER = 1024
+MAX_LOGGED_CONTENTS = 8
+
+
+class _Finding(Enum):
+    """Name what a look at a lost runner found, apart from evidence of a crash."""
+
+    ALIVE = "alive"
+    LEFT = "left as planned"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, eq=False)
+class Flight:
+    """Represent one request in flight at one runner, since `started_at`."""
+
+    context: RequestContext
+    runner: Runner
+    started_at: float
+    is_suspect: bool
+    is_answered: bool = False
+
+
+@dataclass(slots=True)
+class _Case:
+    """Collect the requests lost at one boot of a runner, with the times of their loss.
+
+    `settled` is set by the first finding; `reported` is the evidence given so far.
+    """
+
+    runner: Runner
+    opened_at: float
+    lost: dict[bytes, float] = field(default_factory=dict)
+    settled: asyncio.Event = field(default_factory=asyncio.Event)
+    task: asyncio.Task[None] | None = None
+    reported: Evidence | None = None
+    silences: int = 0
+
+
+Probe = Callable[[Runner], Awaitable[int]]
+
+
+class CrashDetector:
+    """Watch the requests in flight, and investigate runners that lose them."""
+
+    def __init__(
+        self, table: CrashTable, runners: RunnerTable, probe: Probe, clock: Clock
+    ) -> None:
+        self._table = table
+        self._runners = runners
+        self._probe = probe
+        self._clock = clock
+        self._flights: dict[str, set[Flight]] = {}
+        self._cases: dict[str, _Case] = {}
+        self._heard: dict[str, float] = {}
+        self.suspects_at: Counter[str] = Counter()
+
+    @contextlib.contextmanager
+    def watch(self, context: RequestContext, runner: Runner) -> Iterator[Flight]:
+        """Watch a request while it is in flight at a runner.
+
+        The caller sets `is_answered` on the flight once the whole response is there.
+        """
+        now = self._clock.monotonic()
+        flight = Flight(context, runner, now, context.is_suspect)
+        key = _name_crash(runner)
+        self._flights.setdefault(key, set()).add(flight)
+        self.suspects_at[runner.name] += flight.is_suspect
+        try:
+            yield flight
+        except AttemptFailed as error:
+            self._on_failure(flight, error)
+            raise
+        except BaseException:
+            self._lose(flight, broke=False)
+            raise
+        else:
+            self._on_answer(flight, key)
+        finally:
+            self._forget(flight, key)
+
+    async def settle(self, runner: Runner) -> None:
+        """Wait briefly until it is known whether a runner that broke has crashed."""
+        case = self._cases.get(_name_crash(runner))
+        if case is not None and case.task is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SETTLE_SECONDS):
+                    await case.settled.wait()
+
+    def check_list(self) -> None:
+        """Look for lost runners that a new list no longer holds; call it after a load.
+
+        Also forgets what is too old to say anything.
+        """
+        now = self._clock.monotonic()
+        for key, flights in list(self._flights.items()):
+            flight = next(iter(flights), None)
+            if flight is not None and self._is_gone(flight.runner):
+                self._start(self._open_case(key, flight.runner, now))
+        for key, case in list(self._cases.items()):
+            if self._is_gone(case.runner):
+                self._start(case)
+            elif case.task is None and now >= case.opened_at + INVESTIGATION_SECONDS:
+                del self._cases[key]
+        oldest = now - INVESTIGATION_SECONDS
+        self._heard = {key: at for key, at in self._heard.items() if at > oldest}
+
+    # Flights
+
+    def _on_answer(self, flight: Flight, key: str) -> None:
+        now = self._clock.monotonic()
+        self._heard[key] = now
+        if not flight.is_answered or not self._table.has_suspects:
+            return
+        if self._table.clear(now, flight.context.digest()):
+            write_log(
+                "suspect-cleared",
+                request=flight.context.inbound.request_id,
+                content=flight.context.digest().hex(),
+                runner=flight.runner.name,
+            )
+
+    def _on_failure(self, flight: Flight, error: AttemptFailed) -> None:
+        match error:
+            case ConnectionRefused():
+                self._on_refused(flight)
+            case RunnerSilent():
+                self._lose(flight, broke=False)
+            case _ if error.sent:
+                self._lose(flight, broke=True)
+
+    def _on_refused(self, flight: Flight) -> None:
+        """Investigate a runner that refuses connections and may have lost requests."""
+        key = _name_crash(flight.runner)
+        if key in self._cases or len(self._flights[key]) > 1:
+            now = self._clock.monotonic()
+            self._start(self._open_case(key, flight.runner, now))
+
+    def _forget(self, flight: Flight, key: str) -> None:
+        flights = self._flights[key]
+        flights.discard(flight)
+        if not flights:
+            del self._flights[key]
+        self.suspects_at[flight.runner.name] -= flight.is_suspect
+        if not self.suspects_at[flight.runner.name]:
+            del self.suspects_at[flight.runner.name]
+
+    def _lose(self, flight: Flight, broke: bool) -> None:
+        """Record a request without a response.
+
+        A runner is probed at once if the connection broke. If the caller left or the
+        time ran out, it is probed unless it responded to another request just before.
+        """
+        key = _name_crash(flight.runner)
+        now = self._clock.monotonic()
+        was_heard = self._heard.get(key, float("-inf")) > now - RECENTLY_SECONDS
+        case = self._open_case(key, flight.runner, now)
+        if len(case.lost) < MAX_LOST_PER_RUNNER:
+            case.lost[flight.context.digest()] = now
+        if broke or not was_heard:
+            self._start(case)
+
+    # Investigation
+
+    def _open_case(self, key: str, runner: Runner, now: float) -> _Case:
+        case = self._cases.get(key)
+        if case is None:
+            case = self._cases[key] = _Case(runner, now)
+        return case
+
+    def _start(self, case: _Case) -> None:
+        if case.task is None:
+            case.task = asyncio.create_task(self._investigate(case))
+
+    async def _investigate(self, case: _Case) -> None:
+        key = _name_crash(case.runner)
+        until = self._clock.monotonic() + INVESTIGATION_SECONDS
+        interval = FIRST_INTERVAL_SECONDS
+        try:
+            while self._clock.monotonic() < until:
+                started_at = self._clock.monotonic()
+                finding = await self._examine(case)
+                if isinstance(finding, Evidence):
+                    self._report(key, case, finding)
+                case.settled.set()
+                if finding is Evidence.GONE:
+                    return
+                if finding in (_Finding.ALIVE, _Finding.LEFT):
+                    self._rule_out(key, case, finding, started_at)
+                    if not case.lost:
+                        return
+                await asyncio.sleep(interval)
+                interval = min(MAX_INTERVAL_SECONDS, 2 * interval)
+        finally:
+            case.settled.set()
+            if self._cases.get(key) is case:
+                del self._cases[key]
+
+    async def _examine(self, case: _Case) -> Evidence | _Finding:
+        """Return what the list and one probe tell of a lost runner."""
+        if self._runners.is_leaving(case.runner):
+            return _Finding.LEFT
+        if self._is_gone(case.runner):
+            return Evidence.GONE
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                boot = await self._probe(case.runner)
+        except TimeoutError:
+            case.silences += 1
+            is_silent = case.silences >= SILENT_PROBES
+            return Evidence.SILENT if is_silent else _Finding.UNKNOWN
+        except RunnerReplaced:
+            return Evidence.GONE
+        except ConnectionRefused:
+            await self._await_breaks(case)
+            return Evidence.REFUSED
+        except AttemptFailed:
+            return _Finding.UNKNOWN
+        case.silences = 0
+        return self._judge_response(case, boot)
+
+    def _judge_response(self, case: _Case, boot: int) -> Evidence | _Finding:
+        """Return what a response tells, with the boot that it names, 0 for none."""
+        if boot and case.runner.boot and boot != case.runner.boot:
+            return Evidence.GONE
+        is_named = boot != 0 or case.runner.boot == 0
+        now = self._clock.monotonic()
+        if is_named or case.reported is None:
+            return _Finding.ALIVE
+        if now >= case.opened_at + UNNAMED_BOOT_SECONDS:
+            return _Finding.ALIVE
+        return _Finding.UNKNOWN
+
+    async def _await_breaks(self, case: _Case) -> None:
+        """Wait until no request from before the loss is open at the runner."""
+        key = _name_crash(case.runner)
+        until = self._clock.monotonic() + HALF_OPEN_SECONDS
+        while self._clock.monotonic() < until:
+            flights = self._flights.get(key, ())
+            if not any(flight.started_at <= case.opened_at for flight in flights):
+                return
+            await asyncio.sleep(RECENTLY_SECONDS / 10)
+
+    def _is_gone(self, runner: Runner) -> bool:
+        """Return whether the list shows another boot, or no runner of that name."""
+        listed = self._runners.find(runner.name)
+        is_listed = listed is not None and listed.runner.boot == runner.boot
+        return not is_listed and not self._runners.is_leaving(runner)
+
+    def _report(self, key: str, case: _Case, evidence: Evidence) -> None:
+        now = self._clock.monotonic()
+        flights = self._flights.get(key, set())
+        suspects = dict.fromkeys(
+            (*case.lost, *(flight.context.digest() for flight in flights))
+        )
+        if not suspects:
+            return
+        at = min((*case.lost.values(), now))
+        case.reported = max(evidence, case.reported or evidence)
+        if self._table.report(now, key, at, evidence, suspects):
+            contents = [digest.hex() for digest in suspects][:MAX_LOGGED_CONTENTS]
+            write_log(
+                "runner-crashed",
+                runner=case.runner.name,
+                boot=case.runner.boot,
+                evidence=evidence.name.lower(),
+                suspects=len(suspects),
+                contents=",".join(contents),
+                age=round(now - at, 3),
+                list_age=round(now - self._runners.read_at, 3),
+            )
+
+    def _rule_out(
+        self, key: str, case: _Case, finding: _Finding, probed_at: float
+    ) -> None:
+        """Drop the requests lost before a probe that the runner responded to."""
+        now = self._clock.monotonic()
+        before = [digest for digest, at in case.lost.items() if at <= probed_at]
+        for digest in before:
+            del case.lost[digest]
+        if case.reported is not None:
+            self._table.void(now, key)
+        write_log(
+            "runner-alive",
+            runner=case.runner.name,
+            boot=case.runner.boot,
+            finding=finding.value,
+            lost=len(before),
+            reported=case.reported is not None,
+        )
+        case.reported = None
+
+
+def _name_crash(runner: Runner) -> str:
+    """Return the name that all nodes give to the crash of one boot of a runner."""
+    return f"{runner.name}/{runner.boot}"
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -11,6 +11,7 @@
 __all__ = [
     "Attempt",
     "AttemptFailed",
+    "ConnectionRefused",
     "EngineLoad",
     "Header",
     "InboundRequest",
@@ -20,7 +21,9 @@
     "PromptSegment",
     "ResponseWriter",
     "RunnerClient",
+    "RunnerReplaced",
     "RunnerResponse",
+    "RunnerSilent",
 ]
 
 
@@ -120,6 +123,27 @@
         self.sent = sent
 
 
+class ConnectionRefused(AttemptFailed):
+    """Signal that a runner refused the connection, so that nothing was sent."""
+
+    def __init__(self, peer: str, reason: str) -> None:
+        super().__init__("connect", peer, reason, sent=False)
+
+
+class RunnerReplaced(AttemptFailed):
+    """Signal that another runner, or another boot of it, holds a runner's address."""
+
+    def __init__(self, peer: str, reason: str) -> None:
+        super().__init__("probe", peer, reason, sent=False)
+
+
+class RunnerSilent(AttemptFailed):
+    """Signal an attempt given up while its runner had sent nothing."""
+
+    def __init__(self, peer: str) -> None:
+        super().__init__("await answer", peer, "silence", sent=True)
+
+
 class PrefillRefused(HawthornshelfError):
     """Signal that an engine refused to prefill a prompt, with its HTTP status."""
 
@@ -180,6 +204,14 @@
     async def read_load(self, runner: Runner) -> EngineLoad:
         """Return the load that an engine reports; raise AttemptFailed."""
 
+    @abstractmethod
+    async def probe(self, runner: Runner, health_path: str) -> int:
+        """Return the boot of a runner that responds, or 0 if it does not tell it.
+
+        `health_path` is empty for engines. Raises RunnerReplaced, ConnectionRefused or
+        AttemptFailed.
+        """
+
     @abstractmethod
     async def drop_handle(self, handle: KvCacheHandle) -> None:
         """Free a KV cache that no engine will fetch; raise AttemptFailed."""
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable
 
 from hawthornshelf.clock import Clock
+from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.admission import engine_priority
 from hawthornshelf.gateway.budget import RetryBudget
 from hawthornshelf.gateway.context import MIN_SECONDS_LEFT, RequestContext
+from hawthornshelf.gateway.crashdetector import CrashDetector
 from hawthornshelf.gateway.eventstream import EventSplitter
 from hawthornshelf.gateway.exchange import (
     Attempt,
@@ -19,13 +21,15 @@
     ResponseWriter,
     RunnerClient,
     RunnerResponse,
+    RunnerSilent,
 )
 from hawthornshelf.gateway.loadprobe import LoadProbe
 from hawthornshelf.gateway.placement import Placer
+from hawthornshelf.gateway.quarantine import Quarantine, RequestBlocked
 from hawthornshelf.gateway.recorder import Recorder
 from hawthornshelf.gateway.retrydetector import RetryDetector
 from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteIndex, RouteTable
-from hawthornshelf.gateway.runners import RunnerState, RunnerTable
+from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
 from hawthornshelf.gateway.scheduler import (
     AdmissionRejected,
     EngineScheduler,
@@ -64,6 +68,7 @@
         rng: random.Random,
         count_nodes: Callable[[], int],
         count_interactive_requests: Callable[[], float],
+        crashes: CrashTable,
     ) -> None:
         self._client = client
         self._runners = runners
@@ -74,6 +79,10 @@
         self._count_nodes = count_nodes
         placer = Placer(runners, rng, count_interactive_requests)
         self._scheduler = EngineScheduler(placer, LoadProbe(client, rng), clock)
+        self._crashes = CrashDetector(crashes, runners, self._probe, clock)
+        self._quarantine = Quarantine(
+            crashes, runners, self._crashes.suspects_at, clock
+        )
         self._retry_detectors: dict[str, RetryDetector] = {}
         self._index = RouteIndex()
         self._free_tasks: set[asyncio.Task[None]] = set()
@@ -98,6 +107,10 @@
             name: detector for name, detector in items if name in names
         }
 
+    def on_runner_list(self) -> None:
+        """Look for crashed runners in a list that has just been loaded."""
+        self._crashes.check_list()
+
     async def serve(self, inbound: InboundRequest, writer: ResponseWriter) -> None:
         """Serve one request; return once its whole response has been written."""
         if self.is_closed:
@@ -201,11 +214,30 @@
             self._runners.record_error(now, state)
 
     async def _try_runners(self, context: RequestContext) -> None:
-        while not await self._try_next(context):
-            if not self._may_retry(context):
-                await self._fail(context, 502 if context.may_have_run else 503)
-                return
-            self._budget.spend(self._clock.monotonic(), context.service)
+        try:
+            while not await self._try_next(context):
+                await self._settle_crash(context)
+                if not self._may_retry(context):
+                    await self._fail(context, 502 if context.may_have_run else 503)
+                    return
+                self._budget.spend(self._clock.monotonic(), context.service)
+        except RequestBlocked as blocked:
+            await self._refuse_blocked(context, blocked)
+
+    async def _settle_crash(self, context: RequestContext) -> None:
+        """Wait for the evidence on the last runner before a request is sent again."""
+        state = self._runners.find(context.last_runner)
+        if state is not None and context.may_retry(self._clock.monotonic()):
+            await self._crashes.settle(state.runner)
+
+    async def _refuse_blocked(
+        self, context: RequestContext, blocked: RequestBlocked
+    ) -> None:
+        """End a request that may not run because runners crashed under it."""
+        context.reason = "; ".join(filter(None, (context.reason, str(blocked))))
+        self._recorder.record_blocked(context, blocked)
+        status = 502 if context.may_have_run else 503
+        await self._fail(context, status, blocked.retry_after, blocked.outcome)
 
     async def _try_next(self, context: RequestContext) -> bool:
         """Send a request to one more runner; return whether the caller has a response.
@@ -216,12 +248,14 @@
         if context.deadline - now < MIN_SECONDS_LEFT:
             await self._reject(context, AdmissionRejected("no time left", 0.0))
             return True
+        standing = self._quarantine.check(context)
         prompt = context.inbound.prompt
         if context.is_recoverable and context.backup is not None:
             return await self._resume_from_backup(context, context.backup)
         if prompt is not None and context.route.is_generation:
             return await self._try_engine(context, prompt)
-        state = self._runners.choose_plain(now, context.service, context.tried)
+        excluded = context.tried | self._quarantine.exclude_runners(context, standing)
+        state = self._runners.choose_plain(now, context.service, excluded)
         if state is None:
             await self._reject(
                 context, AdmissionRejected("no runner", RETRY_AFTER_SECONDS)
@@ -253,13 +287,15 @@
         If the engine that was to run it accepts no work after the prefill, the request
         is placed again.
         """
+        standing = self._quarantine.check(context)
+        excluded = context.tried | self._quarantine.exclude_runners(context, standing)
         request = PlacementRequest(
             context.service,
             prompt,
             context.route.priority,
             context.target_at,
             context.deadline,
-            frozenset(context.tried),
+            frozenset(excluded),
         )
         try:
             reservation = await self._scheduler.acquire(request)
@@ -335,9 +371,11 @@
             if not self._budget.may_spend(now, context.service, nodes):
                 return None
             self._budget.spend(now, context.service)
+        self._quarantine.check(context)
         context.prefills += 1
         try:
-            return await self._client.prefill(self._make_attempt(context, state))
+            with self._crashes.watch(context, state.runner):
+                return await self._client.prefill(self._make_attempt(context, state))
         except PrefillRefused as error:
             self._budget.spend(now, context.service)
             self._recorder.record_refusal(context, state, error.status)
@@ -366,6 +404,7 @@
         reservation: Reservation | None,
     ) -> bool:
         """Send one attempt; return whether the caller has a response."""
+        self._recorder.record_standing(context, state, self._quarantine.check(context))
         context.tried.add(state.runner.name)
         context.last_runner = state.runner.name
         context.sends += 1
@@ -373,14 +412,17 @@
         may_have_run = context.may_have_run
         context.may_have_run = True
         try:
-            response = await self._await_headers(context, state)
-            if response.not_run:
-                context.may_have_run = may_have_run
-                self._recorder.record_refusal(context, state, response.status)
-                return False
-            context.runs += 1
-            context.source = None
-            return await self._relay(context, state, response, reservation)
+            with self._crashes.watch(context, state.runner) as flight:
+                response = await self._await_headers(context, state)
+                if response.not_run:
+                    context.may_have_run = may_have_run
+                    self._recorder.record_refusal(context, state, response.status)
+                    return False
+                context.runs += 1
+                context.source = None
+                relayed = await self._relay(context, state, response, reservation)
+                flight.is_answered = True
+                return relayed
         except AttemptFailed as error:
             context.source = None
             context.may_have_run = may_have_run or error.sent
@@ -411,8 +453,7 @@
             ):
                 return await sending
         except TimeoutError as error:
-            name = state.runner.name
-            raise AttemptFailed("await answer", name, "silence", sent=True) from error
+            raise RunnerSilent(state.runner.name) from error
 
     async def _relay(
         self,
@@ -491,6 +532,7 @@
         context: RequestContext,
         status: int,
         retry_after: float = RETRY_AFTER_SECONDS,
+        outcome: str = "",
     ) -> None:
         """End a request without a complete response of a runner.
 
@@ -498,10 +540,13 @@
         """
         if context.writer.headers_sent:
             context.writer.abort()
-            self._recorder.record_end(context, "cut")
+            self._recorder.record_end(context, outcome or "cut")
             return
         retry_after = retry_after if status == 503 else 0.0
         await context.writer.refuse(status, context.reason, retry_after)
-        self._recorder.record_end(
-            context, "refused" if status == 503 else "failed", status
-        )
+        outcome = outcome or ("refused" if status == 503 else "failed")
+        self._recorder.record_end(context, outcome, status)
+
+    async def _probe(self, runner: Runner) -> int:
+        """Return the boot of a runner that responds; raise AttemptFailed."""
+        return await self._client.probe(runner, self._index.health_path(runner.service))
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -80,6 +80,7 @@
             rng,
             lambda: self.count_nodes(clock.monotonic()),
             self._estimate_interactive_requests,
+            self._core.crashes,
         )
         self._core.members.count_streams = self.runners.count_interactive_requests
         self.is_leaving = False
@@ -165,6 +166,7 @@
                     write_log("list-regained", runners=len(runner_list.runners))
                 is_available = True
                 added, removed = self.runners.load(runner_list)
+                self.forwarder.on_runner_list()
                 if added or removed:
                     write_log(
                         "runners-changed", came=",".join(added), went=",".join(removed)
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -1,9 +1,10 @@
 """Record the outcomes of attempts and requests in state, log and metrics."""
 
 from hawthornshelf.clock import Clock
+from hawthornshelf.crashtable import Standing
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.exchange import AttemptFailed
-from hawthornshelf.gateway.identity import digest_request
+from hawthornshelf.gateway.quarantine import RequestBlocked
 from hawthornshelf.gateway.runners import RunnerState, RunnerTable
 from hawthornshelf.logs import write_log
 from hawthornshelf.metrics import Metrics, RequestOutcome
@@ -90,12 +91,45 @@
             reason=error.reason,
             sent=error.sent,
             attempt=context.sends,
-            content=digest_request(context.inbound).hex(),
+            content=context.digest().hex(),
             boot=state.runner.boot,
             down=round(down, 3),
             list_age=self._list_age(),
         )
 
+    def record_standing(
+        self, context: RequestContext, state: RunnerState, standing: Standing
+    ) -> None:
+        """Record that a suspect is sent to a runner apart from others."""
+        if standing.crashes:
+            write_log(
+                "suspect-sent",
+                request=context.inbound.request_id,
+                content=context.digest().hex(),
+                runner=state.runner.name,
+                boot=state.runner.boot,
+                **self._describe(standing),
+            )
+
+    def record_blocked(self, context: RequestContext, blocked: RequestBlocked) -> None:
+        """Record that a request may not run now."""
+        write_log(
+            "request-blocked",
+            request=context.inbound.request_id,
+            content=context.digest().hex(),
+            outcome=blocked.outcome,
+            retry_after=round(blocked.retry_after, 3),
+            **self._describe(blocked.standing),
+        )
+
+    def _describe(self, standing: Standing) -> dict[str, str | int | float]:
+        age = self._clock.monotonic() - standing.last_at
+        return {
+            "crashes": ",".join(standing.crashes),
+            "confirmed": standing.confirmed,
+            "crash_age": round(age, 3),
+        }
+
     def record_response(
         self, context: RequestContext, state: RunnerState, status: int
     ) -> None:
--- a/hawthornshelf/gateway/routes.py
+++ b/hawthornshelf/gateway/routes.py
@@ -137,9 +137,18 @@
     def __init__(self, table: RouteTable = RouteTable()) -> None:
         self.table = table
         self._hosts: dict[str, dict[str, Route]] = {}
+        self._health_paths = {
+            service.name: service.health_path
+            for service in table.services
+            if service.engine is None
+        }
         for route in table.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
 
+    def health_path(self, service: str) -> str:
+        """Return the path of a plain service's liveness check, empty for engines."""
+        return self._health_paths.get(service, "")
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, or None."""
         prefixes = self._hosts.get(host)
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -1,6 +1,7 @@
 """Track the state of each runner as seen by this node, and choose among runners."""
 
 import random
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -35,6 +36,9 @@
 """Estimate of a long prompt's time to first token before there are samples."""
 
 INITIAL_INTERACTIVE_TTFT_SECONDS = 0.02
+MAX_LEFT_NAMES = 1024
+"""Names kept of runners that left as planned."""
+
 TTFT_HALF_LIFE_SECONDS = 1.0
 
 
@@ -115,6 +119,7 @@
         self._services: dict[str, list[RunnerState]] = {}
         self._ttfts: dict[tuple[str, Stage, float], DurationEstimator] = {}
         self.read_at = float("-inf")
+        self._left: deque[tuple[str, int]] = deque(maxlen=MAX_LEFT_NAMES)
 
     def load(self, runner_list: RunnerList) -> tuple[list[str], list[str]]:
         """Apply a newer list; return the names that were added and removed.
@@ -139,6 +144,11 @@
             for name in states.keys() & old.keys()
             if states[name].runner.boot != old_boots[name]
         }
+        self._left.extend(
+            (name, old_boots[name])
+            for name in old.keys() - states.keys()
+            if old[name].runner.is_leaving
+        )
         added = (states.keys() - old.keys()) | restarted
         return sorted(added), sorted((old.keys() - states.keys()) | restarted)
 
@@ -161,6 +171,13 @@
         """Return the state of a runner, or None if it is not listed."""
         return self._states.get(name)
 
+    def is_leaving(self, runner: Runner) -> bool:
+        """Return whether a boot of a runner gave notice, also once it has left."""
+        listed = self._states.get(runner.name)
+        if listed is not None and listed.runner.boot == runner.boot:
+            return listed.runner.is_leaving
+        return (runner.name, runner.boot) in self._left
+
     def accepts_work(self, state: RunnerState) -> bool:
         """Return whether a runner chosen earlier is still listed and is not leaving."""
         listed = self._states.get(state.runner.name) is state
@@ -263,4 +280,8 @@
 
 def _is_same(one: Runner, other: Runner) -> bool:
     """Return whether the state recorded for one runner holds for the other."""
-    return (one.address, one.stage) == (other.address, other.stage)
+    return (one.address, one.stage, one.boot) == (
+        other.address,
+        other.stage,
+        other.boot,
+    )
--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -75,6 +75,7 @@
         self._ping_due = 0.0
         self.revision = 0
         self.staleness = float("inf")
+        self.crashes = 0
         self.count_streams: Callable[[], int] = _return_zero
         self._stream_counts: dict[str, tuple[float, int]] = {}
 
@@ -244,12 +245,28 @@
     def _ping(self, sequence: int, origin: str) -> Ping:
         rows = self._select_gossip_rows()
         streams = self.count_streams()
-        return Ping(sequence, origin, self.revision, self.staleness, rows, streams)
+        return Ping(
+            sequence,
+            origin,
+            self.revision,
+            self.staleness,
+            rows,
+            streams,
+            self.crashes,
+        )
 
     def _reply(self, sequence: int, origin: str) -> PingReply:
         rows = self._select_gossip_rows()
         streams = self.count_streams()
-        return PingReply(sequence, origin, self.revision, self.staleness, rows, streams)
+        return PingReply(
+            sequence,
+            origin,
+            self.revision,
+            self.staleness,
+            rows,
+            streams,
+            self.crashes,
+        )
 
     def _select_gossip_rows(self) -> tuple[MemberRow, ...]:
         """Return this node's row, the recently changed rows and random other rows."""
--- a/hawthornshelf/messages.py
+++ b/hawthornshelf/messages.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from hawthornshelf.commands import COMMAND_TYPES
+from hawthornshelf.crashtable import CrashRow, RowSummary
 from hawthornshelf.raftmessages import RaftMessage
 from hawthornshelf.state import SharedView
 from hawthornshelf.wire import Codec
@@ -14,6 +15,7 @@
     "AskControl",
     "ChangeReplica",
     "ControlWord",
+    "CrashNews",
     "Hello",
     "LeaderWord",
     "MemberRow",
@@ -23,6 +25,7 @@
     "Ping",
     "PingReply",
     "PingRequest",
+    "PullCrashes",
     "PullView",
     "ReplicaChanged",
     "Submit",
@@ -118,7 +121,8 @@
 
     `origin` is the node that requested the probe, if it is indirect. `age` is the
     staleness of the sender's state in seconds. `streams` is the number of
-    interactive requests that the sender has open.
+    interactive requests that the sender has open, `crashes` the checksum of its table
+    of crashes.
     """
 
     sequence: int
@@ -127,6 +131,7 @@
     age: float
     members: tuple[MemberRow, ...]
     streams: int = 0
+    crashes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +144,7 @@
     age: float
     members: tuple[MemberRow, ...]
     streams: int = 0
+    crashes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,6 +176,20 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class CrashNews:
+    """Carry rows of the sender's table of crashes, whole or what is new in them."""
+
+    rows: tuple[CrashRow, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PullCrashes:
+    """Request the crashes that the sender's table does not hold."""
+
+    summaries: tuple[RowSummary, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class AskControl:
     """Request a freshness report from a control replica for a node's incarnation."""
@@ -212,6 +232,8 @@
     | PullView
     | ViewNews
     | ViewUpdate
+    | CrashNews
+    | PullCrashes
     | AskControl
     | ControlWord
     | LeaderWord
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -11,6 +11,7 @@
     SendToNode,
     resolve_addresses,
 )
+from hawthornshelf.crashtable import CrashRow, CrashTable
 from hawthornshelf.effects import (
     CommandEnded,
     Effect,
@@ -39,6 +40,7 @@
     AskControl,
     ChangeReplica,
     ControlWord,
+    CrashNews,
     Hello,
     LeaderWord,
     MemberRow,
@@ -48,6 +50,7 @@
     Ping,
     PingReply,
     PingRequest,
+    PullCrashes,
     PullView,
     ReplicaChanged,
     Submit,
@@ -66,6 +69,11 @@
 PERIODIC_INTERVAL_SECONDS = 0.04
 OPERATOR_TIMEOUT_SECONDS = 10.0
 VIEW_FANOUT = 3
+CRASH_NEWS_FANOUT = 3
+CRASH_NEWS_INTERVAL_SECONDS = 0.1
+"""Time over which a node collects news of crashes before it passes them on."""
+
+CRASH_PULL_INTERVAL_SECONDS = 0.25
 PULL_RETRY_SECONDS = 0.5
 MAX_PUSHED_VIEW_BYTES = 4096
 
@@ -121,6 +129,9 @@
         self.control: ControlCore | None = None
         self.entry: EntryCore | None = None
         self.view = SharedView()
+        self.crashes = CrashTable()
+        self._crash_news_due = 0.0
+        self._crash_pull_due = 0.0
         if recovered is not None:
             self.control = self._make_control(recovered, rng, now)
         if settings.entry:
@@ -216,6 +227,12 @@
                     self.control.record_staleness(now, age)
             case ControlWord():
                 self._on_freshness_report(now, message)
+            case CrashNews(rows):
+                self._merge_crashes(now, sender, rows)
+            case PullCrashes(summaries):
+                rows = self.crashes.rows_unlike(now, summaries)
+                if rows:
+                    self._send(sender, CrashNews(rows))
             case PullView(revision) if self.view.revision > revision:
                 self._send(sender, ViewUpdate(self.view))
             case Hello() | Submit() | ChangeReplica() | AskControl():
@@ -237,6 +254,7 @@
         if isinstance(message, Ping | PingReply):
             self.lifecycle.record_staleness(now, message.age)
             self._pull_view(now, sender, message.revision)
+            self._pull_crashes(now, sender, message.crashes)
         for outgoing in self.members.receive(now, sender, message):
             self._gossip(outgoing)
 
@@ -296,6 +314,43 @@
         self._pulled_revision, self._pull_retry_at = revision, now + PULL_RETRY_SECONDS
         self._send(sender, PullView(self.view.revision))
 
+    # Crashes of runners
+
+    def _merge_crashes(self, now: float, sender: str, rows: Sequence[CrashRow]) -> None:
+        for row in rows:
+            if self.crashes.merge(now, row):
+                self._effects.append(
+                    log(
+                        "crash-learnt",
+                        crash=row.crash,
+                        sender=sender,
+                        evidence=row.evidence.name.lower(),
+                        suspects=len(row.suspects),
+                        cleared=len(row.cleared),
+                        void=row.is_void,
+                        age=round(row.age, 3),
+                    )
+                )
+
+    def _pull_crashes(self, now: float, sender: str, checksum: int) -> None:
+        """Request the crashes that a node knows and this one does not."""
+        if checksum in (0, self.crashes.checksum) or now < self._crash_pull_due:
+            return
+        self._crash_pull_due = now + CRASH_PULL_INTERVAL_SECONDS
+        self._send(sender, PullCrashes(self.crashes.summaries()))
+
+    def _spread_crashes(self, now: float) -> None:
+        """Send what is new to a few nodes, which pass it on; pulls reach the rest."""
+        self.crashes.expire(now)
+        self.members.crashes = self.crashes.checksum
+        if now < self._crash_news_due:
+            return
+        self._crash_news_due = now + CRASH_NEWS_INTERVAL_SECONDS
+        news = self.crashes.take_news(now)
+        if news:
+            for member in self.members.sample(CRASH_NEWS_FANOUT):
+                self._send(member.node, CrashNews(news))
+
     # Scheduled work
 
     def _run_immediate(self, now: float, wall: float) -> None:
@@ -315,6 +370,7 @@
             self.lifecycle.record_staleness(now, self.control.staleness(now))
         self.members.staleness = self.staleness(now)
         self._update_own_member(now)
+        self._spread_crashes(now)
         for outgoing in self.members.tick(now):
             self._gossip(outgoing)
         self.submitter.update_control(self.control_nodes())
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -12,6 +12,7 @@
 from hawthornshelf.gateway.exchange import (
     Attempt,
     AttemptFailed,
+    ConnectionRefused,
     EngineLoad,
     Header,
     InboundRequest,
@@ -19,6 +20,7 @@
     Prompt,
     PromptSegment,
     RunnerClient,
+    RunnerReplaced,
     RunnerResponse,
 )
 from hawthornshelf.gateway.forwarder import Forwarder
@@ -102,6 +104,7 @@
             self.slots,
             self.is_leaving,
             self.stage,
+            self.boot,
         )
 
     def entry(self, now: float) -> Runner | None:
@@ -204,7 +207,7 @@
         if address in self.refuses or (
             not runner.is_up and not runner.crashes_silently
         ):
-            raise AttemptFailed("connect", name, "refused", sent=False)
+            raise ConnectionRefused(name, "refused")
         return runner
 
     async def send(self, attempt: Attempt) -> RunnerResponse:
@@ -249,6 +252,14 @@
         await self._find(runner.address, runner.name).reach()
         return EngineLoad(0, 0)
 
+    async def probe(self, runner: Runner, health_path: str) -> int:
+        found = self._find(runner.address, runner.name)
+        await found.reach()
+        self._fleet.probes += 1
+        if found.name != runner.name:
+            raise RunnerReplaced(runner.name, found.name)
+        return found.boot if found.stage is not Stage.MIXED else 0
+
     async def drop_handle(self, handle: KvCacheHandle) -> None:
         """Do nothing: runners keep no KV cache here."""
 
@@ -296,6 +307,7 @@
             rng,
             lambda: len(self._fleet.entry_names),
             self.runners.count_interactive_requests,
+            self.core.crashes,
         )
 
     def kill(self) -> None:
@@ -335,6 +347,7 @@
             entries = [runner.entry(now) for runner in self._fleet.runners]
             listed = tuple(entry for entry in entries if entry is not None)
             self.runners.load(RunnerList(listed, now))
+            self.forwarder.on_runner_list()
             await asyncio.sleep(LIST_SECONDS * self.rng.uniform(0.9, 1.0))
 
 
@@ -356,6 +369,7 @@
         self.rng = random.Random(self.seed)
         self.numbers = itertools.count()
         self.arrivals: list[Arrival] = []
+        self.probes = 0
         self.cut: set[tuple[str, str]] = set()
         self.runners: list[SimRunner] = []
         for number in range(self.engines):
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from hawthornshelf.clock import SystemClock
+from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
 from hawthornshelf.gateway.exchange import (
     Attempt,
@@ -164,6 +165,7 @@
             random.Random(1),
             lambda: 1,
             self.runners.count_interactive_requests,
+            CrashTable(),
         )
         self.forwarder.load(TABLE)
 
@@ -189,6 +191,9 @@
     async def read_load(self, runner: Runner) -> EngineLoad:
         return EngineLoad(0, 0)
 
+    async def probe(self, runner: Runner, health_path: str) -> int:
+        return runner.boot
+
     async def drop_handle(self, handle: KvCacheHandle) -> None:
         self.dropped.append(handle)
 
--- a/tests/gateway/load.py
+++ b/tests/gateway/load.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 from hawthornshelf.clock import Clock
+from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
 from hawthornshelf.gateway.exchange import (
     Attempt,
@@ -167,6 +168,9 @@
     async def read_load(self, runner: Runner) -> EngineLoad:
         return EngineLoad(0, 0)
 
+    async def probe(self, runner: Runner, health_path: str) -> int:
+        return runner.boot
+
     async def drop_handle(self, handle: KvCacheHandle) -> None:
         """Do nothing: engines keep no KV cache here."""
 
@@ -297,6 +301,7 @@
             random.Random(number),
             lambda: len(self._nodes),
             lambda: 1.0,
+            CrashTable(),
         )
         split = (Split("llm", 1),)
         route = Route(
