Reconnect to nodes that are taken for dead

What callers saw: a node whose links were cut for longer than some 5 s stayed out of every address response, and knew of no other node, for up to 120 s after the links were whole again. Cause: each side of the cut takes the other for dead, and dead nodes are neither probed nor gossiped to until they are forgotten. Evidence: found while testing how a node that was cut off learns of crashes: it did 104 s after the cut of 20 s was healed (virtual time). The new membership test failed before (status dead). Change: each second a node pings one of the dead, which refutes its status if it lives. Measured: the test passes with its bound of 3 s, the platform's contact time; test_membership 9 passed.

--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -20,6 +20,9 @@
 INDIRECT_REPLY_TIMEOUT_SECONDS = 1.5
 SUSPECT_TIMEOUT_SECONDS = 3.0
 FORGET_DEAD_SECONDS = 120.0
+RECONNECT_INTERVAL_SECONDS = 1.0
+"""Interval at which a node pings a dead one, in case only the link was cut."""
+
 RELAYS_PER_PROBE = 2
 ROWS_PER_MESSAGE = 8
 GOSSIP_SENDS_PER_CHANGE = 6
@@ -73,6 +76,7 @@
         self._relayed_probes: dict[int, _RelayedProbe] = {}
         self._probe_order: list[str] = []
         self._ping_due = 0.0
+        self._reconnect_due = 0.0
         self.revision = 0
         self.staleness = float("inf")
         self.crashes = 0
@@ -171,8 +175,23 @@
         if now >= self._ping_due:
             self._ping_due = now + PING_INTERVAL_SECONDS
             outgoing.extend(self._probe_next(now))
+        if now >= self._reconnect_due:
+            self._reconnect_due = now + RECONNECT_INTERVAL_SECONDS
+            outgoing.extend(self._ping_dead())
         return outgoing
 
+    def _ping_dead(self) -> list[OutgoingGossip]:
+        """Ping a random dead node, which refutes its status if it is alive.
+
+        Nodes on both sides of a cut take each other for dead, and dead nodes are not
+        probed.
+        """
+        dead = [r for r in self._rows.values() if r.status is MemberStatus.DEAD]
+        if not dead:
+            return []
+        target = self._rng.choice(dead)
+        return [OutgoingGossip(target, self._ping(self._next_sequence(), ""))]
+
     def _live_nodes(self) -> list[MemberRow]:
         rows = [r for r in self._rows.values() if r.status is not MemberStatus.DEAD]
         known = set(self._rows)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -80,6 +80,22 @@
     assert network.statuses("n2") == {MemberStatus.ALIVE}
 
 
+def test_a_node_cut_off_for_long_is_back_within_the_contact_time() -> None:
+    """Each side takes the other for dead, so neither would probe the other again."""
+    network = GossipNetwork(11)
+    network.run(10)
+    others = [name for name in network.tables if name != "n3"]
+    links = {(a, b) for o in others for a, b in (("n3", o), (o, "n3"))}
+    network.blocked_links = links
+    network.run(20)
+    assert network.statuses("n3") == {MemberStatus.DEAD}
+    network.blocked_links = set()
+    network.run(3.0)
+    assert network.statuses("n3") == {MemberStatus.ALIVE}
+    lone = network.tables["n3"]
+    assert {lone.status(name) for name in others} == {MemberStatus.ALIVE}
+
+
 def test_a_leaving_node_is_not_offered_to_callers() -> None:
     network = GossipNetwork(5)
     network.run(6)
