Test neighbours, false alarms, spread and end of the quarantine

Cause: the mend was proved by the reproduction alone. A clearance is spread after the crash itself has expired: the test of the end of a quarantine failed without it (others kept it). Ruled out: quarantine by faults that are no crashes; with all five at once a content may be held for a second at a time, and is never quarantined.

--- a/hawthornshelf/crashtable.py
+++ b/hawthornshelf/crashtable.py
@@ -27,6 +27,12 @@
 SUSPECT_SECONDS = 600.0
 """Time for which a request stays under suspicion after a crash."""
 
+TOMBSTONE_SECONDS = 600.0
+"""Time for which a cleared suspect of an expired crash is kept.
+
+A node that was cut off for no longer does not bring the suspicion back.
+"""
+
 CRASHES_TO_QUARANTINE = 3
 MIN_QUARANTINE_SECONDS = 600.0
 QUARANTINE_GROWTH = 4
@@ -109,12 +115,15 @@
 
 @dataclass
 class _Crash:
-    """Store one crash; `at` is in monotonic seconds."""
+    """Store one crash; `at` is in monotonic seconds.
+
+    `cleared` maps each cleared suspect to the time at which this node learnt of it.
+    """
 
     at: float
     evidence: Evidence
     suspects: set[bytes] = field(default_factory=set)
-    cleared: set[bytes] = field(default_factory=set)
+    cleared: dict[bytes, float] = field(default_factory=dict)
     is_void: bool = False
 
     def is_confirmed(self, now: float) -> bool:
@@ -201,7 +210,10 @@
         at = now - row.age
         known = self._crashes.get(row.crash)
         if known is None:
-            known = self._crashes[row.crash] = _Crash(at, row.evidence)
+            known = _Crash(at, row.evidence)
+            if known.is_expired(now) and not row.suspects:
+                return False
+            self._crashes[row.crash] = known
             is_new = True
         else:
             is_new = row.evidence > known.evidence or row.is_void > known.is_void
@@ -209,14 +221,14 @@
         known.evidence = max(known.evidence, row.evidence)
         known.is_void = known.is_void or row.is_void
         suspects = self._add_suspects(row.crash, known, row.suspects)
-        cleared = set(row.cleared) - known.cleared
-        for digest in cleared:
-            known.cleared.add(digest)
+        cleared = [digest for digest in row.cleared if digest not in known.cleared]
+        for digest in cleared[: MAX_SUSPECTS_PER_CRASH - len(known.cleared)]:
+            known.cleared[digest] = now
             self._drop_index(row.crash, digest)
         if not (is_new or suspects or cleared):
             return False
         self._update_checksum(row.crash)
-        if not known.is_expired(now):
+        if cleared or not known.is_expired(now):
             self._add_news(
                 row._replace(suspects=tuple(suspects), cleared=tuple(cleared))
             )
@@ -253,7 +265,9 @@
         return tuple(
             row
             for row in rows
-            if row.suspects or not self._crashes[row.crash].is_expired(now)
+            if row.suspects
+            or row.cleared
+            or not self._crashes[row.crash].is_expired(now)
         )
 
     def expire(self, now: float) -> None:
@@ -267,11 +281,14 @@
 
     def _expire_crash(self, now: float, crash: str) -> None:
         known = self._crashes[crash]
+        for digest, cleared_at in tuple(known.cleared.items()):
+            if now >= cleared_at + TOMBSTONE_SECONDS:
+                del known.cleared[digest]
         for digest in tuple(known.suspects):
-            if not self._is_remembered(now, digest):
+            is_needed = digest in known.cleared or self._is_remembered(now, digest)
+            if not is_needed:
                 self._drop_suspect(crash, digest)
         if known.suspects:
-            known.cleared &= known.suspects
             self._update_checksum(crash)
         else:
             self._drop_crash(crash)
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
+from hawthornshelf.crashtable import Standing
 from hawthornshelf.effects import Send
 from hawthornshelf.events import MessageReceived
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
@@ -24,6 +25,7 @@
     RunnerResponse,
 )
 from hawthornshelf.gateway.forwarder import Forwarder
+from hawthornshelf.gateway.identity import digest_request
 from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteTable, Split
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable, Stage
 from hawthornshelf.messages import Message
@@ -231,7 +233,7 @@
         self._fleet.arrivals.append(
             Arrival(now, attempt.runner.name, inbound.body, is_prefill)
         )
-        if inbound.body.startswith(POISON):
+        if inbound.body == POISON and not self._fleet.is_poison_mended:
             asyncio.get_running_loop().call_soon(runner.crash)
             await self._work(runner, attempt.runner.name, 1.0)
 
@@ -332,6 +334,12 @@
         await self.forwarder.serve(inbound, caller)
         return caller
 
+    def standing(self, path: str, body: bytes) -> Standing:
+        """Return what this node holds against a request."""
+        inbound = InboundRequest("", "POST", path, "h", (), body, 0.0, 0.0)
+        now = self._fleet.clock.monotonic()
+        return self.core.crashes.standing(now, digest_request(inbound))
+
     async def _tick(self) -> None:
         while True:
             events, self._events = self._events, []
@@ -355,7 +363,8 @@
 class CrashFleet:
     """Simulate entry nodes, engines and plain runners, without a control group.
 
-    `cut` names pairs of nodes that don't reach each other.
+    `cut` names pairs of nodes that don't reach each other. Once `is_poison_mended`, no
+    request crashes runners any more.
     """
 
     seed: int = 1
@@ -370,6 +379,7 @@
         self.numbers = itertools.count()
         self.arrivals: list[Arrival] = []
         self.probes = 0
+        self.is_poison_mended = False
         self.cut: set[tuple[str, str]] = set()
         self.runners: list[SimRunner] = []
         for number in range(self.engines):
@@ -413,6 +423,18 @@
         """Return a random entry node that is up."""
         return self.rng.choice([e for e in self.entries.values() if e.is_up])
 
+    def break_connections(self, runner: SimRunner) -> None:
+        """Reset every connection to a runner, which goes on running."""
+        for future in [f for f in runner.open if not f.done()]:
+            future.set_exception(ConnectionResetError())
+
+    def refuse_connections(self, addresses: set[str]) -> None:
+        """Cut all links to some runners; cut links refuse connections."""
+        for entry in self.entries.values():
+            entry.client.refuses = addresses
+        for address in addresses:
+            self.break_connections(self.by_address[address])
+
     def crash_times(self) -> list[float]:
         """Return when runners crashed, in order."""
         return sorted(at for runner in self.runners for at in runner.crashes)
