Prove the quarantine with real processes while leader and nodes are lost

Cause: the mend had run on simulated nodes only; the glue of the node shell, gRPC and the adapter's probe were untested. Change: three control and four entry processes before ten fake runners that crash and come back as new boots; two control processes (no quorum left) and one entry node are killed, one of each starts again while the third crash is recent; other requests go on. The demo shares the code that starts a process.

--- a/scripts/demo_platform.py
+++ b/scripts/demo_platform.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import signal
 import sys
 import tempfile
@@ -23,6 +22,7 @@
     make_manifest,
     make_settings,
 )
+from tests.southernveil.processes import start_process  # noqa: E402
 
 IPS = ("127.0.0.1", "127.0.0.2")
 HOST = "ficu95.example"
@@ -49,20 +49,6 @@
         server.stop()
 
 
-async def start(role: str, settings: Path, log: Path) -> asyncio.subprocess.Process:
-    """Start a process of one role as the platform starts it."""
-    environment = {**os.environ, "HAWTHORNSHELF_BOOT": str(settings)}
-    with log.open("wb") as output:
-        return await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "platform" / "serve.py"),
-            role,
-            env=environment,
-            stdout=output,
-            stderr=output,
-        )
-
-
 async def wait_until(condition: str, call) -> None:  # type: ignore[no-untyped-def]
     """Wait until a call returns status 200, and print what became true."""
     async with asyncio.timeout(WAIT_SECONDS):
@@ -83,7 +69,7 @@
         make_settings(folder, ip, role, ports, runner_list.address)
         settings = folder / f"{role}-{ip}.toml"
         log = folder / f"{role}-{ip}.log"
-        processes[role, ip] = await start(role, settings, log)
+        processes[role, ip] = await start_process(role, settings, log)
     async with aiohttp.ClientSession() as client:
 
         async def replace() -> int:
--- a/tests/southernveil/fakes.py
+++ b/tests/southernveil/fakes.py
@@ -12,7 +12,13 @@
 from aiohttp import web
 from southernveil.settings import PlatformSettings, read_settings
 
-__all__ = ["FakeRunnerList", "FakeRunner", "make_manifest", "make_settings"]
+__all__ = [
+    "CrashingRunner",
+    "FakeRunner",
+    "FakeRunnerList",
+    "make_manifest",
+    "make_settings",
+]
 
 PLAIN_SERVICE, ENGINE_SERVICE = "huvo11a", "wuno96b"
 LISTEN_PORTS = range(10_000, 32_000, 2)
@@ -36,10 +42,19 @@
 
 
 def make_settings(
-    folder: Path, ip: str, role: str, ports: list[int], list_address: str
+    folder: Path,
+    ip: str,
+    role: str,
+    ports: list[int],
+    list_address: str,
+    seeds: tuple[str, ...] = ("127.0.0.1",),
 ) -> PlatformSettings:
-    """Write a settings file in the platform's format, and return the settings read."""
+    """Write a settings file in the platform's format, and return the settings read.
+
+    `seeds` are the addresses of the control nodes, most of which may be lost.
+    """
     front, ready, control, directory, first_peer_port = ports
+    seed_addresses = json.dumps([f"{seed}:{control}" for seed in seeds])
     text = f'''
 NodeName = "front-{ip}"
 Role = "{role}"
@@ -48,7 +63,7 @@
 Zone = "z-a"
 Region = "z"
 PortRange = [{first_peer_port},{first_peer_port + 15}]
-Seeds = ["127.0.0.1:{control}"]
+Seeds = {seed_addresses}
 Bootstrap = true
 DataDir = "{folder / ip}"
 Unknown = "a field of a later version"
@@ -58,7 +73,7 @@
 Control = "{ip}:{control}"
 Directory = "{ip}:{directory}"
 [FaultTolerance]
-Machines = 0
+Machines = {(len(seeds) - 1) // 2}
 [Bounds]
 RetryRatio = 0.2
 RetrySlack = 60
@@ -120,13 +135,16 @@
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        loop = asyncio.get_running_loop()
         port = free_ports(1)[0]
-        self._server = await loop.create_server(
-            web.Server(self.handle, handler_cancellation=True), "127.0.0.1", port
-        )
+        await self._listen(port)
         self.address = f"127.0.0.1:{port}"
 
+    async def _listen(self, port: int) -> None:
+        self._protocol = web.Server(self.handle, handler_cancellation=True)
+        self._server = await asyncio.get_running_loop().create_server(
+            self._protocol, "127.0.0.1", port
+        )
+
     def stop(self) -> None:
         assert self._server is not None
         self._server.close()
@@ -235,3 +253,56 @@
         finally:
             self.disconnected.set()
         raise AssertionError
+
+
+@dataclass
+class CrashingRunner(FakeRunner):
+    """End with all connections when a poison request begins; come back as a new boot.
+
+    `restart_seconds` is how long it is down. It stays listed meanwhile.
+    """
+
+    POISON = b"poison"
+
+    boot: int = 1
+    restart_seconds: float = 1.0
+    crashes: int = 0
+    _port: int = 0
+
+    async def start(self) -> None:
+        self._base = self.name
+        await super().start()
+        self._port = int(self.address.rpartition(":")[2])
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        return {**super().entry(state), "born": self.boot}
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.raw_path == "/hawthornshelf/report":
+            report = {"Running": 0, "Waiting": 0, "born": self.boot}
+            return web.Response(body=json.dumps(report).encode())
+        if request.raw_path == "/healthz":
+            status = 200 if self._is_expected(request) else 421
+            return web.Response(status=status, headers={"X-Instance-Id": self.name})
+        if self._is_expected(request) and await request.read() == self.POISON:
+            self.crash()
+            raise ConnectionResetError
+        if request.raw_path.endswith("/slow"):
+            await asyncio.sleep(0.2)
+        return await super().handle(request)
+
+    def _is_expected(self, request: web.BaseRequest) -> bool:
+        return request.headers.get("X-Expect-Instance", self.name) == self.name
+
+    def crash(self) -> None:
+        self.crashes += 1
+        self.stop()
+        for connection in list(self._protocol.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        asyncio.get_running_loop().call_later(self.restart_seconds, self._restart)
+
+    def _restart(self) -> None:
+        self.boot += 1
+        self.name = f"{self._base}.{self.boot}"
+        self._restarting = asyncio.create_task(self._listen(self._port))
