--- a/hawthornshelf/crashtable.py
+++ b/hawthornshelf/crashtable.py
@@ -13,7 +13,16 @@
 
 import msgspec
 
-__all__ = ["CrashRow", "CrashTable", "Evidence", "RowSummary", "Standing"]
+__all__ = [
+    "CrashRow",
+    "CrashStatus",
+    "CrashTable",
+    "Evidence",
+    "RowSummary",
+    "Standing",
+    "SuspectCounts",
+    "Transition",
+]
 
 SILENT_SECONDS = 15.0
 """Time for which an unreachable runner counts as crashed without further evidence."""
@@ -80,6 +89,21 @@
     checksum: int
 
 
+class CrashStatus(NamedTuple):
+    """Tell what is known of one crash."""
+
+    evidence: Evidence
+    is_void: bool
+
+
+class SuspectCounts(NamedTuple):
+    """Count the requests under suspicion, and those of them that may not run now."""
+
+    suspects: int
+    held: int
+    quarantined: int
+
+
 class Standing(NamedTuple):
     """Tell what the table knows of one request.
 
@@ -113,6 +137,18 @@
         return enough and self.confirmed < CRASHES_TO_QUARANTINE
 
 
+class Transition(NamedTuple):
+    """Represent the begin or the end of a quarantine.
+
+    A quarantine that ends without a crash left in the standing was lifted because the
+    request completed or the crashes were void; else its time is over.
+    """
+
+    digest: bytes
+    begins: bool
+    standing: Standing
+
+
 @dataclass
 class _Crash:
     """Store one crash; `at` is in monotonic seconds.
@@ -147,6 +183,8 @@
         self._checksums: dict[str, int] = {}
         self._news: dict[str, CrashRow] = {}
         self._size = 0
+        self._quarantined: set[bytes] = set()
+        self._transitions: list[Transition] = []
         self._expire_due = 0.0
         self.checksum = 0
 
@@ -158,6 +196,20 @@
         """Return whether any request is a suspect."""
         return bool(self._by_suspect)
 
+    def status(self, crash: str) -> CrashStatus | None:
+        """Return what is known of a crash, or None if it is unknown."""
+        known = self._crashes.get(crash)
+        return CrashStatus(known.evidence, known.is_void) if known else None
+
+    def counts(self, now: float) -> SuspectCounts:
+        """Return how many requests are suspects, held and quarantined."""
+        standings = [self.standing(now, digest) for digest in self._by_suspect]
+        return SuspectCounts(
+            sum(bool(standing.crashes) for standing in standings),
+            sum(standing.is_held(now) for standing in standings),
+            sum(standing.is_quarantined(now) for standing in standings),
+        )
+
     def suspects(self) -> tuple[bytes, ...]:
         """Return the digests of all suspects."""
         return tuple(self._by_suspect)
@@ -275,10 +327,32 @@
         if now < self._expire_due:
             return
         self._expire_due = now + EXPIRE_INTERVAL_SECONDS
+        self._note_transitions(now)
         expired = [c for c, known in self._crashes.items() if known.is_expired(now)]
         for crash in expired:
             self._expire_crash(now, crash)
 
+    def take_transitions(self) -> tuple[Transition, ...]:
+        """Return and forget the changes of requests' states since the last call."""
+        transitions, self._transitions = self._transitions, []
+        return tuple(transitions)
+
+    def _note_transitions(self, now: float) -> None:
+        """Compare the quarantined requests with those of the last look."""
+        quarantined = {
+            digest: standing
+            for digest, names in self._by_suspect.items()
+            if len(names) >= CRASHES_TO_QUARANTINE
+            and (standing := self.standing(now, digest)).is_quarantined(now)
+        }
+        for digest in quarantined.keys() - self._quarantined:
+            self._transitions.append(Transition(digest, True, quarantined[digest]))
+        for digest in self._quarantined - quarantined.keys():
+            self._transitions.append(
+                Transition(digest, False, self.standing(now, digest))
+            )
+        self._quarantined = set(quarantined)
+
     def _expire_crash(self, now: float, crash: str) -> None:
         known = self._crashes[crash]
         for digest, cleared_at in tuple(known.cleared.items()):
--- a/hawthornshelf/explain.py
+++ b/hawthornshelf/explain.py
@@ -12,7 +12,10 @@
         "list-lost",
         "list-regained",
         "reloaded",
+        "quarantine-begins",
+        "quarantine-ends",
         "routes-in-force",
+        "runner-crashed",
         "runners-changed",
         "started",
         "stop-begins",
@@ -142,6 +145,12 @@
             return f"failed {where} at {runner} after {seconds} s: {reason}"
         case "cut":
             return f"cut {where} at {runner} after {seconds} s: {reason}"
+        case "quarantined" | "held" as outcome:
+            crashes = _list_crashes(steps)
+            return (
+                f"{outcome} {where} after {seconds} s: it was in flight when these "
+                f"runners crashed: {crashes} ({reason})"
+            )
         case "caller-gone":
             return (
                 f"its caller disconnected {where} after {seconds} s, "
@@ -150,6 +159,12 @@
     return f"ended {where}: {last.text}"
 
 
+def _list_crashes(steps: list[LogLine]) -> str:
+    """Return the crashes that the line on the blocked request names."""
+    named = [line for line in steps if line.event == "request-blocked"]
+    return named[-1].fields.get("crashes", "?") if named else "?"
+
+
 def _describe_content(steps: list[LogLine], requests: int) -> str:
     """Return what became of the requests that have the same content."""
     failed = [line.fields for line in steps if line.event == "attempt-failed"]
@@ -158,7 +173,10 @@
         f"{fields.get('runner')} (boot {fields.get('boot', '?')})" for fields in sent
     )
     nodes = {line.node for line in steps}
+    blocked = sum(line.event == "request-blocked" for line in steps)
+    refused = f"; {blocked} were not sent" if blocked else ""
     return (
         f"{requests} requests with this content at {len(nodes)} nodes: "
         f"{len(sent)} attempts broke after they were sent, at {', '.join(runners)}"
+        f"{refused}"
     )
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -90,6 +90,17 @@
         await self.start_peers()
         self._tasks.append(asyncio.create_task(self._poll_runner_list()))
 
+    def gauges(self) -> dict[str, float]:
+        """Return the current values for the metrics."""
+        counts = self._core.crashes.counts(self._clock.monotonic())
+        return {
+            "open_requests": float(self.forwarder.open_requests),
+            "runner_crashes_known": float(len(self._core.crashes)),
+            "suspect_requests": float(counts.suspects),
+            "held_requests": float(counts.held),
+            "quarantined_requests": float(counts.quarantined),
+        }
+
     def is_ready(self) -> bool:
         """Return whether this node should get new requests."""
         has_runners = self.runners.read_at > float("-inf")
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -318,20 +318,35 @@
 
     def _merge_crashes(self, now: float, sender: str, rows: Sequence[CrashRow]) -> None:
         for row in rows:
-            if self.crashes.merge(now, row):
+            before = self.crashes.status(row.crash)
+            self.crashes.merge(now, row)
+            status = self.crashes.status(row.crash)
+            if status is not None and status != before:
                 self._effects.append(
                     log(
                         "crash-learnt",
                         crash=row.crash,
                         sender=sender,
-                        evidence=row.evidence.name.lower(),
+                        evidence=status.evidence.name.lower(),
+                        void=status.is_void,
                         suspects=len(row.suspects),
-                        cleared=len(row.cleared),
-                        void=row.is_void,
                         age=round(row.age, 3),
                     )
                 )
 
+    def _log_quarantines(self, now: float) -> None:
+        for digest, begins, standing in self.crashes.take_transitions():
+            seconds_left = standing.quarantined_until - now if begins else 0.0
+            self._effects.append(
+                log(
+                    "quarantine-begins" if begins else "quarantine-ends",
+                    content=digest.hex(),
+                    crashes=",".join(standing.crashes),
+                    age=round(now - standing.last_at, 3) if standing.crashes else 0.0,
+                    seconds=round(seconds_left, 3),
+                )
+            )
+
     def _pull_crashes(self, now: float, sender: str, checksum: int) -> None:
         """Request the crashes that a node knows and this one does not."""
         if checksum in (0, self.crashes.checksum) or now < self._crash_pull_due:
@@ -342,6 +357,7 @@
     def _spread_crashes(self, now: float) -> None:
         """Send what is new to a few nodes, which pass it on; pulls reach the rest."""
         self.crashes.expire(now)
+        self._log_quarantines(now)
         self.members.crashes = self.crashes.checksum
         if now < self._crash_news_due:
             return
--- a/tests/test_crashtable.py
+++ b/tests/test_crashtable.py
@@ -175,3 +175,17 @@
     report(table, 1, POISON)
     assert table.rows_unlike(SUSPECT_SECONDS - 1.0, ())
     assert not table.rows_unlike(SUSPECT_SECONDS, ())
+
+
+def test_the_begin_and_the_end_of_a_quarantine_are_told_once() -> None:
+    table = CrashTable()
+    for crash in range(3):
+        report(table, crash, POISON)
+    table.expire(1.0)
+    table.expire(2.0)
+    assert [(t.digest, t.begins) for t in table.take_transitions()] == [(POISON, True)]
+    assert table.counts(2.0).quarantined == 1
+    table.clear(3.0, POISON)
+    table.expire(3.0)
+    assert [(t.digest, t.begins) for t in table.take_transitions()] == [(POISON, False)]
+    assert table.counts(3.0) == (0, 0, 0)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -68,6 +68,20 @@
     )
 
 
+def test_a_quarantined_request_is_shown_with_the_crashes_that_count() -> None:
+    lines = [
+        f"{HEAD} event=request-blocked request=r9 content=c0ffee outcome=quarantined "
+        "crashes=i-1/17,i-2/18,i-3/19 confirmed=3 retry_after=588.2 node=a-1",
+        f"{HEAD} event=request-ended request=r9 outcome=quarantined status=503 "
+        'seconds=0.0004 reason="quarantined: in flight when 3 runners crashed" '
+        "node=a-1",
+    ]
+    assert explain_request("r9", lines).conclusion == (
+        "quarantined at a-1 after 0.0004 s: it was in flight when these runners "
+        "crashed: i-1/17,i-2/18,i-3/19 (quarantined: in flight when 3 runners crashed)"
+    )
+
+
 def test_an_unknown_request_and_one_without_an_outcome_differ() -> None:
     assert "no log line names this request" in explain_request("none", SLOW).conclusion
     assert "no outcome at b-2" in explain_request("630b", SLOW[:1]).conclusion
