Bound what a runner may send in a response, on every client of the platform

What callers saw: a runner that sent bytes without end in a body, a report or a list page made a node buffer them until it ended for memory, and all its callers were cut. Cause: bodies were read whole without a limit. Class: trust in the size of what others send.

--- /dev/null
+++ b/hawthornshelf/httplimits.py
@@ -0,0 +1,130 @@
+"""Bound what an HTTP peer may send in a response, for every client of the product."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+__all__ = [
+    "BoundedConnection",
+    "MAX_BODY_BYTES",
+    "MAX_BUFFERED_BYTES",
+    "MAX_EVENT_BYTES",
+    "MAX_HEAD_BYTES",
+    "MAX_PAGE_BYTES",
+    "MAX_REPORT_BYTES",
+    "MAX_RESPONSE_BYTES",
+    "ResponseTooLarge",
+    "limit_connections",
+    "read_body",
+]
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Status line and headers, those of interim responses included."""
+
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+"""All bytes of a response, also chunk extensions, trailers and streams."""
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+"""A body that is read whole."""
+
+MAX_REPORT_BYTES = 256 * 1024
+"""The body of a load report, a probe or an engine's answer to a call."""
+
+MAX_PAGE_BYTES = 4 * 1024 * 1024
+"""One page of a list of VMs or runners."""
+
+MAX_EVENT_BYTES = 64 * 1024
+"""One event of a stream, which is kept until it is whole."""
+
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+"""All bodies that a process is reading whole at the same time."""
+
+SMALL_BODY_BYTES = 64 * 1024
+"""A body up to this size does not fail for the size of others."""
+
+FINAL_STATUS = 200
+
+
+class ResponseTooLarge(aiohttp.ClientPayloadError):
+    """Signal a response beyond a limit; its connection is closed."""
+
+
+class BoundedConnection(ResponseHandler):
+    """Close a connection whose response exceeds a limit."""
+
+    _head_bytes = 0
+    _response_bytes = 0
+    _has_head = False
+
+    def set_response_params(self, **params: Any) -> None:
+        """Begin to count for the next response."""
+        self._head_bytes = self._response_bytes = 0
+        self._has_head = False
+        super().set_response_params(**params)
+
+    def feed_data(self, message: Any, size: int = 0) -> None:
+        """Note the head of the final response."""
+        if message[0].code >= FINAL_STATUS:
+            self._has_head = True
+        super().feed_data(message, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of a response, unless it has become too large."""
+        self._response_bytes += len(data)
+        if not self._has_head:
+            self._head_bytes += len(data)
+        super().data_received(data)
+        if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
+            self._end(f"no final response within {MAX_HEAD_BYTES} bytes")
+        elif self._response_bytes > MAX_RESPONSE_BYTES:
+            self._end(f"a response of more than {MAX_RESPONSE_BYTES} bytes")
+
+    def _end(self, reason: str) -> None:
+        error = ResponseTooLarge(reason)
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def limit_connections(
+    connector: aiohttp.TCPConnector,
+    connection: type[BoundedConnection] = BoundedConnection,
+) -> aiohttp.TCPConnector:
+    """Return a connector whose connections are bounded; call it in a running loop."""
+    loop = asyncio.get_running_loop()
+    connector._factory = lambda: connection(loop=loop)  # type: ignore[assignment]
+    return connector
+
+
+class _BufferedBytes:
+    """Count the bytes of all bodies that are being read."""
+
+    count = 0
+
+
+async def read_body(
+    response: aiohttp.ClientResponse, limit: int = MAX_BODY_BYTES
+) -> bytes:
+    """Return a whole body; close the connection and raise ResponseTooLarge if it is
+    longer than `limit` bytes, or large while all bodies exceed MAX_BUFFERED_BYTES.
+    """
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async for part in response.content.iter_any():
+            parts.append(part)
+            size += len(part)
+            _BufferedBytes.count += len(part)
+            is_crowded = _BufferedBytes.count > MAX_BUFFERED_BYTES
+            if size > limit or (is_crowded and size > SMALL_BODY_BYTES):
+                response.close()
+                # The traceback of the error would keep the parts alive.
+                parts.clear()
+                raise ResponseTooLarge(f"a body of {size} bytes so far")
+    finally:
+        _BufferedBytes.count -= size
+    return b"".join(parts)
