End a request whose stream holds an event without end

What callers saw: a stream that never ended an event was left without an end until its caller gave up; the request had no request-ended line and no count, and its handler died of ValueError. Cause: EventSplitter raises ValueError, the forwarder catches AttemptFailed only. Class: an error of a type that the handler does not name leaves a request without an outcome. Change: the forwarder takes a bad event for a broken attempt (resumed elsewhere, or cut); any other error ends the request as failed, with a request-error line; a caller's broken connection counts as caller-gone. Evidence: the three new tests failed before (ValueError twice, ZeroDivisionError).

--- a/hawthornshelf/gateway/eventstream.py
+++ b/hawthornshelf/gateway/eventstream.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple
 
-__all__ = ["EventSplitter", "StreamEvent"]
+from hawthornshelf.httplimits import MAX_EVENT_BYTES
 
-MAX_EVENT_BYTES = 1024 * 1024
+__all__ = ["EventSplitter", "StreamEvent"]
 
 
 class StreamEvent(NamedTuple):
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -10,7 +10,7 @@
 from hawthornshelf.gateway.budget import RetryBudget
 from hawthornshelf.gateway.context import MIN_SECONDS_LEFT, RequestContext
 from hawthornshelf.gateway.crashdetector import CrashDetector
-from hawthornshelf.gateway.eventstream import EventSplitter
+from hawthornshelf.gateway.eventstream import EventSplitter, StreamEvent
 from hawthornshelf.gateway.exchange import (
     Attempt,
     AttemptFailed,
@@ -178,9 +178,12 @@
             self._record_timeout(context)
             context.reason = context.reason or "deadline passed"
             await self._fail(context, 504 if context.may_have_run else 503)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, ConnectionError):
             self._recorder.record_end(context, "caller-gone")
             raise
+        except Exception as error:
+            self._recorder.record_error(context, error)
+            await self._fail(context, 502 if context.may_have_run else 503)
         finally:
             if context.source is not None:
                 self._free_in_background(context.source)
@@ -468,7 +471,7 @@
             reason = f"status {response.status}"
             raise AttemptFailed("resume", state.runner.name, reason, sent=True)
         if response.is_stream and response.status < 300:
-            await self._relay_stream(context, response, reservation)
+            await self._relay_stream(context, state, response, reservation)
         else:
             body = await response.read()
             if response.status >= 500 and context.is_repeatable:
@@ -492,6 +495,7 @@
     async def _relay_stream(
         self,
         context: RequestContext,
+        state: RunnerState,
         response: RunnerResponse,
         reservation: Reservation | None,
     ) -> None:
@@ -499,7 +503,7 @@
         splitter = EventSplitter()
         writer = context.writer
         async for chunk in response.chunks():
-            for event in splitter.feed(chunk):
+            for event in _split(splitter, chunk, state):
                 if not writer.headers_sent:
                     self._record_first_byte(context, reservation)
                     await writer.begin(response.status, response.headers)
@@ -550,3 +554,14 @@
     async def _probe(self, runner: Runner) -> int:
         """Return the boot of a runner that responds; raise AttemptFailed."""
         return await self._client.probe(runner, self._index.health_path(runner.service))
+
+
+def _split(
+    splitter: EventSplitter, chunk: bytes, state: RunnerState
+) -> list[StreamEvent]:
+    """Return the events that a chunk completes; raise AttemptFailed for a bad one."""
+    try:
+        return splitter.feed(chunk)
+    except ValueError as error:
+        name = state.runner.name
+        raise AttemptFailed("read answer", name, str(error), sent=True) from error
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -130,6 +130,17 @@
             "crash_age": round(age, 3),
         }
 
+    def record_error(self, context: RequestContext, error: Exception) -> None:
+        """Record an error of this node, which ends the request."""
+        context.reason = repr(error)
+        write_log(
+            "request-error",
+            level="error",
+            request=context.inbound.request_id,
+            runner=context.last_runner,
+            reason=context.reason,
+        )
+
     def record_response(
         self, context: RequestContext, state: RunnerState, status: int
     ) -> None:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -156,11 +156,12 @@
         self.runners.load(RunnerList(self.listed, CLOCK.monotonic()))
         found = [self.runners.find(runner.name) for runner in self.listed]
         self.states = [state for state in found if state is not None]
+        self.metrics = Metrics()
         self.forwarder = Forwarder(
             self,
             self.runners,
             RetryBudget(self.limits),
-            Metrics(),
+            self.metrics,
             CLOCK,
             random.Random(1),
             lambda: 1,
@@ -197,6 +198,12 @@
     async def drop_handle(self, handle: KvCacheHandle) -> None:
         self.dropped.append(handle)
 
+    def outcomes(self) -> dict[str, int]:
+        """Return how many requests ended with each outcome."""
+        lines = self.metrics.export({}).decode().splitlines()
+        counts = [line for line in lines if line.startswith("hawthornshelf_requests_")]
+        return {line.split('"')[1]: int(float(line.split()[-1])) for line in counts}
+
     def ask(self, path: str, **options: object) -> Caller:
         """Serve one request to its end and return the caller with its response."""
         caller = Caller()
--- a/tests/gateway/test_eventstream.py
+++ b/tests/gateway/test_eventstream.py
@@ -2,7 +2,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hawthornshelf.gateway.eventstream import MAX_EVENT_BYTES, EventSplitter
+from hawthornshelf.gateway.eventstream import EventSplitter
+from hawthornshelf.httplimits import MAX_EVENT_BYTES
 
 STREAM = b"id: 1\ndata: a\n\n" + b"id: 2\ndata: b\ndata: c\n\n" + b"data: d\n\n"
 
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -428,3 +428,32 @@
     caller = fleet.ask("/talk/x", prompt=SHORT)
     assert caller.data == event(1)
     assert caller.aborted and not caller.ended
+
+
+def endless(attempt: Attempt) -> FakeResponse:
+    return FakeResponse(chunks=(event(1), *(b"data: x" * 1000,) * 1000), stream=True)
+
+
+def test_an_event_without_end_breaks_the_stream_and_another_engine_resumes_it() -> None:
+    fleet = Fleet([endless, stream(2, 3)])
+    caller = fleet.ask("/talk/x", prompt=SHORT)
+    assert caller.data == b"".join(event(n) for n in (1, 2, 3))
+    assert caller.ended and not caller.aborted
+    assert all(response.closed for response in fleet.responses)
+
+
+def test_an_event_without_end_in_a_stream_that_can_not_resume_cuts_it() -> None:
+    fleet = Fleet([endless])
+    caller = fleet.ask("/read/x", prompt=SHORT)
+    assert caller.aborted and not caller.ended
+    assert fleet.outcomes() == {"cut": 1}
+
+
+def test_an_unforeseen_error_ends_a_request_with_an_outcome() -> None:
+    def fail(attempt: Attempt) -> FakeResponse:
+        raise ZeroDivisionError
+
+    fleet = Fleet([fail])
+    caller = fleet.ask("/once/x")
+    assert caller.status == 502 and caller.ended
+    assert fleet.outcomes() == {"failed": 1}
