--- a/tests/southernveil/test_runnersource.py
+++ b/tests/southernveil/test_runnersource.py
@@ -1,6 +1,12 @@
+import asyncio
+
+import aiohttp
 import pytest
-from southernveil.runnersource import decode_runner
+from aiohttp import web
+from southernveil.runnersource import MAX_PAGES, CloudRunnerSource, decode_runner
 
+from hawthornshelf.clock import SystemClock
+from hawthornshelf.errors import RequestRefused
 from hawthornshelf.gateway.runners import Runner, Stage
 
 ENTRY = {
@@ -51,3 +57,25 @@
 )
 def test_an_entry_of_another_form_is_not_a_runner(entry: object) -> None:
     assert decode_runner(entry) is None
+
+
+def test_a_list_whose_pages_never_end_is_refused_and_not_cut_short() -> None:
+    """A part of the list would make runners on later pages look gone."""
+    pages = 0
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        nonlocal pages
+        pages += 1
+        return web.json_response({"Instances": [ENTRY], "Next": f"p-{pages}"})
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(web.Server(handle), "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with aiohttp.ClientSession() as session:
+            with pytest.raises(RequestRefused):
+                await CloudRunnerSource(session, address, SystemClock()).read()
+        server.close()
+
+    asyncio.run(run())
+    assert pages == MAX_PAGES
