Bound what an upstream may send to the product's own interface

What callers saw: a request to an upstream that sends bytes without end hung until its deadline; a line without end in an engine's stream ended its task with an error that nobody saw. Cause: as on the platform: no limit on heads, chunk framing, load reports and state; LineTooLong of the HTTP library is none of the errors that the client names. Change: the client uses the module of limits; the library's protocol errors break the attempt.

--- a/hawthornshelf/upstreamclient.py
+++ b/hawthornshelf/upstreamclient.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import msgspec
+from aiohttp.http_exceptions import HttpProcessingError
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.commands import Answer
@@ -33,6 +34,12 @@
     LoadReported,
     OrderEnded,
 )
+from hawthornshelf.httplimits import (
+    MAX_PAGE_BYTES,
+    MAX_REPORT_BYTES,
+    limit_connections,
+    read_body,
+)
 
 __all__ = ["OutboundRequest", "UpstreamClient"]
 
@@ -42,7 +49,6 @@
 ORDER_USER_TIMEOUT_SECONDS = 1.0
 ORDER_TIMEOUT_SECONDS = 5.0
 MAX_LINE_BYTES = 256 * 1024
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 Post = Callable[[Event], None]
 
@@ -136,7 +142,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             reason = f"{type(error).__name__}: {error}"
             self._post(AttemptBroken(effect.attempt, sent.is_set, reason))
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, HttpProcessingError) as error:
             reason = f"malformed answer: {error}"
             self._post(AttemptBroken(effect.attempt, True, reason))
 
@@ -216,7 +222,7 @@
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_SECONDS)
         try:
             async with self._engines.get(url, timeout=timeout) as response:
-                report = parse_load(await response.read())
+                report = parse_load(await read_body(response, MAX_REPORT_BYTES))
             report = await self._read_cache(effect, report)
         except aiohttp.ClientConnectorError as error:
             refused = isinstance(error.os_error, ConnectionRefusedError)
@@ -233,7 +239,7 @@
         async with self._engines.get(url, timeout=timeout) as response:
             if response.status != 200:
                 return report
-            data = await response.read()
+            data = await read_body(response, MAX_REPORT_BYTES)
         return parse_cache_events(data, report, effect.after)
 
     async def _read_engine_state(self, effect: ReadEngineState) -> None:
@@ -241,7 +247,8 @@
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_SECONDS)
         try:
             async with self._engines.get(url, timeout=timeout) as response:
-                engine_state = parse_engine_state(await response.read())
+                data = await read_body(response, MAX_REPORT_BYTES)
+                engine_state = parse_engine_state(data)
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
             self._post(EngineStateRead(effect.upstream, None))
         else:
@@ -267,7 +274,8 @@
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_SECONDS)
         try:
             async with self._engines.get(f"{url}/vms", timeout=timeout) as response:
-                self._post(parse_platform(await response.read()))
+                data = await read_body(response, MAX_PAGE_BYTES)
+                self._post(parse_platform(data))
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
             return
 
@@ -281,7 +289,7 @@
 
 def _make_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=limit_connections(connector),
         trust_env=False,
         auto_decompress=False,
         timeout=aiohttp.ClientTimeout(
@@ -306,11 +314,7 @@
 
 
 async def _read_response(response: aiohttp.ClientResponse) -> Answer:
-    """Return a whole response; raise ClientPayloadError if it is too large."""
-    body = bytearray()
-    async for part in response.content.iter_any():
-        body.extend(part)
-        if len(body) > MAX_RESPONSE_BYTES:
-            raise aiohttp.ClientPayloadError("answer is too large")
+    """Return a whole response; raise ResponseTooLarge if it is too large."""
+    body = await read_body(response)
     content_type = response.headers.get("content-type", "application/octet-stream")
-    return Answer(response.status, content_type, bytes(body))
+    return Answer(response.status, content_type, body)
--- /dev/null
+++ b/tests/test_upstreamclient.py
@@ -0,0 +1,60 @@
+"""Send bytes without end to the client of the product's own interface."""
+
+import asyncio
+
+import pytest
+
+from hawthornshelf.clock import SystemClock
+from hawthornshelf.effects import Dispatch, ReadEngineState, ReadLoad
+from hawthornshelf.events import (
+    AttemptBroken,
+    EngineStateRead,
+    Event,
+    LoadReported,
+)
+from hawthornshelf.upstreamclient import OutboundRequest, UpstreamClient
+from tests.southernveil.test_endless import CHUNKED, ENDLESS, Flood, run_flood
+
+TIMEOUT_SECONDS = 60.0
+ENGINE_STREAM = CHUNKED + b"Content-Type: text/event-stream\r\n\r\n"
+ENDLESS_TO_ENGINE = {**ENDLESS, "a line": (ENGINE_STREAM, b"1000\r\n" + b"x" * 4096)}
+
+
+def run_client(head: bytes, block: bytes, call: str) -> Event:
+    """Return the event that a call to an upstream without end posts."""
+    flood = Flood(head, block)
+
+    async def run() -> Event:
+        events: asyncio.Queue[Event] = asyncio.Queue()
+        async with asyncio.timeout(TIMEOUT_SECONDS), run_flood(flood) as address:
+            client = UpstreamClient(SystemClock(), events.put_nowait)
+            match call:
+                case "load":
+                    client.read_load(ReadLoad("llm", address, 0))
+                case "state":
+                    client.read_engine_state(ReadEngineState("llm", address))
+                case _:
+                    outbound = OutboundRequest(call == "engine", "POST", "/", {}, b"")
+                    effect = Dispatch("r", "a", "llm", address, 0, 1e12, False)
+                    client.dispatch(effect, outbound)
+            while True:
+                event = await events.get()
+                if isinstance(event, AttemptBroken | LoadReported | EngineStateRead):
+                    break
+            await client.close()
+        return event
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("call", ["load", "state", "engine", "service"])
+@pytest.mark.parametrize("name", ENDLESS_TO_ENGINE)
+def test_an_upstream_that_never_ends_its_response_breaks_the_call(
+    name: str, call: str
+) -> None:
+    event = run_client(*ENDLESS_TO_ENGINE[name], call)
+    match event:
+        case LoadReported(_, report) | EngineStateRead(_, report):
+            assert report is None
+        case AttemptBroken(attempt):
+            assert attempt == "a"
