Part the records of crashes from the table that merges them

Cause: one module held what goes between nodes, what a crash says of a request, and the merging. Change: `crashrecords` (evidence, rows, standing, length of a quarantine) and `crashtable`; no behaviour. Measured: 214 tests of gateway, table, core and membership pass.

--- /dev/null
+++ b/hawthornshelf/crashrecords.py
@@ -0,0 +1,118 @@
+"""Describe crashes of runners, and what they say of the requests in flight."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+__all__ = [
+    "CRASHES_TO_QUARANTINE",
+    "MAX_QUARANTINE_SECONDS",
+    "MIN_QUARANTINE_SECONDS",
+    "CrashRow",
+    "CrashStatus",
+    "Evidence",
+    "RowSummary",
+    "Standing",
+    "SuspectCounts",
+    "Transition",
+]
+
+CRASHES_TO_QUARANTINE = 3
+MIN_QUARANTINE_SECONDS = 600.0
+QUARANTINE_GROWTH = 4
+"""Factor by which each further crash prolongs the quarantine."""
+
+MAX_QUARANTINE_SECONDS = 86_400.0
+
+
+class Evidence(IntEnum):
+    """Rank what is known of a crash; the highest rank of all nodes counts.
+
+    SILENT: the runner does not answer. REFUSED: it refuses connections. GONE: it left
+    the platform's list without notice, or another boot took its place.
+    """
+
+    SILENT = 0
+    REFUSED = 1
+    GONE = 2
+
+
+class CrashRow(NamedTuple):
+    """Represent one crash between nodes; `age` is in seconds.
+
+    `crash` names the runner and its boot. `cleared` are the suspects that completed
+    at a runner since. `is_void` says that the runner did not crash after all.
+    """
+
+    crash: str
+    age: float
+    evidence: Evidence
+    suspects: tuple[bytes, ...] = ()
+    cleared: tuple[bytes, ...] = ()
+    is_void: bool = False
+
+
+class RowSummary(NamedTuple):
+    """Name a row and the checksum of its content."""
+
+    crash: str
+    checksum: int
+
+
+class CrashStatus(NamedTuple):
+    """Tell what is known of one crash."""
+
+    evidence: Evidence
+    is_void: bool
+
+
+class SuspectCounts(NamedTuple):
+    """Count the requests under suspicion, and those of them that may not run now."""
+
+    suspects: int
+    held: int
+    quarantined: int
+
+
+class Standing(NamedTuple):
+    """Tell what the table knows of one request.
+
+    `crashes` are those that count against it, `confirmed` the number that is certain.
+    `last_at` is when the last of them happened, in monotonic seconds.
+    """
+
+    crashes: tuple[str, ...] = ()
+    confirmed: int = 0
+    last_at: float = float("-inf")
+
+    @property
+    def quarantined_until(self) -> float:
+        """Return when the quarantine ends, in monotonic seconds; -inf without one."""
+        excess = self.confirmed - CRASHES_TO_QUARANTINE
+        if excess < 0:
+            return float("-inf")
+        seconds = MIN_QUARANTINE_SECONDS * QUARANTINE_GROWTH**excess
+        return self.last_at + min(seconds, MAX_QUARANTINE_SECONDS)
+
+    def is_quarantined(self, now: float) -> bool:
+        """Return whether the request may not run now."""
+        return now < self.quarantined_until
+
+    def is_held(self, now: float) -> bool:
+        """Return whether it waits for evidence on as many crashes as quarantine needs.
+
+        Once a quarantine has ended, the request may run again.
+        """
+        enough = len(self.crashes) >= CRASHES_TO_QUARANTINE
+        return enough and self.confirmed < CRASHES_TO_QUARANTINE
+
+
+class Transition(NamedTuple):
+    """Represent the begin or the end of a quarantine.
+
+    A quarantine that ends without a crash left in the standing was lifted because the
+    request completed or the crashes were void; else its time is over.
+    """
+
+    digest: bytes
+    begins: bool
+    standing: Standing
--- a/hawthornshelf/crashtable.py
+++ b/hawthornshelf/crashtable.py
@@ -8,21 +8,21 @@
 import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from enum import IntEnum
-from typing import NamedTuple
 
 import msgspec
 
-__all__ = [
-    "CrashRow",
-    "CrashStatus",
-    "CrashTable",
-    "Evidence",
-    "RowSummary",
-    "Standing",
-    "SuspectCounts",
-    "Transition",
-]
+from hawthornshelf.crashrecords import (
+    CRASHES_TO_QUARANTINE,
+    CrashRow,
+    CrashStatus,
+    Evidence,
+    RowSummary,
+    Standing,
+    SuspectCounts,
+    Transition,
+)
+
+__all__ = ["CrashTable"]
 
 SILENT_SECONDS = 15.0
 """Time for which an unreachable runner counts as crashed without further evidence."""
@@ -42,12 +42,6 @@
 A node that was cut off for no longer does not bring the suspicion back.
 """
 
-CRASHES_TO_QUARANTINE = 3
-MIN_QUARANTINE_SECONDS = 600.0
-QUARANTINE_GROWTH = 4
-"""Factor by which each further crash prolongs the quarantine."""
-
-MAX_QUARANTINE_SECONDS = 86_400.0
 MAX_SUSPECTS_PER_CRASH = 1024
 MAX_SUSPECTS = 8192
 """Suspects in the table, counted once for each crash."""
@@ -55,100 +49,6 @@
 EXPIRE_INTERVAL_SECONDS = 1.0
 
 
-class Evidence(IntEnum):
-    """Rank what is known of a crash; the highest rank of all nodes counts.
-
-    SILENT: the runner does not answer. REFUSED: it refuses connections. GONE: it left
-    the platform's list without notice, or another boot took its place.
-    """
-
-    SILENT = 0
-    REFUSED = 1
-    GONE = 2
-
-
-class CrashRow(NamedTuple):
-    """Represent one crash between nodes; `age` is in seconds.
-
-    `crash` names the runner and its boot. `cleared` are the suspects that completed
-    at a runner since. `is_void` says that the runner did not crash after all.
-    """
-
-    crash: str
-    age: float
-    evidence: Evidence
-    suspects: tuple[bytes, ...] = ()
-    cleared: tuple[bytes, ...] = ()
-    is_void: bool = False
-
-
-class RowSummary(NamedTuple):
-    """Name a row and the checksum of its content."""
-
-    crash: str
-    checksum: int
-
-
-class CrashStatus(NamedTuple):
-    """Tell what is known of one crash."""
-
-    evidence: Evidence
-    is_void: bool
-
-
-class SuspectCounts(NamedTuple):
-    """Count the requests under suspicion, and those of them that may not run now."""
-
-    suspects: int
-    held: int
-    quarantined: int
-
-
-class Standing(NamedTuple):
-    """Tell what the table knows of one request.
-
-    `crashes` are those that count against it, `confirmed` the number that is certain.
-    `last_at` is when the last of them happened, in monotonic seconds.
-    """
-
-    crashes: tuple[str, ...] = ()
-    confirmed: int = 0
-    last_at: float = float("-inf")
-
-    @property
-    def quarantined_until(self) -> float:
-        """Return when the quarantine ends, in monotonic seconds; -inf without one."""
-        excess = self.confirmed - CRASHES_TO_QUARANTINE
-        if excess < 0:
-            return float("-inf")
-        seconds = MIN_QUARANTINE_SECONDS * QUARANTINE_GROWTH**excess
-        return self.last_at + min(seconds, MAX_QUARANTINE_SECONDS)
-
-    def is_quarantined(self, now: float) -> bool:
-        """Return whether the request may not run now."""
-        return now < self.quarantined_until
-
-    def is_held(self, now: float) -> bool:
-        """Return whether it waits for evidence on as many crashes as quarantine needs.
-
-        Once a quarantine has ended, the request may run again.
-        """
-        enough = len(self.crashes) >= CRASHES_TO_QUARANTINE
-        return enough and self.confirmed < CRASHES_TO_QUARANTINE
-
-
-class Transition(NamedTuple):
-    """Represent the begin or the end of a quarantine.
-
-    A quarantine that ends without a crash left in the standing was lifted because the
-    request completed or the crashes were void; else its time is over.
-    """
-
-    digest: bytes
-    begins: bool
-    standing: Standing
-
-
 @dataclass
 class _Crash:
     """Store one crash; `at` is in monotonic seconds.
--- a/hawthornshelf/gateway/crashdetector.py
+++ b/hawthornshelf/gateway/crashdetector.py
@@ -8,7 +8,8 @@
 from enum import Enum
 
 from hawthornshelf.clock import Clock
-from hawthornshelf.crashtable import CrashTable, Evidence
+from hawthornshelf.crashrecords import Evidence
+from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.exchange import (
     AttemptFailed,
--- a/hawthornshelf/gateway/quarantine.py
+++ b/hawthornshelf/gateway/quarantine.py
@@ -5,7 +5,8 @@
 import xxhash
 
 from hawthornshelf.clock import Clock
-from hawthornshelf.crashtable import CrashTable, Standing
+from hawthornshelf.crashrecords import Standing
+from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.runners import RunnerState, RunnerTable, Stage
 
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -1,7 +1,7 @@
 """Record the outcomes of attempts and requests in state, log and metrics."""
 
 from hawthornshelf.clock import Clock
-from hawthornshelf.crashtable import Standing
+from hawthornshelf.crashrecords import Standing
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.exchange import AttemptFailed
 from hawthornshelf.gateway.quarantine import RequestBlocked
--- a/hawthornshelf/messages.py
+++ b/hawthornshelf/messages.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from hawthornshelf.commands import COMMAND_TYPES
-from hawthornshelf.crashtable import CrashRow, RowSummary
+from hawthornshelf.crashrecords import CrashRow, RowSummary
 from hawthornshelf.raftmessages import RaftMessage
 from hawthornshelf.state import SharedView
 from hawthornshelf.wire import Codec
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -11,7 +11,8 @@
     SendToNode,
     resolve_addresses,
 )
-from hawthornshelf.crashtable import CrashRow, CrashTable
+from hawthornshelf.crashrecords import CrashRow
+from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.effects import (
     CommandEnded,
     Effect,
--- a/scripts/measure_crashes.py
+++ b/scripts/measure_crashes.py
@@ -10,7 +10,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
-from hawthornshelf.crashtable import CrashTable, Evidence, Standing  # noqa: E402
+from hawthornshelf.crashrecords import Evidence, Standing  # noqa: E402
+from hawthornshelf.crashtable import CrashTable  # noqa: E402
 from hawthornshelf.gateway.context import RequestContext  # noqa: E402
 from hawthornshelf.gateway.exchange import InboundRequest  # noqa: E402
 from hawthornshelf.gateway.identity import digest_request  # noqa: E402
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
-from hawthornshelf.crashtable import Standing
+from hawthornshelf.crashrecords import Standing
 from hawthornshelf.effects import Send
 from hawthornshelf.events import MessageReceived
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
--- a/tests/gateway/test_crash_quarantine.py
+++ b/tests/gateway/test_crash_quarantine.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from hawthornshelf.crashtable import MIN_QUARANTINE_SECONDS, SUSPECT_SECONDS
+from hawthornshelf.crashrecords import MIN_QUARANTINE_SECONDS
+from hawthornshelf.crashtable import SUSPECT_SECONDS
 from hawthornshelf.gateway.exchange import Prompt
 from tests.gateway.crashfleet import (
     CONTACT_SECONDS,
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -3,7 +3,8 @@
 
 import pytest
 
-from hawthornshelf.crashtable import CrashTable, Evidence
+from hawthornshelf.crashrecords import Evidence
+from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.quarantine import Quarantine, RequestBlocked, choose_isolated
 from tests.gateway.crashfleet import SHORT, CrashFleet
--- a/tests/test_crashtable.py
+++ b/tests/test_crashtable.py
@@ -4,17 +4,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hawthornshelf.crashtable import (
+from hawthornshelf.crashrecords import (
     MAX_QUARANTINE_SECONDS,
+    MIN_QUARANTINE_SECONDS,
+    CrashRow,
+    Evidence,
+)
+from hawthornshelf.crashtable import (
     MAX_SUSPECTS,
     MAX_SUSPECTS_PER_CRASH,
-    MIN_QUARANTINE_SECONDS,
     REFUSED_CONFIRM_SECONDS,
     SILENT_SECONDS,
     SUSPECT_SECONDS,
-    CrashRow,
     CrashTable,
-    Evidence,
 )
 
 POISON = b"poison"
