Do not take a runner that one list leaves out for a crashed one

What callers would see: requests in flight at a living runner became suspects when a list came without its entry; three such lists would have quarantined long requests. Cause: being unlisted without notice counted as evidence by itself. Change: an unlisted runner is probed; only one that does not respond as that boot counts as gone. Another boot under its name in the list needs no probe. The case that asked for no probe where the list shows a crash now holds for another boot, and a second one covers the unlisted runner.

--- a/hawthornshelf/gateway/crashdetector.py
+++ b/hawthornshelf/gateway/crashdetector.py
@@ -149,10 +149,10 @@
         now = self._clock.monotonic()
         for key, flights in list(self._flights.items()):
             flight = next(iter(flights), None)
-            if flight is not None and self._is_gone(flight.runner):
+            if flight is not None and self._is_missing(flight.runner):
                 self._start(self._open_case(key, flight.runner, now))
         for key, case in list(self._cases.items()):
-            if self._is_gone(case.runner):
+            if self._is_missing(case.runner):
                 self._start(case)
             elif case.task is None and now >= case.opened_at + INVESTIGATION_SECONDS:
                 del self._cases[key]
@@ -251,11 +251,21 @@
                 del self._cases[key]
 
     async def _examine(self, case: _Case) -> Evidence | _Finding:
-        """Return what the list and one probe tell of a lost runner."""
+        """Return what the list and one probe tell of a lost runner.
+
+        A list may leave a living runner out, so that alone is no evidence.
+        """
         if self._runners.is_leaving(case.runner):
             return _Finding.LEFT
-        if self._is_gone(case.runner):
+        listed = self._runners.find(case.runner.name)
+        if listed is not None and listed.runner.boot != case.runner.boot:
             return Evidence.GONE
+        finding = await self._probe_once(case)
+        if listed is None and finding is not _Finding.ALIVE:
+            return Evidence.GONE
+        return finding
+
+    async def _probe_once(self, case: _Case) -> Evidence | _Finding:
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                 boot = await self._probe(case.runner)
@@ -295,8 +305,8 @@
                 return
             await asyncio.sleep(RECENTLY_SECONDS / 10)
 
-    def _is_gone(self, runner: Runner) -> bool:
-        """Return whether the list shows another boot, or no runner of that name."""
+    def _is_missing(self, runner: Runner) -> bool:
+        """Return whether the list does not hold a boot that has not given notice."""
         listed = self._runners.find(runner.name)
         is_listed = listed is not None and listed.runner.boot == runner.boot
         return not is_listed and not self._runners.is_leaving(runner)
--- a/tests/gateway/test_crashdetector.py
+++ b/tests/gateway/test_crashdetector.py
@@ -155,6 +155,34 @@
         hanging = asyncio.create_task(hang(detector))
         await asyncio.sleep(0.5)
         detector.list_runners()
+        await asyncio.sleep(0.5)
+        assert detector.suspects(b"x") == 1
+        hanging.cancel()
+
+    detector.run(scenario)
+
+
+def test_a_living_runner_that_one_list_leaves_out_has_not_crashed() -> None:
+    detector = Detector(1)
+
+    async def scenario() -> None:
+        hanging = asyncio.create_task(hang(detector))
+        await detector.lose(b"y")
+        detector.list_runners()
+        await asyncio.sleep(0.5)
+        assert detector.suspects(b"x") == 0 and detector.suspects(b"y") == 0
+        hanging.cancel()
+
+    detector.run(scenario)
+
+
+def test_another_boot_in_the_list_shows_a_crash_without_a_probe() -> None:
+    detector = Detector(1)
+
+    async def scenario() -> None:
+        hanging = asyncio.create_task(hang(detector))
+        await asyncio.sleep(0.5)
+        detector.list_runners(RUNNER._replace(boot=2))
         await asyncio.sleep(0.1)
         assert detector.suspects(b"x") == 1 and detector.probes == 0
         hanging.cancel()
