--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -62,9 +62,10 @@
 
 @dataclass
 class Arrival:
-    """Record one arrival of a request at a runner, and whether it may have run."""
+    """Record one arrival of a request at a runner, and the node that sent it."""
 
     at: float
+    node: str
     runner: str
     body: bytes
     is_prefill: bool
@@ -199,8 +200,9 @@
     links do.
     """
 
-    def __init__(self, fleet: "CrashFleet") -> None:
+    def __init__(self, fleet: "CrashFleet", node: str) -> None:
         self._fleet = fleet
+        self._node = node
         self.resets: Callable[[Attempt], bool] = lambda attempt: False
         self.refuses: set[str] = set()
 
@@ -231,7 +233,7 @@
         inbound = attempt.inbound
         now = self._fleet.clock.monotonic()
         self._fleet.arrivals.append(
-            Arrival(now, attempt.runner.name, inbound.body, is_prefill)
+            Arrival(now, self._node, attempt.runner.name, inbound.body, is_prefill)
         )
         if inbound.body == POISON and not self._fleet.is_poison_mended:
             asyncio.get_running_loop().call_soon(runner.crash)
@@ -272,6 +274,7 @@
     def __init__(self, fleet: "CrashFleet", name: str) -> None:
         self.name = name
         self.is_up = True
+        self.disturbed_at = fleet.clock.monotonic()
         self._fleet = fleet
         self._events: list[MessageReceived] = []
         clock = fleet.clock
@@ -292,7 +295,7 @@
         )
         self.core = NodeCore(settings, None, rng, clock.monotonic())
         self.core.is_serving = True
-        self.client = _Client(fleet)
+        self.client = _Client(fleet, name)
         self.runners = RunnerTable("dc", rng)
         self.forwarder = self._make_forwarder(rng)
         self.forwarder.load(TABLE)
@@ -336,9 +339,13 @@
 
     def standing(self, path: str, body: bytes) -> Standing:
         """Return what this node holds against a request."""
-        inbound = InboundRequest("", "POST", path, "h", (), body, 0.0, 0.0)
         now = self._fleet.clock.monotonic()
-        return self.core.crashes.standing(now, digest_request(inbound))
+        return self.core.crashes.standing(now, self.digest(path, body))
+
+    def digest(self, path: str, body: bytes) -> bytes:
+        """Return the digest of a request's content."""
+        inbound = InboundRequest("", "POST", path, "h", (), body, 0.0, 0.0)
+        return digest_request(inbound)
 
     async def _tick(self) -> None:
         while True:
@@ -439,13 +446,18 @@
         """Return when runners crashed, in order."""
         return sorted(at for runner in self.runners for at in runner.crashes)
 
-    def sends_after_third_crash(self, body: bytes = POISON) -> int:
-        """Count the sends of a request later than the contact time after its third."""
+    def late_sends(self) -> list[Arrival]:
+        """Return the sends of the poison request that the platform counts.
+
+        They are later than the contact time after the third crash.
+        """
         crashes = self.crash_times()
-        if len(crashes) < 3:
-            return 0
-        limit = crashes[2] + CONTACT_SECONDS
-        return sum(a.at > limit for a in self.arrivals if a.body == body)
+        limit = crashes[2] + CONTACT_SECONDS if len(crashes) >= 3 else float("inf")
+        return [a for a in self.arrivals if a.body == POISON and a.at > limit]
+
+    def sends_after_third_crash(self) -> int:
+        """Count the sends that the platform counts."""
+        return len(self.late_sends())
 
 
 def _route(prefix: str, retry_policy: RetryPolicy, **changes: object) -> Route:
--- /dev/null
+++ b/tests/gateway/crashsoak.py
@@ -0,0 +1,150 @@
+"""Draw faults for the simulated fleet while one request crashes its runners."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from hawthornshelf.gateway.exchange import Prompt
+from tests.gateway.crashfleet import (
+    CONTACT_SECONDS,
+    LONG,
+    POISON,
+    SHORT,
+    CrashFleet,
+)
+
+__all__ = ["SoakResult", "run_soak"]
+
+SECONDS = 24.0
+NEIGHBOURS_PER_SECOND = 20.0
+KINDS: tuple[tuple[str, Prompt | None], ...] = (
+    ("/safe/x", None),
+    ("/once/x", None),
+    ("/talk/x", SHORT),
+    ("/read/x", LONG),
+)
+
+
+class SoakResult(NamedTuple):
+    """Tell what became of a play; `late_sends` are those of nodes in touch."""
+
+    crashes: int
+    late_sends: int
+    outcomes: Counter[str]
+
+
+async def _reset_answers(fleet: CrashFleet, rng: random.Random) -> None:
+    for entry in fleet.entries.values():
+        entry.client.resets = lambda attempt: rng.random() < 0.05
+    await asyncio.sleep(rng.uniform(1.0, 4.0))
+    for entry in fleet.entries.values():
+        entry.client.resets = lambda attempt: False
+
+
+async def _silence_runner(fleet: CrashFleet, rng: random.Random) -> None:
+    runner = rng.choice(fleet.runners)
+    runner.silent_until = fleet.clock.monotonic() + rng.uniform(0.5, 4.0)
+
+
+async def _cut_runner(fleet: CrashFleet, rng: random.Random) -> None:
+    fleet.refuse_connections({rng.choice(fleet.runners).address})
+    await asyncio.sleep(rng.uniform(0.5, 3.0))
+    fleet.refuse_connections(set())
+
+
+async def _break_connections(fleet: CrashFleet, rng: random.Random) -> None:
+    fleet.break_connections(rng.choice(fleet.runners))
+
+
+async def _replace_runner(fleet: CrashFleet, rng: random.Random) -> None:
+    runner = rng.choice([r for r in fleet.runners if r.is_up and not r.is_leaving])
+    boot = runner.boot
+    runner.leave()
+    await asyncio.sleep(3.5)
+    if runner.is_up and runner.boot == boot:
+        runner.end()
+        await asyncio.sleep(1.0)
+        runner.restart()
+
+
+async def _restart_node(fleet: CrashFleet, rng: random.Random) -> None:
+    entry = rng.choice([e for e in fleet.entries.values() if e.is_up])
+    entry.kill()
+    await asyncio.sleep(rng.uniform(0.1, 2.0))
+    fleet.start_entry(entry.name)
+
+
+async def _cut_node(fleet: CrashFleet, rng: random.Random) -> None:
+    """Cut one node off from all others; it counts as disturbed until long after."""
+    name = rng.choice(fleet.entry_names)
+    links = {(name, other) for other in fleet.entry_names if other != name}
+    fleet.cut |= links
+    until = fleet.clock.monotonic() + rng.uniform(0.5, 8.0)
+    while fleet.clock.monotonic() < until:
+        fleet.entries[name].disturbed_at = fleet.clock.monotonic()
+        await asyncio.sleep(0.1)
+    fleet.cut -= links
+
+
+Fault = Callable[[CrashFleet, random.Random], Awaitable[None]]
+FAULTS: tuple[Fault, ...] = (
+    _reset_answers,
+    _silence_runner,
+    _cut_runner,
+    _break_connections,
+    _replace_runner,
+    _restart_node,
+    _cut_node,
+)
+
+
+def run_soak(seed: int) -> SoakResult:
+    """Play one seed; faults come in series and overlap."""
+    rng = random.Random(seed)
+    fleet = CrashFleet(
+        seed=seed,
+        nodes=rng.randint(3, 9),
+        engines=rng.randint(5, 9),
+        apps=rng.randint(5, 9),
+        prefillers=rng.randint(0, 2),
+    )
+    for runner in fleet.runners:
+        runner.crashes_silently = rng.random() < 0.2
+        runner.keeps_name = rng.random() < 0.3
+    path, prompt = rng.choice(KINDS)
+    outcomes: Counter[str] = Counter()
+
+    async def ask(number: int) -> None:
+        kind, own_prompt = rng.choice(KINDS)
+        caller = await fleet.draw_entry().ask(kind, b"%d" % number, own_prompt)
+        blocked = "runners crashed" in caller.reason
+        outcome = "held" if blocked and caller.retry_after <= 1.0 else "quarantined"
+        outcomes[outcome if blocked else str(caller.status)] += 1
+
+    async def crash_runners() -> None:
+        while fleet.clock.monotonic() < SECONDS:
+            await fleet.draw_entry().ask(path, POISON, prompt)
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
+
+    async def draw_faults(group: asyncio.TaskGroup) -> None:
+        while fleet.clock.monotonic() < SECONDS:
+            group.create_task(rng.choice(FAULTS)(fleet, rng))  # type: ignore[arg-type]
+            await asyncio.sleep(rng.uniform(0.3, 2.5))
+
+    async def play(fleet: CrashFleet) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(crash_runners())
+            group.create_task(draw_faults(group))
+            for number in range(int(SECONDS * NEIGHBOURS_PER_SECOND)):
+                group.create_task(ask(number))
+                await asyncio.sleep(rng.expovariate(NEIGHBOURS_PER_SECOND))
+
+    fleet.run(play)
+    late = [
+        send
+        for send in fleet.late_sends()
+        if send.at > fleet.entries[send.node].disturbed_at + CONTACT_SECONDS
+    ]
+    return SoakResult(len(fleet.crash_times()), len(late), outcomes)
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -7,7 +7,7 @@
 from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.quarantine import Quarantine, RequestBlocked, choose_isolated
-from tests.gateway.crashfleet import SHORT, CrashFleet
+from tests.gateway.crashfleet import POISON, SHORT, CrashFleet
 from tests.gateway.fakes import CLOCK, TABLE, Caller, Fleet, make_inbound
 
 
@@ -95,3 +95,21 @@
         await asyncio.gather(*asked)
 
     fleet.run(play)
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_the_retry_of_a_broken_request_waits_until_it_is_known_as_a_suspect(
+    seed: int,
+) -> None:
+    fleet = CrashFleet(seed=seed, nodes=1)
+
+    async def play(fleet: CrashFleet) -> None:
+        entry = fleet.entries["n0"]
+        states = list(entry.runners.in_service("app"))
+        await entry.ask("/safe/x", POISON)
+        first, second = (arrival.runner for arrival in fleet.arrivals)
+        others = [state for state in states if state.runner.name != first]
+        digest = entry.digest("/safe/x", POISON)
+        assert second == choose_isolated(digest, 1, others, {}).runner.name
+
+    fleet.run(play)
