--- a/tests/southernveil/test_strictness.py
+++ b/tests/southernveil/test_strictness.py
@@ -248,3 +248,49 @@
     for _ in range(20):
         data = bytes(rng.randrange(256) for _ in range(200))
         assert send_to_server(data + b"\r\n\r\n")[0] == []
+
+
+def test_a_request_whose_body_is_still_coming_when_the_server_closes_is_answered() -> (
+    None
+):
+    """The HTTP library drops what arrives on a connection that it was told to close."""
+    head = HEAD + b"Content-Length: 6\r\n\r\nabc"
+
+    async def run() -> bytes:
+        started = asyncio.Event()
+
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            started.set()
+            return web.Response(body=await request.read())
+
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        server = await start_server(handle, address)
+        host, _, port = address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head)
+        await started.wait()
+        server.close()
+        writer.write(b"def")
+        async with asyncio.timeout(5.0):
+            return await reader.read()
+
+    assert asyncio.run(run()).endswith(b"abcdef")
+
+
+def test_an_idle_connection_is_closed_with_its_server() -> None:
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(body=b"ok")
+
+    async def run() -> bytes:
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        server = await start_server(handle, address)
+        host, _, port = address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(HEAD + b"\r\n")
+        while b"ok" not in await reader.read(65536):
+            pass
+        server.close()
+        async with asyncio.timeout(5.0):
+            return await reader.read()
+
+    assert asyncio.run(run()) == b""
