Give the spread of crashes a module of its own

Change: `crashgossip` decides what to tell and to ask for, the node sends; one list of fields; one table.

--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -262,30 +262,15 @@
         return [OutgoingGossip(origin, self._reply(relay.sequence, ""))]
 
     def _ping(self, sequence: int, origin: str) -> Ping:
-        rows = self._select_gossip_rows()
-        streams = self.count_streams()
-        return Ping(
-            sequence,
-            origin,
-            self.revision,
-            self.staleness,
-            rows,
-            streams,
-            self.crashes,
-        )
+        return Ping(sequence, origin, *self._describe_self())
 
     def _reply(self, sequence: int, origin: str) -> PingReply:
+        return PingReply(sequence, origin, *self._describe_self())
+
+    def _describe_self(self) -> tuple[int, float, tuple[MemberRow, ...], int, int]:
+        """Return the fields that each probe and each reply carries."""
         rows = self._select_gossip_rows()
-        streams = self.count_streams()
-        return PingReply(
-            sequence,
-            origin,
-            self.revision,
-            self.staleness,
-            rows,
-            streams,
-            self.crashes,
-        )
+        return self.revision, self.staleness, rows, self.count_streams(), self.crashes
 
     def _select_gossip_rows(self) -> tuple[MemberRow, ...]:
         """Return this node's row, the recently changed rows and random other rows."""
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -11,8 +11,7 @@
     SendToNode,
     resolve_addresses,
 )
-from hawthornshelf.crashrecords import CrashRow
-from hawthornshelf.crashtable import CrashTable
+from hawthornshelf.crashgossip import CrashGossip
 from hawthornshelf.effects import (
     CommandEnded,
     Effect,
@@ -71,10 +70,6 @@
 OPERATOR_TIMEOUT_SECONDS = 10.0
 VIEW_FANOUT = 3
 CRASH_NEWS_FANOUT = 3
-CRASH_NEWS_INTERVAL_SECONDS = 0.1
-"""Time over which a node collects news of crashes before it passes them on."""
-
-CRASH_PULL_INTERVAL_SECONDS = 0.25
 PULL_RETRY_SECONDS = 0.5
 MAX_PUSHED_VIEW_BYTES = 4096
 
@@ -130,9 +125,8 @@
         self.control: ControlCore | None = None
         self.entry: EntryCore | None = None
         self.view = SharedView()
-        self.crashes = CrashTable()
-        self._crash_news_due = 0.0
-        self._crash_pull_due = 0.0
+        self._crash_gossip = CrashGossip()
+        self.crashes = self._crash_gossip.table
         if recovered is not None:
             self.control = self._make_control(recovered, rng, now)
         if settings.entry:
@@ -229,11 +223,12 @@
             case ControlWord():
                 self._on_freshness_report(now, message)
             case CrashNews(rows):
-                self._merge_crashes(now, sender, rows)
-            case PullCrashes(summaries):
-                rows = self.crashes.rows_unlike(now, summaries)
-                if rows:
-                    self._send(sender, CrashNews(rows))
+                lines = self._crash_gossip.receive(now, sender, rows)
+                self._effects.extend(lines)
+            case PullCrashes():
+                news = self._crash_gossip.answer(now, message)
+                if news is not None:
+                    self._send(sender, news)
             case PullView(revision) if self.view.revision > revision:
                 self._send(sender, ViewUpdate(self.view))
             case Hello() | Submit() | ChangeReplica() | AskControl():
@@ -317,56 +312,18 @@
 
     # Crashes of runners
 
-    def _merge_crashes(self, now: float, sender: str, rows: Sequence[CrashRow]) -> None:
-        for row in rows:
-            before = self.crashes.status(row.crash)
-            self.crashes.merge(now, row)
-            status = self.crashes.status(row.crash)
-            if status is not None and status != before:
-                self._effects.append(
-                    log(
-                        "crash-learnt",
-                        crash=row.crash,
-                        sender=sender,
-                        evidence=status.evidence.name.lower(),
-                        void=status.is_void,
-                        suspects=len(row.suspects),
-                        age=round(row.age, 3),
-                    )
-                )
-
-    def _log_quarantines(self, now: float) -> None:
-        for digest, begins, standing in self.crashes.take_transitions():
-            seconds_left = standing.quarantined_until - now if begins else 0.0
-            self._effects.append(
-                log(
-                    "quarantine-begins" if begins else "quarantine-ends",
-                    content=digest.hex(),
-                    crashes=",".join(standing.crashes),
-                    age=round(now - standing.last_at, 3) if standing.crashes else 0.0,
-                    seconds=round(seconds_left, 3),
-                )
-            )
-
     def _pull_crashes(self, now: float, sender: str, checksum: int) -> None:
-        """Request the crashes that a node knows and this one does not."""
-        if checksum in (0, self.crashes.checksum) or now < self._crash_pull_due:
-            return
-        self._crash_pull_due = now + CRASH_PULL_INTERVAL_SECONDS
-        self._send(sender, PullCrashes(self.crashes.summaries()))
+        request = self._crash_gossip.request_missing(now, checksum)
+        if request is not None:
+            self._send(sender, request)
 
     def _spread_crashes(self, now: float) -> None:
-        """Send what is new to a few nodes, which pass it on; pulls reach the rest."""
-        self.crashes.expire(now)
-        self._log_quarantines(now)
+        self._effects.extend(self._crash_gossip.expire(now))
         self.members.crashes = self.crashes.checksum
-        if now < self._crash_news_due:
-            return
-        self._crash_news_due = now + CRASH_NEWS_INTERVAL_SECONDS
-        news = self.crashes.take_news(now)
-        if news:
+        news = self._crash_gossip.take_news(now)
+        if news is not None:
             for member in self.members.sample(CRASH_NEWS_FANOUT):
-                self._send(member.node, CrashNews(news))
+                self._send(member.node, news)
 
     # Scheduled work
 
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -26,11 +26,11 @@
 )
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.identity import digest_request
-from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteTable, Split
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable, Stage
 from hawthornshelf.messages import Message
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.node import NodeCore, NodeSettings
+from tests.gateway import fakes
 from tests.gateway.fakes import Caller, event
 from tests.gateway.load import VirtualClock, run_in_virtual_time
 
@@ -460,30 +460,7 @@
         return len(self.late_sends())
 
 
-def _route(prefix: str, retry_policy: RetryPolicy, **changes: object) -> Route:
-    route = Route(
-        name=prefix,
-        host="h",
-        prefix=prefix,
-        retry_policy=retry_policy,
-        timeout=3.0,
-        target=1.0,
-        priority=1,
-        splits=(Split("app", 1),),
-        max_attempts=2,
-    )
-    return route._replace(**changes)
-
-
-LLM = (Split("llm", 1),)
-TABLE = RouteTable(
-    1,
-    (
-        _route("/safe/", RetryPolicy.SAFE),
-        _route("/once/", RetryPolicy.ONCE),
-        _route(
-            "/talk/", RetryPolicy.STREAM, splits=LLM, resumable=True, is_generation=True
-        ),
-        _route("/read/", RetryPolicy.STREAM, splits=LLM, is_generation=True),
-    ),
+TIMEOUT_SECONDS = 3.0
+TABLE = fakes.TABLE._replace(
+    routes=tuple(r._replace(timeout=TIMEOUT_SECONDS) for r in fakes.TABLE.routes)
 )
