Do not pass on clearances that the table has no room for

What would happen: a crash with more cleared suspects than its limit made every merge of the same row count as new, so that nodes would have passed it on to each other without end. Cause: the limit was applied where clearances are stored, not where they are told to be new. Measured: 16 tests of the table pass.

--- a/hawthornshelf/crashtable.py
+++ b/hawthornshelf/crashtable.py
@@ -174,7 +174,8 @@
         known.is_void = known.is_void or row.is_void
         suspects = self._add_suspects(row.crash, known, row.suspects)
         cleared = [digest for digest in row.cleared if digest not in known.cleared]
-        for digest in cleared[: MAX_SUSPECTS_PER_CRASH - len(known.cleared)]:
+        cleared = cleared[: MAX_SUSPECTS_PER_CRASH - len(known.cleared)]
+        for digest in cleared:
             known.cleared[digest] = now
             self._drop_index(row.crash, digest)
         if not (is_new or suspects or cleared):
--- a/tests/test_crashtable.py
+++ b/tests/test_crashtable.py
@@ -191,3 +191,13 @@
     table.expire(3.0)
     assert [(t.digest, t.begins) for t in table.take_transitions()] == [(POISON, False)]
     assert table.counts(3.0) == (0, 0, 0)
+
+
+def test_clearances_beyond_the_limit_are_not_news_again_and_again() -> None:
+    table = CrashTable()
+    report(table, 1, POISON)
+    cleared = tuple(digests(1, MAX_SUSPECTS_PER_CRASH + 1))
+    row = CrashRow("r1/1", 0.0, Evidence.GONE, cleared=cleared)
+    assert table.merge(0.0, row)
+    table.take_news(0.0)
+    assert not table.merge(0.0, row) and table.take_news(0.0) == ()
