--- a/hawthornshelf/crashtable.py
+++ b/hawthornshelf/crashtable.py
@@ -299,13 +299,16 @@
 
         Requests in flight at the fewest crashes go first, and of these the oldest.
         """
-        while self._size > MAX_SUSPECTS:
-            by_age = sorted(self._crashes.items(), key=lambda item: item[1].at)
-            pairs = [(crash, d) for crash, known in by_age for d in known.suspects]
-            pairs.sort(key=lambda pair: len(self._by_suspect.get(pair[1], ())))
-            for crash, digest in pairs[: self._size - MAX_SUSPECTS]:
-                self._drop_suspect(crash, digest)
-                self._update_checksum(crash)
+        excess = self._size - MAX_SUSPECTS
+        if excess <= 0:
+            return
+        by_age = sorted(self._crashes.items(), key=lambda item: item[1].at)
+        pairs = [(crash, d) for crash, known in by_age for d in known.suspects]
+        pairs.sort(key=lambda pair: len(self._by_suspect.get(pair[1], ())))
+        for crash, digest in pairs[:excess]:
+            self._drop_suspect(crash, digest)
+        for crash in {crash for crash, _ in pairs[:excess]}:
+            self._update_checksum(crash)
 
     def _drop_suspect(self, crash: str, digest: bytes) -> None:
         self._crashes[crash].suspects.discard(digest)
--- a/hawthornshelf/gateway/crashdetector.py
+++ b/hawthornshelf/gateway/crashdetector.py
@@ -51,7 +51,10 @@
 SETTLE_SECONDS = 0.2
 """Longest wait of a retry for the evidence on the runner that broke."""
 
+BREAK_POLL_SECONDS = 0.05
 RECENTLY_SECONDS = 0.5
+"""A runner that responded to another request within this time needs no probe."""
+
 MAX_LOST_PER_RUNNER = 1024
 MAX_LOGGED_CONTENTS = 8
 
@@ -303,7 +306,7 @@
             flights = self._flights.get(key, ())
             if not any(flight.started_at <= case.opened_at for flight in flights):
                 return
-            await asyncio.sleep(RECENTLY_SECONDS / 10)
+            await asyncio.sleep(BREAK_POLL_SECONDS)
 
     def _is_missing(self, runner: Runner) -> bool:
         """Return whether the list does not hold a boot that has not given notice."""
