--- a/hawthornshelf/explain.py
+++ b/hawthornshelf/explain.py
@@ -66,10 +66,10 @@
 
 
 def explain_request(request: str, lines: Iterable[str]) -> RequestTrace:
-    """Return the trace of a request, or of all requests with a content or a part.
+    """Return the trace of a request, or of all requests that share something.
 
-    `request` is a request id, or a content digest or a part of the prompt from the
-    line of a failed attempt.
+    `request` is a request id, or the digest of a content or a resource, or a part of
+    the prompt, from the line of a failed attempt.
     Lines are sorted by their position in their node's log, not by time: the clocks
     of nodes differ, and each request is handled by one node only.
     """
@@ -96,7 +96,7 @@
 
 
 def _names(fields: dict[str, str], request: str) -> bool:
-    if request in (fields.get("request"), fields.get("content")):
+    if request in map(fields.get, ("request", "content", "resource")):
         return True
     return request != "" and request in fields.get("parts", "").split(",")
 
@@ -183,7 +183,7 @@
     blocked = sum(line.event == "request-blocked" for line in steps)
     refused = f"; {blocked} were not sent" if blocked else ""
     return (
-        f"{requests} requests with this content or part at {len(nodes)} nodes: "
-        f"{len(sent)} attempts broke after they were sent, at {', '.join(runners)}"
-        f"{refused}"
+        f"{requests} requests with this content, resource or part at "
+        f"{len(nodes)} nodes: {len(sent)} attempts broke after they were sent, "
+        f"at {', '.join(runners)}{refused}"
     )
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -8,7 +8,11 @@
     ResponseWriter,
     RunnerResponse,
 )
-from hawthornshelf.gateway.identity import digest_parts, digest_request
+from hawthornshelf.gateway.identity import (
+    digest_parts,
+    digest_request,
+    digest_resource,
+)
 from hawthornshelf.gateway.routes import RetryPolicy, Route
 from hawthornshelf.gateway.runners import RunnerState
 
@@ -64,6 +68,7 @@
     is_suspect: bool = False
     trial: frozenset[bytes] = frozenset()
     _digest: bytes = b""
+    _resource: bytes = b""
     _parts: tuple[bytes, ...] | None = None
 
     def digest(self) -> bytes:
@@ -72,6 +77,12 @@
             self._digest = digest_request(self.inbound)
         return self._digest
 
+    def resource_digest(self) -> bytes:
+        """Return the digest of the request's path, caller and body, computed once."""
+        if not self._resource:
+            self._resource = digest_resource(self.inbound)
+        return self._resource
+
     def part_digests(self) -> tuple[bytes, ...]:
         """Return the digests of the shared parts of the prompt, computed once."""
         if self._parts is None:
--- a/hawthornshelf/gateway/identity.py
+++ b/hawthornshelf/gateway/identity.py
@@ -1,16 +1,22 @@
-"""Identify requests with the same content, and the parts of prompts they share."""
+"""Identify requests with the same content, and what different ones share."""
 
 import hashlib
+import re
 
 from hawthornshelf.crashrecords import PART_DIGEST_BYTES
 from hawthornshelf.gateway.exchange import InboundRequest, Prompt
 
-__all__ = ["DIGEST_BYTES", "digest_parts", "digest_request"]
+__all__ = ["DIGEST_BYTES", "digest_parts", "digest_request", "digest_resource"]
 
 DIGEST_BYTES = 16
 MAX_PARTS = 64
 """Parts of one prompt that are told apart; a caller may name any number."""
 
+_ESCAPE = re.compile("%([0-9A-Fa-f]{2})")
+_UNRESERVED = frozenset(
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~"
+)
+
 
 def digest_request(inbound: InboundRequest) -> bytes:
     """Return a digest of a request's method, host, target, caller and body.
@@ -26,6 +32,18 @@
     return digest.digest()
 
 
+def digest_resource(inbound: InboundRequest) -> bytes:
+    """Return a digest of a request's path, caller and body.
+
+    Requests with one resource may differ in their method, host and query.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES, person=b"resource")
+    for text in (_normalize_escapes(inbound.path), inbound.caller):
+        digest.update(_encode_field(text))
+    digest.update(inbound.body)
+    return digest.digest()
+
+
 def digest_parts(prompt: Prompt | None) -> tuple[bytes, ...]:
     """Return digests of the parts of a prompt that other requests may share.
 
@@ -43,6 +61,16 @@
     )
 
 
+def _normalize_escapes(text: str) -> str:
+    """Return part of a URL with each character in one spelling (RFC 3986, 6.2.2)."""
+    return _ESCAPE.sub(_normalize_escape, text)
+
+
+def _normalize_escape(match: re.Match[str]) -> str:
+    character = chr(int(match[1], 16))
+    return character if character in _UNRESERVED else match[0].upper()
+
+
 def _encode_field(text: str) -> bytes:
     field = text.encode("utf-8", "surrogateescape")
     return len(field).to_bytes(8, "big") + field
--- a/tests/gateway/test_identity.py
+++ b/tests/gateway/test_identity.py
@@ -1,7 +1,12 @@
 from dataclasses import replace
 
 from hawthornshelf.gateway.exchange import InboundRequest, Prompt, PromptSegment
-from hawthornshelf.gateway.identity import MAX_PARTS, digest_parts, digest_request
+from hawthornshelf.gateway.identity import (
+    MAX_PARTS,
+    digest_parts,
+    digest_request,
+    digest_resource,
+)
 
 REQUEST = InboundRequest("r1", "POST", "/a/b?c=1", "h", (), b"body", 0.0, 1.0)
 
@@ -33,6 +38,36 @@
     assert digest_request(replace(REQUEST, target="/\udcff"))
 
 
+def test_a_resource_has_one_digest_whatever_query_method_or_host_comes_with_it() -> (
+    None
+):
+    variants = [
+        replace(REQUEST, request_id="r2", arrived_at=9.0, deadline=9.5),
+        replace(REQUEST, method="PUT"),
+        replace(REQUEST, host="other"),
+        replace(REQUEST, target="/a/b"),
+        replace(REQUEST, target="/a/b?c=2&d"),
+        replace(REQUEST, target="/%61/b?c=1"),
+    ]
+    assert {digest_resource(r) for r in variants} == {digest_resource(REQUEST)}
+
+
+def test_resources_with_another_path_caller_or_body_have_other_digests() -> None:
+    others = [
+        replace(REQUEST, target="/a/c?c=1"),
+        replace(REQUEST, target="/a%2Fb?c=1"),
+        replace(REQUEST, caller="Bearer k"),
+        replace(REQUEST, body=b"body2"),
+    ]
+    digests = {digest_resource(request) for request in (REQUEST, *others)}
+    assert len(digests) == 1 + len(others)
+
+
+def test_an_escape_has_one_spelling() -> None:
+    one = digest_resource(replace(REQUEST, target="/%2f%zz%"))
+    assert one == digest_resource(replace(REQUEST, target="/%2F%zz%"))
+
+
 def make_prompt(*parts: str, model: str = "m") -> Prompt:
     return Prompt(10, 5, tuple(PromptSegment(part, 5) for part in parts), model)
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -54,6 +54,18 @@
     assert trace.steps[0].fields["step"] == "connect"
 
 
+def test_requests_that_differ_in_their_query_are_found_by_their_resource() -> None:
+    failed = "event=attempt-failed step=send reason=reset sent=True resource=5eed"
+    lines = [
+        f"{HEAD} {failed} content=c1 request=r1 runner=i-1 boot=17 node=a-1",
+        f"{HEAD} {failed} content=c2 request=r2 runner=i-2 boot=4 node=a-2",
+        f"{HEAD} event=request-ended request=r3 outcome=complete node=a-2",
+    ]
+    trace = explain_request("5eed", lines)
+    assert trace.conclusion.startswith("2 requests with this content, resource or part")
+    assert [row.fields["content"] for row in trace.steps] == ["c1", "c2"]
+
+
 def test_the_attempts_of_one_content_are_found_under_all_request_ids() -> None:
     failed = "event=attempt-failed step=send reason=reset sent=True content=c0ffee"
     lines = [
@@ -63,8 +75,9 @@
     ]
     trace = explain_request("c0ffee", lines)
     assert trace.conclusion == (
-        "2 requests with this content or part at 2 nodes: 3 attempts broke after they "
-        "were sent, at i-1 (boot 17), i-2 (boot 18), i-3 (boot 19)"
+        "2 requests with this content, resource or part at 2 nodes: "
+        "3 attempts broke after they were sent, "
+        "at i-1 (boot 17), i-2 (boot 18), i-3 (boot 19)"
     )
 
 
@@ -79,8 +92,9 @@
     trace = explain_request("dead", lines)
     assert [row.fields["request"] for row in trace.steps] == ["r1", "r2", "r4"]
     assert trace.conclusion == (
-        "3 requests with this content or part at 1 nodes: 2 attempts broke after they "
-        "were sent, at i-1 (boot 17), i-2 (boot 18); 1 were not sent"
+        "3 requests with this content, resource or part at 1 nodes: "
+        "2 attempts broke after they were sent, "
+        "at i-1 (boot 17), i-2 (boot 18); 1 were not sent"
     )
 
 
