--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections.abc import AsyncIterator, Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hawthornshelf.crashrecords import Standing
 from hawthornshelf.effects import Send
@@ -39,6 +39,7 @@
     "CONTACT_SECONDS",
     "WHOLE_STREAM",
     "LONG",
+    "OTHER_HOST",
     "POISON",
     "SHORT",
     "CrashFleet",
@@ -76,6 +77,7 @@
     body: bytes
     is_prefill: bool
     parts: tuple[str, ...] = ()
+    is_poison: bool = False
 
 
 @dataclass
@@ -92,6 +94,7 @@
     slots: int = 16
     boot: int = 1
     keeps_name: bool = False
+    down_seconds: float = DOWN_SECONDS
     is_up: bool = True
     is_leaving: bool = False
     crashes_silently: bool = False
@@ -135,13 +138,18 @@
         self.crashes.append(self.clock.monotonic())
         self.end()
         loop = asyncio.get_running_loop()
-        loop.call_later(DOWN_SECONDS, self.restart)
+        loop.call_later(self.down_seconds, self.restart)
+
+    def crash_once(self) -> None:
+        """Crash, unless another request has done so."""
+        if self.is_up:
+            self.crash()
 
     def end(self) -> None:
         """Break all requests in flight and refuse connections."""
         self.is_up = False
         if self.crashes_silently:
-            self.silent_until = self.clock.monotonic() + DOWN_SECONDS
+            self.silent_until = self.clock.monotonic() + self.down_seconds
         self.list_again(CRASHED_LISTED_SECONDS)
         for future in [f for f in self.open if not f.done()]:
             if not self.crashes_silently:
@@ -175,7 +183,10 @@
 
 
 class _Response(RunnerResponse):
-    """Stream the events of a run; `closes` ends it in order inside an event."""
+    """Stream the events of a run; `closes` ends it in order inside an event.
+
+    The runner crashes after `last_event`, if that is given.
+    """
 
     def __init__(
         self,
@@ -183,9 +194,11 @@
         attempt: Attempt,
         not_run: bool,
         closes: bool = False,
+        last_event: int = 0,
     ) -> None:
         self._runner = runner
         self._closes = closes
+        self._last_event = last_event
         self.framing = Framing.CONNECTION if closes else Framing.CHUNKS
         self._attempt = attempt
         self.not_run = not_run
@@ -200,6 +213,8 @@
                 yield event(number)[:-1]
                 return
             yield event(number)
+            if number == self._last_event:
+                asyncio.get_running_loop().call_soon(self._runner.crash_once)
             try:
                 await self._runner.work(RUN_SECONDS / EVENTS)
             except ConnectionResetError as error:
@@ -246,7 +261,9 @@
             await self._work(runner, name, RUN_SECONDS)
         if self.resets(attempt):
             raise AttemptFailed("read answer", name, "reset", sent=True)
-        return _Response(runner, attempt, not_run=False, closes=self.closes(attempt))
+        is_poison = self._fleet.is_poison(attempt.inbound)
+        last_event = self._fleet.poison_events if is_poison else 0
+        return _Response(runner, attempt, False, self.closes(attempt), last_event)
 
     async def _begin(
         self, runner: SimRunner, attempt: Attempt, is_prefill: bool
@@ -254,17 +271,26 @@
         inbound = attempt.inbound
         now = self._fleet.clock.monotonic()
         parts = inbound.prompt.shared_digests() if inbound.prompt is not None else ()
+        is_poison = self._fleet.is_poison(inbound)
+        events = self._fleet.poison_events
         self._fleet.arrivals.append(
             Arrival(
-                now, self._node, attempt.runner.name, inbound.body, is_prefill, parts
+                now,
+                self._node,
+                attempt.runner.name,
+                inbound.body,
+                is_prefill,
+                parts,
+                is_poison,
             )
         )
         poisons = self._fleet.poison_parts.intersection(parts)
         if poisons and not is_prefill:
             await self._work(runner, attempt.runner.name, WRITE_SECONDS, poisons)
-        if inbound.body == POISON and not self._fleet.is_poison_mended:
-            asyncio.get_running_loop().call_soon(runner.crash)
-            await self._work(runner, attempt.runner.name, 1.0)
+        if is_poison and not self._fleet.is_poison_mended and not events:
+            delay = self._fleet.poison_run_seconds
+            asyncio.get_running_loop().call_later(delay, runner.crash_once)
+            await self._work(runner, attempt.runner.name, delay + 1.0)
 
     async def _work(
         self,
@@ -366,13 +392,16 @@
         self, path: str, body: bytes, prompt: Prompt | None = None, budget: float = 2.0
     ) -> Caller:
         """Send one request and return the caller with its response."""
-        caller = Caller()
-        number = next(self._fleet.numbers)
         now = self._fleet.clock.monotonic()
-        inbound = InboundRequest(
-            f"r{number}", "POST", path, "h", (), body, now, now + budget, prompt
+        return await self.serve(
+            InboundRequest("", "POST", path, "h", (), body, now, now + budget, prompt)
         )
-        await self.forwarder.serve(inbound, caller)
+
+    async def serve(self, inbound: InboundRequest) -> Caller:
+        """Serve one request under a new id and return the caller with its response."""
+        caller = Caller()
+        number = next(self._fleet.numbers)
+        await self.forwarder.serve(replace(inbound, request_id=f"r{number}"), caller)
         return caller
 
     def standing(self, path: str, body: bytes) -> Standing:
@@ -408,8 +437,10 @@
 class CrashFleet:
     """Simulate entry nodes, engines and plain runners, without a control group.
 
-    `cut` names pairs of nodes that don't reach each other. Once `is_poison_mended`, no
-    request crashes runners any more.
+    `cut` names pairs of nodes that don't reach each other. A request of which
+    `is_poison` is true crashes its runner `poison_run_seconds` after its run begins, or
+    after `poison_events` of its stream, until `is_poison_mended`. Runners are back
+    `down_seconds` after a crash.
     """
 
     seed: int = 1
@@ -417,8 +448,12 @@
     engines: int = 5
     apps: int = 5
     prefillers: int = 0
+    down_seconds: float = DOWN_SECONDS
+    poison_run_seconds: float = 0.0
+    poison_events: int = 0
 
     def __post_init__(self) -> None:
+        self.is_poison: Callable[[InboundRequest], bool] = _has_poison_body
         self.clock = VirtualClock()
         self.rng = random.Random(self.seed)
         self.numbers = itertools.count()
@@ -437,6 +472,8 @@
             self.runners.append(SimRunner(self.clock, f"p{number}", "llm", stage))
         for number in range(self.apps):
             self.runners.append(SimRunner(self.clock, f"a{number}", "app"))
+        for runner in self.runners:
+            runner.down_seconds = self.down_seconds
         self.by_address = {runner.address: runner for runner in self.runners}
         self.entry_names = [f"n{number}" for number in range(self.nodes)]
         self.entries: dict[str, Entry] = {}
@@ -493,7 +530,7 @@
         """
         crashes = self.crash_times()
         limit = crashes[2] + CONTACT_SECONDS if len(crashes) >= 3 else float("inf")
-        return [a for a in self.arrivals if a.body == POISON and a.at > limit]
+        return [a for a in self.arrivals if a.is_poison and a.at > limit]
 
     def record_part_crash(self, part: str) -> None:
         """Record that a runner ended under a part of a prompt."""
@@ -520,7 +557,16 @@
         return len(self.late_sends())
 
 
+def _has_poison_body(inbound: InboundRequest) -> bool:
+    return inbound.body == POISON
+
+
 TIMEOUT_SECONDS = 3.0
+OTHER_HOST = "h2"
 TABLE = fakes.TABLE._replace(
-    routes=tuple(r._replace(timeout=TIMEOUT_SECONDS) for r in fakes.TABLE.routes)
+    routes=tuple(
+        route._replace(name=f"{host}{route.name}", host=host, timeout=TIMEOUT_SECONDS)
+        for route in fakes.TABLE.routes
+        for host in ("h", OTHER_HOST)
+    )
 )
