--- a/hawthornshelf/crashrecords.py
+++ b/hawthornshelf/crashrecords.py
@@ -4,11 +4,14 @@
 from typing import NamedTuple
 
 __all__ = [
+    "CONTENT_DIGEST_BYTES",
     "CRASHES_TO_QUARANTINE",
     "PART_DIGEST_BYTES",
+    "RESOURCE_DIGEST_BYTES",
     "MAX_QUARANTINE_SECONDS",
     "MIN_QUARANTINE_SECONDS",
     "PART_BLOCKED_SECONDS",
+    "RESOURCE_BLOCKED_SECONDS",
     "CrashRow",
     "CrashStatus",
     "Evidence",
@@ -16,12 +19,17 @@
     "Standing",
     "SuspectCounts",
     "Transition",
+    "is_content",
     "is_part",
 ]
 
 CRASHES_TO_QUARANTINE = 3
+CONTENT_DIGEST_BYTES = 16
+RESOURCE_DIGEST_BYTES = 14
 PART_DIGEST_BYTES = 12
-"""Length of the digest of a part of a prompt, by which tables tell it from a request's.
+"""Length of the digest of a part of a prompt.
+
+By the length of a digest, tables tell parts, resources and whole requests apart.
 """
 
 MIN_QUARANTINE_SECONDS = 600.0
@@ -29,6 +37,12 @@
 """Factor by which each further crash prolongs the quarantine."""
 
 MAX_QUARANTINE_SECONDS = 86_400.0
+RESOURCE_BLOCKED_SECONDS = 120.0
+"""Time from the third crash under a resource until requests of it are tried.
+
+Requests with other queries share it, so that is sooner than for a whole request.
+"""
+
 PART_BLOCKED_SECONDS = 30.0
 """Time from the third crash under a part until requests with it are tried.
 
@@ -41,6 +55,11 @@
     return len(digest) == PART_DIGEST_BYTES
 
 
+def is_content(digest: bytes) -> bool:
+    """Return whether a suspect is a whole request, which no other request shares."""
+    return len(digest) == CONTENT_DIGEST_BYTES
+
+
 class Evidence(IntEnum):
     """Rank what is known of a crash; the highest rank of all nodes counts.
 
@@ -106,6 +125,11 @@
         """Return when the quarantine ends, in monotonic seconds; -inf without one."""
         return self._blocked_until(MIN_QUARANTINE_SECONDS)
 
+    @property
+    def resource_blocked_until(self) -> float:
+        """Return until when a resource is blocked, in monotonic seconds, or -inf."""
+        return self._blocked_until(RESOURCE_BLOCKED_SECONDS)
+
     @property
     def part_blocked_until(self) -> float:
         """Return until when a part is blocked, in monotonic seconds, or -inf."""
--- a/hawthornshelf/crashtable.py
+++ b/hawthornshelf/crashtable.py
@@ -21,6 +21,7 @@
     Standing,
     SuspectCounts,
     Transition,
+    is_content,
     is_part,
 )
 
@@ -50,7 +51,7 @@
 
 EXPIRE_INTERVAL_SECONDS = 1.0
 PROOF_SECONDS = 60.0
-"""Time for which a completed request speaks for the parts of its prompt."""
+"""Time for which a completed request speaks for what others share with it."""
 
 MAX_PROOFS = 8192
 CULPRITS_VALID_SECONDS = 0.5
@@ -156,15 +157,14 @@
         return bool(crashes)
 
     def complete(self, now: float, digests: Iterable[bytes]) -> bool:
-        """Record that a request with these suspects completed, as proof for its parts.
+        """Record that a request completed, as proof for all that it consists of.
 
-        Return whether any of them was a suspect.
+        Return whether any of the digests was a suspect.
         """
         cleared = False
         for digest in digests:
-            if is_part(digest):
-                self._completed_at.pop(digest, None)
-                self._completed_at[digest] = now
+            self._completed_at.pop(digest, None)
+            self._completed_at[digest] = now
             cleared |= self.clear(now, digest)
         while len(self._completed_at) > MAX_PROOFS:
             del self._completed_at[next(iter(self._completed_at))]
@@ -184,15 +184,20 @@
             self._culprits_due = now + CULPRITS_VALID_SECONDS
         return self._culprits
 
-    def unexplained(self, now: float, digest: bytes) -> Standing:
-        """Return what counts against a suspect, less what others are to blame for."""
-        if digest not in self._by_suspect:
-            return Standing()
+    def unexplained(self, now: float, *digests: bytes) -> Standing:
+        """Return what counts against suspects, less what others are to blame for."""
+        crashes: set[str] = set()
+        for digest in digests:
+            if digest in self._by_suspect:
+                crashes |= self._find_unexplained(now, digest)
+        return self._make_standing(now, frozenset(crashes))
+
+    def _find_unexplained(self, now: float, digest: bytes) -> frozenset[str]:
         crashes = self._counted_crashes(digest)
         for culprit in self.culprits(now):
             if digest not in culprit.suspects:
                 crashes -= culprit.crashes
-        return self._make_standing(now, crashes)
+        return crashes
 
     def standing_of(self, now: float, culprit: Culprit) -> Standing:
         """Return what counts against a culprit."""
@@ -202,9 +207,11 @@
     def blocked_until(self, now: float, culprit: Culprit) -> float:
         """Return until when all of a culprit's suspects together may not run."""
         standing = self.standing_of(now, culprit)
-        if all(is_part(digest) for digest in culprit.suspects):
+        if all(map(is_part, culprit.suspects)):
             return standing.part_blocked_until
-        return standing.quarantined_until
+        if any(map(is_content, culprit.suspects)):
+            return standing.quarantined_until
+        return standing.resource_blocked_until
 
     def standing(self, now: float, digest: bytes) -> Standing:
         """Return what counts against a suspect."""
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -9,9 +9,9 @@
     RunnerResponse,
 )
 from hawthornshelf.gateway.identity import (
+    RequestDigests,
     digest_parts,
     digest_request,
-    digest_resource,
 )
 from hawthornshelf.gateway.routes import RetryPolicy, Route
 from hawthornshelf.gateway.runners import RunnerState
@@ -67,21 +67,18 @@
     backup: RunnerState | None = None
     is_suspect: bool = False
     trial: frozenset[bytes] = frozenset()
-    _digest: bytes = b""
-    _resource: bytes = b""
+    _digests: RequestDigests | None = None
     _parts: tuple[bytes, ...] | None = None
 
-    def digest(self) -> bytes:
-        """Return the digest of the request's content, which is computed once."""
-        if not self._digest:
-            self._digest = digest_request(self.inbound)
-        return self._digest
+    def digests(self) -> RequestDigests:
+        """Return the digests of the request, computed once."""
+        if self._digests is None:
+            self._digests = digest_request(self.inbound)
+        return self._digests
 
-    def resource_digest(self) -> bytes:
-        """Return the digest of the request's path, caller and body, computed once."""
-        if not self._resource:
-            self._resource = digest_resource(self.inbound)
-        return self._resource
+    def digest(self) -> bytes:
+        """Return the digest of the request's content."""
+        return self.digests().content
 
     def part_digests(self) -> tuple[bytes, ...]:
         """Return the digests of the shared parts of the prompt, computed once."""
@@ -91,7 +88,12 @@
 
     def suspects(self) -> tuple[bytes, ...]:
         """Return all digests by which the request can be under suspicion."""
-        return (self.digest(), *self.part_digests())
+        return (*self.request_suspects(), *self.part_digests())
+
+    def request_suspects(self) -> tuple[bytes, ...]:
+        """Return the digests by which all of the request can be, not its prompt."""
+        digests = self.digests()
+        return (digests.content, *digests.shared)
 
     @property
     def is_recoverable(self) -> bool:
--- a/hawthornshelf/gateway/crashdetector.py
+++ b/hawthornshelf/gateway/crashdetector.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from hawthornshelf.clock import Clock
-from hawthornshelf.crashrecords import Evidence, is_part
+from hawthornshelf.crashrecords import Evidence, is_content, is_part
 from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.exchange import (
@@ -96,7 +96,7 @@
         Parts do so only where an answer is about to be written.
         """
         if self.is_prefill or self.is_writing(now):
-            return (self.context.digest(),)
+            return self.context.request_suspects()
         return self.context.suspects()
 
     @property
@@ -203,14 +203,17 @@
         if not flight.is_answered:
             return
         context = flight.context
-        proven = context.part_digests() if flight.has_run else ()
-        content = (context.digest(),) if self._table.has_suspects else ()
-        if self._table.complete(now, (*content, *proven)):
+        if flight.has_run:
+            cleared = self._table.complete(now, context.suspects())
+        else:
+            has_suspects = self._table.has_suspects
+            cleared = has_suspects and self._table.clear(now, context.digest())
+        if cleared:
             write_log(
                 "suspect-cleared",
                 request=context.inbound.request_id,
                 content=context.digest().hex(),
-                parts=len(proven),
+                parts=len(context.part_digests()) if flight.has_run else 0,
                 runner=flight.runner.name,
             )
 
@@ -362,14 +365,14 @@
         at = min((*case.lost.values(), now))
         case.reported = max(evidence, case.reported or evidence)
         if self._table.report(now, key, at, evidence, suspects):
-            contents = [digest.hex() for digest in suspects if not is_part(digest)]
+            contents = [digest.hex() for digest in suspects if is_content(digest)]
             write_log(
                 "runner-crashed",
                 runner=case.runner.name,
                 boot=case.runner.boot,
                 evidence=evidence.name.lower(),
                 suspects=len(suspects),
-                parts=len(suspects) - len(contents),
+                parts=sum(map(is_part, suspects)),
                 contents=",".join(contents[:MAX_LOGGED_CONTENTS]),
                 age=round(now - at, 3),
                 list_age=round(now - self._runners.read_at, 3),
--- a/hawthornshelf/gateway/identity.py
+++ b/hawthornshelf/gateway/identity.py
@@ -2,46 +2,68 @@
 
 import hashlib
 import re
+from typing import NamedTuple
 
-from hawthornshelf.crashrecords import PART_DIGEST_BYTES
+from hawthornshelf.crashrecords import (
+    CONTENT_DIGEST_BYTES,
+    PART_DIGEST_BYTES,
+    RESOURCE_DIGEST_BYTES,
+)
 from hawthornshelf.gateway.exchange import InboundRequest, Prompt
 
-__all__ = ["DIGEST_BYTES", "digest_parts", "digest_request", "digest_resource"]
+__all__ = ["RequestDigests", "digest_parts", "digest_request"]
 
-DIGEST_BYTES = 16
 MAX_PARTS = 64
 """Parts of one prompt that are told apart; a caller may name any number."""
 
+MAX_PARAMETERS = 16
+"""Parameters of one query that are told apart."""
+
 _ESCAPE = re.compile("%([0-9A-Fa-f]{2})")
 _UNRESERVED = frozenset(
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~"
 )
 
 
-def digest_request(inbound: InboundRequest) -> bytes:
-    """Return a digest of a request's method, host, target, caller and body.
+class RequestDigests(NamedTuple):
+    """Store the digests under which a request may be to blame for a crash.
 
-    A retry of the caller has the same digest under another request id, also where it
-    resumes a stream. The hash is cryptographic, so that no caller can construct a
-    request with the digest of another one.
+    Requests of one `content` are the same, those of one `resource` have the same path,
+    caller and body. `parameters` are the resource with one parameter of the query each.
     """
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for text in (inbound.method, inbound.host, inbound.target, inbound.caller):
-        digest.update(_encode_field(text))
-    digest.update(inbound.body)
-    return digest.digest()
 
+    content: bytes
+    resource: bytes
+    parameters: tuple[bytes, ...] = ()
+
+    @property
+    def shared(self) -> tuple[bytes, ...]:
+        """Return the digests that requests with other contents may have as well."""
+        return (self.resource, *self.parameters)
 
-def digest_resource(inbound: InboundRequest) -> bytes:
-    """Return a digest of a request's path, caller and body.
 
-    Requests with one resource may differ in their method, host and query.
+def digest_request(inbound: InboundRequest) -> RequestDigests:
+    """Return the digests of a request.
+
+    A retry of the caller has the same content under another request id, also where it
+    resumes a stream, spells an escape in another way or orders its query differently.
+    The hash is cryptographic, so that no caller can construct a request with the
+    digest of another one.
     """
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES, person=b"resource")
-    for text in (_normalize_escapes(inbound.path), inbound.caller):
-        digest.update(_encode_field(text))
-    digest.update(inbound.body)
-    return digest.digest()
+    body = hashlib.blake2b(inbound.body, digest_size=CONTENT_DIGEST_BYTES).digest()
+    key = _encode_field(_normalize_escapes(inbound.path))
+    key += _encode_field(inbound.caller) + body
+    query = sorted(_split_query(inbound))
+    fields = (inbound.method, inbound.host, *query)
+    content = key + b"".join(map(_encode_field, fields))
+    return RequestDigests(
+        _digest(content, CONTENT_DIGEST_BYTES),
+        _digest(key, RESOURCE_DIGEST_BYTES),
+        tuple(
+            _digest(key + _encode_field(parameter), RESOURCE_DIGEST_BYTES)
+            for parameter in dict.fromkeys(query[:MAX_PARAMETERS])
+        ),
+    )
 
 
 def digest_parts(prompt: Prompt | None) -> tuple[bytes, ...]:
@@ -53,12 +75,13 @@
         return ()
     model = _encode_field(prompt.model)
     parts = dict.fromkeys(prompt.shared_digests()[:MAX_PARTS])
-    return tuple(
-        hashlib.blake2b(
-            model + _encode_field(p), digest_size=PART_DIGEST_BYTES
-        ).digest()
-        for p in parts
-    )
+    return tuple(_digest(model + _encode_field(p), PART_DIGEST_BYTES) for p in parts)
+
+
+def _split_query(inbound: InboundRequest) -> list[str]:
+    """Return the parameters of a request's query."""
+    query = _normalize_escapes(inbound.target.partition("?")[2])
+    return [parameter for parameter in query.split("&") if parameter]
 
 
 def _normalize_escapes(text: str) -> str:
@@ -71,6 +94,10 @@
     return character if character in _UNRESERVED else match[0].upper()
 
 
+def _digest(data: bytes, size: int) -> bytes:
+    return hashlib.blake2b(data, digest_size=size).digest()
+
+
 def _encode_field(text: str) -> bytes:
     field = text.encode("utf-8", "surrogateescape")
     return len(field).to_bytes(8, "big") + field
--- a/hawthornshelf/gateway/quarantine.py
+++ b/hawthornshelf/gateway/quarantine.py
@@ -73,7 +73,8 @@
             shared = culprit.suspects.intersection(context.suspects())
             if shared and context.trial != culprit.suspects:
                 self._check_culprit(context, culprit, shared, now)
-        standing = self._table.unexplained(now, context.digest())
+        digests = context.digests()
+        standing = self._table.unexplained(now, digests.content, digests.resource)
         context.is_suspect = bool(standing.crashes)
         return standing
 
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -185,7 +185,7 @@
 class _Response(RunnerResponse):
     """Stream the events of a run; `closes` ends it in order inside an event.
 
-    The runner crashes after `last_event`, if that is given.
+    The runner crashes once it has sent `events` of them, if that is given.
     """
 
     def __init__(
@@ -194,11 +194,11 @@
         attempt: Attempt,
         not_run: bool,
         closes: bool = False,
-        last_event: int = 0,
+        events: int = 0,
     ) -> None:
         self._runner = runner
         self._closes = closes
-        self._last_event = last_event
+        self._events = events
         self.framing = Framing.CONNECTION if closes else Framing.CHUNKS
         self._attempt = attempt
         self.not_run = not_run
@@ -213,7 +213,7 @@
                 yield event(number)[:-1]
                 return
             yield event(number)
-            if number == self._last_event:
+            if number - first + 1 == self._events:
                 asyncio.get_running_loop().call_soon(self._runner.crash_once)
             try:
                 await self._runner.work(RUN_SECONDS / EVENTS)
@@ -262,8 +262,8 @@
         if self.resets(attempt):
             raise AttemptFailed("read answer", name, "reset", sent=True)
         is_poison = self._fleet.is_poison(attempt.inbound)
-        last_event = self._fleet.poison_events if is_poison else 0
-        return _Response(runner, attempt, False, self.closes(attempt), last_event)
+        events = self._fleet.poison_events if is_poison else 0
+        return _Response(runner, attempt, False, self.closes(attempt), events)
 
     async def _begin(
         self, runner: SimRunner, attempt: Attempt, is_prefill: bool
@@ -412,7 +412,7 @@
     def digest(self, path: str, body: bytes) -> bytes:
         """Return the digest of a request's content."""
         inbound = InboundRequest("", "POST", path, "h", (), body, 0.0, 0.0)
-        return digest_request(inbound)
+        return digest_request(inbound).content
 
     async def _tick(self) -> None:
         while True:
--- a/tests/gateway/test_changing_request.py
+++ b/tests/gateway/test_changing_request.py
@@ -100,7 +100,7 @@
     fleet: CrashFleet
     change: Change
     prefix: str = "/safe/"
-    body: bytes = b""
+    name: str = "ab/x"
     seconds: float = SECONDS
     rate: float = 0.0
     sound: Change = change_query
@@ -108,13 +108,13 @@
 
     @property
     def path(self) -> str:
-        return f"{self.prefix}ab/x"
+        return f"{self.prefix}{self.name}"
 
     def make(self) -> InboundRequest:
         now = self.fleet.clock.monotonic()
         prompt = SHORT if self.prefix == "/talk/" else None
         return InboundRequest(
-            "", "GET", self.path, "h", (), self.body, now, now + 2.0, prompt
+            "", "GET", self.path, "h", (), b"", now, now + 2.0, prompt
         )
 
     async def send(self) -> None:
@@ -233,3 +233,55 @@
         if arrival.at > fleet.entries[arrival.node].disturbed_at + CONTACT_SECONDS
     ]
     assert len(late) <= MAX_LATE_SENDS
+
+
+def set_query(inbound: InboundRequest, query: str) -> InboundRequest:
+    return replace(inbound, target=f"{inbound.path}?{query}")
+
+
+def keep(inbound: InboundRequest, number: int) -> InboundRequest:
+    return inbound
+
+
+def ask_another(inbound: InboundRequest, number: int) -> InboundRequest:
+    return set_query(inbound, f"id={number}")
+
+
+SOUND: dict[str, tuple[Change, Change]] = {
+    "beside a query": (lambda i, n: set_query(i, "id=7"), ask_another),
+    "beside no query": (keep, ask_another),
+    "without a query": (lambda i, n: set_query(i, "id=7"), keep),
+    "beside a changing query": (
+        lambda i, n: set_query(i, f"id=7&nonce={n}"),
+        lambda i, n: set_query(i, f"id={8 + n % 5}&nonce={n}"),
+    ),
+    "beside a changing method": (
+        lambda i, n: change_method(set_query(i, "id=7"), n),
+        ask_another,
+    ),
+    "of another caller": (
+        lambda i, n: replace(change_query(i, n), caller="one"),
+        lambda i, n: replace(change_query(i, n), caller="other"),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", SOUND)
+@pytest.mark.parametrize("apps", [3, 5])
+def test_sound_requests_are_not_refused_in_place_of_the_one_whose_path_they_share(
+    apps: int, name: str
+) -> None:
+    poison, sound = SOUND[name]
+    repeats = Repeats(make_fleet(apps=apps), poison, rate=20.0, sound=sound)
+    play(repeats)
+    settled = repeats.fleet.crash_times()[2] + SETTLED_SECONDS
+    assert repeats.served_after(settled) >= MIN_SERVED
+
+
+def test_sound_requests_of_a_route_with_one_path_are_served() -> None:
+    fleet = make_fleet(apps=5)
+    poison, sound = SOUND["beside a query"]
+    repeats = Repeats(fleet, poison, name="", rate=60.0, sound=sound)
+    play(repeats)
+    settled = fleet.crash_times()[2] + SETTLED_SECONDS
+    assert repeats.served_after(settled) >= MIN_SERVED
--- a/tests/gateway/test_identity.py
+++ b/tests/gateway/test_identity.py
@@ -2,18 +2,27 @@
 
 from hawthornshelf.gateway.exchange import InboundRequest, Prompt, PromptSegment
 from hawthornshelf.gateway.identity import (
+    MAX_PARAMETERS,
     MAX_PARTS,
     digest_parts,
     digest_request,
-    digest_resource,
 )
 
+
+def digest_content(request: InboundRequest) -> bytes:
+    return digest_request(request).content
+
+
+def digest_resource(request: InboundRequest) -> bytes:
+    return digest_request(request).resource
+
+
 REQUEST = InboundRequest("r1", "POST", "/a/b?c=1", "h", (), b"body", 0.0, 1.0)
 
 
 def test_a_request_that_comes_again_under_another_id_has_the_same_digest() -> None:
     again = replace(REQUEST, request_id="r2", arrived_at=9.0, resume_after="7")
-    assert digest_request(again) == digest_request(REQUEST)
+    assert digest_content(again) == digest_content(REQUEST)
 
 
 def test_requests_with_another_target_caller_or_body_have_other_digests() -> None:
@@ -24,18 +33,18 @@
         replace(REQUEST, caller="Bearer k"),
         replace(REQUEST, body=b"body2"),
     ]
-    digests = {digest_request(request) for request in (REQUEST, *others)}
+    digests = {digest_content(request) for request in (REQUEST, *others)}
     assert len(digests) == 1 + len(others)
 
 
 def test_a_request_can_not_imitate_another_by_moving_bytes_between_its_parts() -> None:
     one = replace(REQUEST, target="/ab", caller="", body=b"c")
-    assert digest_request(one) != digest_request(replace(one, target="/a", caller="b"))
-    assert digest_request(one) != digest_request(replace(one, caller="c", body=b""))
+    assert digest_content(one) != digest_content(replace(one, target="/a", caller="b"))
+    assert digest_content(one) != digest_content(replace(one, caller="c", body=b""))
 
 
 def test_a_target_that_is_no_unicode_has_a_digest() -> None:
-    assert digest_request(replace(REQUEST, target="/\udcff"))
+    assert digest_content(replace(REQUEST, target="/\udcff"))
 
 
 def test_a_resource_has_one_digest_whatever_query_method_or_host_comes_with_it() -> (
@@ -68,6 +77,30 @@
     assert one == digest_resource(replace(REQUEST, target="/%2F%zz%"))
 
 
+def test_parameters_have_digests_of_their_own_whatever_their_order() -> None:
+    one = digest_request(replace(REQUEST, target="/a/b?c=1&d=2"))
+    other = digest_request(replace(REQUEST, target="/a/b?d=2&%63=1&"))
+    assert one == other
+    assert len(set(one.parameters)) == 2 and one.resource not in one.parameters
+    more = digest_request(replace(REQUEST, target="/a/b?c=1&d=3"))
+    assert len(set(one.parameters) & set(more.parameters)) == 1
+    elsewhere = digest_request(replace(REQUEST, target="/a/c?c=1&d=2"))
+    assert not set(one.parameters) & set(elsewhere.parameters)
+
+
+def test_a_request_without_a_query_has_no_parameters() -> None:
+    for target in ("/a/b", "/a/b?", "/a/b?&"):
+        digests = digest_request(replace(REQUEST, target=target))
+        assert digests == digest_request(replace(REQUEST, target="/a/b"))
+        assert digests.shared == (digests.resource,)
+
+
+def test_the_parameters_of_one_query_are_bounded() -> None:
+    query = "&".join(f"p{number}=1" for number in range(2 * MAX_PARAMETERS))
+    digests = digest_request(replace(REQUEST, target=f"/a/b?{query}"))
+    assert len(digests.parameters) == MAX_PARAMETERS
+
+
 def make_prompt(*parts: str, model: str = "m") -> Prompt:
     return Prompt(10, 5, tuple(PromptSegment(part, 5) for part in parts), model)
 
