Date a crash by its broken connection, not by an earlier timeout

A request that had timed out 5 s before opened the case, and the crash got the time of the oldest request lost there. What had completed since then spoke for its suspects, so that a request in flight at the crash was cleared of it; unreachable runners, which count for 15 s from that time, were forgotten too early.

The time is now that of the first connection that broke, or of the finding if none did. The new test failed before: no crash counted against the request that was in flight. Tests of crashes pass.

--- a/hawthornshelf/gateway/crashdetector.py
+++ b/hawthornshelf/gateway/crashdetector.py
@@ -113,12 +113,14 @@
 class _Case:
     """Collect the requests lost at one boot of a runner, with the times of their loss.
 
-    `settled` is set by the first finding; `reported` is the evidence given so far.
+    `broke_at` is when the first of their connections broke, if any did. `settled` is
+    set by the first finding; `reported` is the evidence given so far.
     """
 
     runner: Runner
     opened_at: float
     lost: dict[bytes, float] = field(default_factory=dict)
+    broke_at: float | None = None
     settled: asyncio.Event = field(default_factory=asyncio.Event)
     task: asyncio.Task[None] | None = None
     reported: Evidence | None = None
@@ -255,6 +257,8 @@
         for suspect in flight.suspects(now):
             if len(case.lost) < MAX_LOST_PER_RUNNER:
                 case.lost[suspect] = now
+        if broke and case.broke_at is None:
+            case.broke_at = now
         if broke or not was_heard:
             self._start(case)
 
@@ -362,7 +366,7 @@
         suspects = dict.fromkeys((*case.lost, *in_flight))
         if not suspects:
             return
-        at = min((*case.lost.values(), now))
+        at = now if case.broke_at is None else case.broke_at
         case.reported = max(evidence, case.reported or evidence)
         if self._table.report(now, key, at, evidence, suspects):
             contents = [digest.hex() for digest in suspects if is_content(digest)]
@@ -396,7 +400,7 @@
             lost=len(before),
             reported=case.reported is not None,
         )
-        case.reported = None
+        case.reported = case.broke_at = None
 
 
 def _name_crash(runner: Runner) -> str:
--- a/tests/gateway/test_crashdetector.py
+++ b/tests/gateway/test_crashdetector.py
@@ -126,6 +126,25 @@
     assert play(Detector(REFUSED, 0), 5.0, RESET) == 1
 
 
+def test_a_crash_is_not_dated_by_a_request_that_timed_out_before_it() -> None:
+    """What completed in between would speak for the requests of the crash."""
+    detector = Detector(REFUSED)
+
+    async def scenario() -> None:
+        await detector.answer(b"y")
+        await detector.lose(b"x", asyncio.CancelledError())
+        await asyncio.sleep(5.0)
+        detector.table.complete(5.0, [detector.context(b"z").digest()])
+        await detector.lose(b"z")
+        await asyncio.sleep(0.1)
+
+    detector.run(scenario)
+    now = detector.clock.monotonic()
+    standing = detector.table.standing(now, detector.context(b"z").digest())
+    assert len(standing.crashes) == 1 and standing.last_at == 5.0
+    assert detector.suspects(b"x") == 1
+
+
 def test_a_failed_connect_is_no_crash_without_a_request_in_flight() -> None:
     detector = Detector(REFUSED)
     assert play(detector, 1.0, REFUSED) == 0
