--- a/hawthornshelf/gateway/identity.py
+++ b/hawthornshelf/gateway/identity.py
@@ -69,13 +69,16 @@
 def digest_parts(prompt: Prompt | None) -> tuple[bytes, ...]:
     """Return digests of the parts of a prompt that other requests may share.
 
-    A part belongs to its model: what it does to one says nothing about another.
+    Each part has one for all models and one for the model that the request names, if
+    any: what a part does to one model need not hold for another.
     """
     if prompt is None:
         return ()
-    model = _encode_field(prompt.model)
     parts = dict.fromkeys(prompt.shared_digests()[:MAX_PARTS])
-    return tuple(_digest(model + _encode_field(p), PART_DIGEST_BYTES) for p in parts)
+    keys = [_encode_field(part) for part in parts]
+    if prompt.model:
+        keys.extend([key + _encode_field(prompt.model) for key in keys])
+    return tuple(_digest(key, PART_DIGEST_BYTES) for key in keys)
 
 
 def _split_query(inbound: InboundRequest) -> list[str]:
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -284,7 +284,7 @@
                 is_poison,
             )
         )
-        poisons = self._fleet.poison_parts.intersection(parts)
+        poisons = self._fleet.find_poisons(inbound.prompt)
         if poisons and not is_prefill:
             await self._work(runner, attempt.runner.name, WRITE_SECONDS, poisons)
         if is_poison and not self._fleet.is_poison_mended and not events:
@@ -461,6 +461,7 @@
         self.probes = 0
         self.is_poison_mended = False
         self.poison_parts: set[str] = set()
+        self.sound_model = ""
         self.part_crashes: dict[str, list[float]] = {}
         self.cut: set[tuple[str, str]] = set()
         self.runners: list[SimRunner] = []
@@ -532,6 +533,12 @@
         limit = crashes[2] + CONTACT_SECONDS if len(crashes) >= 3 else float("inf")
         return [a for a in self.arrivals if a.is_poison and a.at > limit]
 
+    def find_poisons(self, prompt: Prompt | None) -> set[str]:
+        """Return the parts of a prompt that crash the runner that runs it."""
+        if prompt is None or self.sound_model == prompt.model != "":
+            return set()
+        return self.poison_parts.intersection(prompt.shared_digests())
+
     def record_part_crash(self, part: str) -> None:
         """Record that a runner ended under a part of a prompt."""
         self.part_crashes.setdefault(part, []).append(self.clock.monotonic())
--- a/tests/gateway/test_identity.py
+++ b/tests/gateway/test_identity.py
@@ -108,13 +108,16 @@
 def test_the_last_part_of_a_prompt_is_its_own() -> None:
     shared = digest_parts(make_prompt("a", "b", "own1"))
     assert shared == digest_parts(make_prompt("a", "b", "own2"))
-    assert len(shared) == 2
+    assert len(set(shared)) == 2 * 2
     assert digest_parts(make_prompt("own")) == digest_parts(None) == ()
 
 
-def test_a_part_is_told_apart_by_its_model() -> None:
-    one, other = make_prompt("a", "own"), make_prompt("a", "own", model="n")
-    assert digest_parts(one) != digest_parts(other)
+def test_a_part_has_a_digest_for_its_model_and_one_for_all_models() -> None:
+    one = digest_parts(make_prompt("a", "own"))
+    other = digest_parts(make_prompt("a", "own", model="n"))
+    without = digest_parts(make_prompt("a", "own", model=""))
+    assert len(set(one) & set(other)) == 1
+    assert set(without) == set(one) & set(other)
 
 
 def test_a_part_is_the_same_at_each_place_of_a_prompt() -> None:
@@ -125,4 +128,5 @@
 
 def test_the_parts_of_one_prompt_are_bounded() -> None:
     names = [str(number) for number in range(2 * MAX_PARTS)]
-    assert len(digest_parts(make_prompt(*names))) == MAX_PARTS
+    assert len(digest_parts(make_prompt(*names))) == 2 * MAX_PARTS
+    assert len(digest_parts(make_prompt(*names, model=""))) == MAX_PARTS
--- a/tests/gateway/test_part_quarantine.py
+++ b/tests/gateway/test_part_quarantine.py
@@ -31,9 +31,9 @@
 }
 
 
-def make_prompt(*parts: str, tokens: int = 100) -> Prompt:
+def make_prompt(*parts: str, tokens: int = 100, model: str = "") -> Prompt:
     segments = tuple(PromptSegment(part, tokens) for part in parts)
-    return Prompt(tokens * len(parts), 50, segments)
+    return Prompt(tokens * len(parts), 50, segments, model)
 
 
 @dataclass
@@ -48,6 +48,7 @@
     seconds: float = SECONDS
     tokens: int = 100
     poison: tuple[str, ...] = ("poison",)
+    models: tuple[str, ...] = ("",)
     outcomes: list[tuple[float, str]] = field(default_factory=list)
     numbers: "itertools.count[int]" = field(default_factory=itertools.count)
 
@@ -85,7 +86,12 @@
             poison = rng.choice(self.poison)
             names = {"POISON": poison, "NEW": f"new{number}"}
             parts = [names.get(part, part) for part in self.shape]
-            prompt = make_prompt(*parts, f"own{number}", tokens=self.tokens)
+            prompt = make_prompt(
+                *parts,
+                f"own{number}",
+                tokens=self.tokens,
+                model=self.models[number % len(self.models)],
+            )
             entry = self.fleet.draw_entry()
             group.create_task(entry.ask(self.path, b"%d" % number, prompt))
             await asyncio.sleep(rng.expovariate(self.poison_rate))
@@ -137,6 +143,36 @@
     play(fleet, Traffic(fleet, "/talk/x", DEPTHS["second"], sound, poison))
 
 
+def test_a_part_that_crashes_runners_whatever_the_model_is_not_sent_on() -> None:
+    fleet = CrashFleet(nodes=5)
+    models = tuple(f"m{number}" for number in range(17))
+    play(fleet, Traffic(fleet, "/talk/x", DEPTHS["second"], models=models))
+
+
+def test_a_part_is_served_under_a_model_that_it_does_not_crash() -> None:
+    fleet = CrashFleet(nodes=5)
+    fleet.sound_model = "sound"
+    traffic = Traffic(fleet, "/talk/x", DEPTHS["second"], models=("m",))
+    outcomes: list[tuple[float, int]] = []
+
+    async def ask_sound() -> None:
+        while fleet.clock.monotonic() < SECONDS:
+            number = next(traffic.numbers)
+            prompt = make_prompt("system", "poison", f"own{number}", model="sound")
+            now = fleet.clock.monotonic()
+            caller = await fleet.draw_entry().ask("/talk/x", b"%d" % number, prompt)
+            outcomes.append((now, caller.status))
+            await asyncio.sleep(0.1)
+
+    async def scenario(fleet: CrashFleet) -> None:
+        await asyncio.gather(traffic.send(), ask_sound())
+
+    fleet.run(scenario)
+    assert len(fleet.late_part_sends("poison")) <= MAX_LATE_SENDS
+    after = [status for at, status in outcomes if at > settled_at(fleet)]
+    assert after.count(200) >= MIN_SERVED * len(after)
+
+
 def test_two_crashing_parts_at_once_are_not_sent_on() -> None:
     fleet = CrashFleet(nodes=5)
     poison = ("poison", "venom")
