--- a/tests/gateway/crashsoak.py
+++ b/tests/gateway/crashsoak.py
@@ -123,7 +123,10 @@
 
 
 def run_soak(seed: int) -> SoakResult:
-    """Play one seed; faults come in series and overlap."""
+    """Play one seed; faults come in series and overlap.
+
+    In half of the plays the crashing request has another query each time.
+    """
     rng = random.Random(seed)
     fleet = CrashFleet(
         seed=seed,
@@ -139,6 +142,7 @@
     crashing_part = prompt is not None and rng.random() < 0.7
     if crashing_part:
         fleet.poison_parts.add(POISON_PART)
+    changes = random.Random(f"{seed}/changes").random() < 0.5
     outcomes: Counter[str] = Counter()
 
     async def ask(number: int) -> None:
@@ -162,7 +166,8 @@
             if crashing_part and prompt is not None:
                 body = b"part %d" % number
                 own_prompt = _add_parts(prompt, POISON_PART, f"poison own{number}")
-            await fleet.draw_entry().ask(path, body, own_prompt)
+            query = f"?page={number}" if changes else ""
+            await fleet.draw_entry().ask(path + query, body, own_prompt)
             await asyncio.sleep(rng.uniform(0.2, 1.5))
 
     async def draw_faults(group: asyncio.TaskGroup) -> None:
--- a/tests/southernveil/test_crashes.py
+++ b/tests/southernveil/test_crashes.py
@@ -65,14 +65,20 @@
         await process.wait()
 
     async def send(
-        self, ip: str, path: str, body: bytes, headers: dict[str, str]
+        self,
+        ip: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        is_chunked: bool = False,
     ) -> tuple[int, float]:
         """Return the status of a request and its Retry-After; 0 without a response."""
         names = {"Host": HOST, "X-Request-Id": f"id-{next(self.numbers)}"}
         url = f"http://{ip}:{self.ports[0]}{path}"
+        data = split_body(body) if is_chunked else body
         try:
             async with self.client.post(
-                url, data=body, headers={**names, "X-Deadline-Ms": "3000", **headers}
+                url, data=data, headers={**names, "X-Deadline-Ms": "3000", **headers}
             ) as response:
                 await response.read()
                 return response.status, float(response.headers.get("Retry-After", 0))
@@ -100,6 +106,11 @@
         return sum(runner.crashes for runner in self.runners)
 
 
+async def split_body(body: bytes) -> AsyncIterator[bytes]:
+    for start in range(0, len(body), 2):
+        yield body[start : start + 2]
+
+
 async def wait_until(check: Callable[[], Awaitable[bool]]) -> None:
     async with asyncio.timeout(WAIT_SECONDS):
         while True:
@@ -152,40 +163,67 @@
     return responses
 
 
+SendPoison = Callable[[str], Awaitable[tuple[int, float]]]
+
+
+async def crash_runners_and_lose_nodes(
+    fleet: ProcessFleet, send_poison: SendPoison
+) -> None:
+    """Crash three runners while two control nodes and an entry node are killed."""
+    await send_poison(ENTRY_IPS[1])
+    for ip in CONTROL_IPS[:2]:
+        await fleet.kill("control", ip)
+    await fleet.kill("entry", ENTRY_IPS[0])
+    ips = itertools.cycle(ENTRY_IPS[1:])
+    while fleet.crashes < 3:
+        await send_poison(next(ips))
+    await fleet.start("control", CONTROL_IPS[0])
+    await fleet.start("entry", ENTRY_IPS[0])
+    await wait_until(lambda: fleet.is_ready(ENTRY_IPS[0]))
+
+
+async def check_blocked(
+    fleet: ProcessFleet, send_poison: SendPoison, min_retry_after: float
+) -> None:
+    """Wait until all nodes block a request; fail if it is sent on after that."""
+    before = fleet.crashes
+
+    async def is_blocked(ip: str) -> bool:
+        return (await send_poison(ip))[1] > min_retry_after
+
+    for ip in ENTRY_IPS:
+        await wait_until(lambda ip=ip: is_blocked(ip))  # type: ignore[misc]
+    for _ in range(10):
+        for ip in ENTRY_IPS:
+            assert (await send_poison(ip))[0] == 503
+    assert fleet.crashes <= before + MAX_RETRIES
+
+
+@pytest.mark.parametrize("changes", [False, True], ids=["unchanged", "changed"])
 @pytest.mark.parametrize("name", ROUTES)
 def test_real_nodes_quarantine_a_request_while_leader_and_node_are_lost(
-    tmp_path: Path, name: str
+    tmp_path: Path, name: str, changes: bool
 ) -> None:
+    """A changed repeat has another query and comes in chunks or with a length."""
     path, headers = ROUTES[name]
+    numbers = itertools.count()
 
     async def run() -> None:
         async with run_processes(tmp_path) as fleet:
-            poison = CrashingRunner.POISON
+
+            async def send_poison(ip: str) -> tuple[int, float]:
+                number = next(numbers) if changes else 0
+                query = f"?page={number}&sort=new" if changes else ""
+                poison = CrashingRunner.POISON
+                return await fleet.send(
+                    ip, path + query, poison, headers, number % 2 == 1
+                )
+
             neighbours = [
                 asyncio.create_task(send_neighbours(fleet, name)) for _ in range(4)
             ]
-            await fleet.send(ENTRY_IPS[1], path, poison, headers)
-            for ip in CONTROL_IPS[:2]:
-                await fleet.kill("control", ip)
-            await fleet.kill("entry", ENTRY_IPS[0])
-            ips = itertools.cycle(ENTRY_IPS[1:])
-            while fleet.crashes < 3:
-                await fleet.send(next(ips), path, poison, headers)
-            await fleet.start("control", CONTROL_IPS[0])
-            await fleet.start("entry", ENTRY_IPS[0])
-            await wait_until(lambda: fleet.is_ready(ENTRY_IPS[0]))
-            before = fleet.crashes
-
-            async def is_quarantined(ip: str) -> bool:
-                _, retry_after = await fleet.send(ip, path, poison, headers)
-                return retry_after > 100.0
-
-            for ip in ENTRY_IPS:
-                await wait_until(lambda ip=ip: is_quarantined(ip))  # type: ignore[misc]
-            for _ in range(10):
-                for ip in ENTRY_IPS:
-                    assert (await fleet.send(ip, path, poison, headers))[0] == 503
-            assert fleet.crashes <= before + MAX_RETRIES
+            await crash_runners_and_lose_nodes(fleet, send_poison)
+            await check_blocked(fleet, send_poison, min_retry_after=100.0)
             for task in neighbours:
                 task.cancel()
             responses = [r for task in neighbours for r in await task]
@@ -218,27 +256,8 @@
                 headers = make_poison_headers(number)
                 return await fleet.send(ip, "/t/x", b"%d" % number, headers)
 
-            await send_poison(ENTRY_IPS[1])
-            for ip in CONTROL_IPS[:2]:
-                await fleet.kill("control", ip)
-            await fleet.kill("entry", ENTRY_IPS[0])
-            ips = itertools.cycle(ENTRY_IPS[1:])
-            while fleet.crashes < 3:
-                await send_poison(next(ips))
-            await fleet.start("control", CONTROL_IPS[0])
-            await fleet.start("entry", ENTRY_IPS[0])
-            await wait_until(lambda: fleet.is_ready(ENTRY_IPS[0]))
-            before = fleet.crashes
-
-            async def is_blocked(ip: str) -> bool:
-                return (await send_poison(ip))[1] > 1.0
-
-            for ip in ENTRY_IPS:
-                await wait_until(lambda ip=ip: is_blocked(ip))  # type: ignore[misc]
-            for _ in range(10):
-                for ip in ENTRY_IPS:
-                    assert (await send_poison(ip))[0] == 503
-            assert fleet.crashes <= before + MAX_RETRIES
+            await crash_runners_and_lose_nodes(fleet, send_poison)
+            await check_blocked(fleet, send_poison, min_retry_after=1.0)
             for task in neighbours:
                 task.cancel()
             responses = [r for task in neighbours for r in await task]
