--- a/scripts/measure_crashes.py
+++ b/scripts/measure_crashes.py
@@ -36,6 +36,13 @@
     SHORT,
     CrashFleet,
 )
+from tests.gateway.test_changing_request import (  # noqa: E402
+    CHANGES,
+    SETTLED_SECONDS,
+    SOUND,
+    Repeats,
+    make_fleet,
+)
 from tests.gateway.test_part_quarantine import (  # noqa: E402
     DEPTHS,
     Traffic,
@@ -232,8 +239,59 @@
     )
 
 
+def measure_change(name: str, nodes: int, seeds: range) -> None:
+    """Print the runners lost to a request that changes as it is repeated."""
+    crashes: Counter[int] = Counter()
+    late: Counter[int] = Counter()
+    for seed in seeds:
+        fleet = make_fleet(seed=seed, nodes=nodes)
+        repeats = Repeats(fleet, CHANGES[name])
+        fleet.run(lambda fleet, repeats=repeats: repeats.send())  # type: ignore[misc]
+        crashes[len(fleet.crash_times())] += 1
+        late[len(fleet.late_sends())] += 1
+    print(
+        f"  {name}, {nodes} nodes, {len(seeds)} seeds: "
+        f"crashes {dict(sorted(crashes.items()))}, late sends {dict(late)}"
+    )
+
+
+def measure_sound(name: str, apps: int, rate: float) -> None:
+    """Print how sound requests of a crashing request's path fare."""
+    served = []
+    late: Counter[int] = Counter()
+    for seed in SEEDS:
+        fleet = make_fleet(seed=seed, apps=apps)
+        poison, sound = SOUND[name]
+        repeats = Repeats(fleet, poison, rate=rate, sound=sound)
+        fleet.run(lambda fleet, repeats=repeats: repeats.send())  # type: ignore[misc]
+        settled = fleet.crash_times()[2] + SETTLED_SECONDS
+        served.append(repeats.served_after(settled))
+        late[len(fleet.late_sends())] += 1
+    print(
+        f"  {name}, {apps} runners, {rate:.0f} sound a second, {len(SEEDS)} seeds: "
+        f"served from 6 s after the third crash {min(served):.3f} at least, "
+        f"{sum(served) / len(served):.3f} on average; late sends {dict(late)}"
+    )
+
+
+def measure_changes() -> None:
+    """Print what a request costs that changes, and what it costs others."""
+    print("a request repeated every 0.15 s at a pool of three, one field changed")
+    for name in CHANGES:
+        measure_change(name, 11, SEEDS)
+    for nodes in (3, 16, 80):
+        measure_change("all", nodes, range(1, 4))
+    print("sound requests of its path")
+    for name in SOUND:
+        for apps, rate in ((3, 20.0), (5, 20.0), (5, 1.0)):
+            measure_sound(name, apps, rate)
+
+
 def main() -> None:
-    """Print all measurements."""
+    """Print all measurements, or only those that are named."""
+    if "changes" in sys.argv[1:]:
+        measure_changes()
+        return
     measure_times()
     print("spread of one crash (virtual time)")
     for nodes, suspects in ((11, 48), (80, 48), (80, 128), (330, 128)):
@@ -252,6 +310,7 @@
     ):
         measure_part(nodes, engines, sound, poison, SEEDS)
     measure_part(330, 40, 150.0, 5.0, range(1, 2))
+    measure_changes()
 
 
 if __name__ == "__main__":
