Drop what was logged before a test of framing collects its lines

eliot keeps lines until the first destination is added and hands them over then: run right after test_forwarder.py, the first test of framing counted the failures of other tests (1 failed of 124, also on the code before; in the whole run an earlier test adds a destination). 124 pass.

--- a/tests/southernveil/test_framing.py
+++ b/tests/southernveil/test_framing.py
@@ -244,6 +244,7 @@
     caller = caller_type()
     async with start_forwarder(route, *runners) as forwarder:
         eliot.add_destinations(lines.append)
+        lines.clear()  # the first destination gets what was logged before
         try:
             await forwarder.serve(make_inbound(resume_after), caller)
             await asyncio.sleep(0)
