Learn and log the rates that runners name (LIMIT)

Nothing in the lines said what a runner names in its answers, so nobody could tell whether a node had been told. Nothing is limited yet.

The tests of the table, the header and the touched modules pass.

--- a/hawthornshelf/gateway/crashdetector.py
+++ b/hawthornshelf/gateway/crashdetector.py
@@ -156,7 +156,7 @@
         """
         now = self._clock.monotonic()
         flight = Flight(context, runner, now, context.is_suspect, is_prefill)
-        key = _name_crash(runner)
+        key = runner.key
         self._flights.setdefault(key, set()).add(flight)
         self.suspects_at[runner.name] += flight.is_suspect
         try:
@@ -174,7 +174,7 @@
 
     async def settle(self, runner: Runner) -> None:
         """Wait briefly until it is known whether a runner that broke has crashed."""
-        case = self._cases.get(_name_crash(runner))
+        case = self._cases.get(runner.key)
         if case is not None and case.task is not None:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SETTLE_SECONDS):
@@ -239,7 +239,7 @@
 
     def _on_refused(self, flight: Flight) -> None:
         """Investigate a runner that refuses connections and may have lost requests."""
-        key = _name_crash(flight.runner)
+        key = flight.runner.key
         if key in self._cases or len(self._flights[key]) > 1:
             now = self._clock.monotonic()
             self._start(self._open_case(key, flight.runner, now))
@@ -259,7 +259,7 @@
         A runner is probed at once if the connection broke. If the caller left or the
         time ran out, it is probed unless it responded to another request just before.
         """
-        key = _name_crash(flight.runner)
+        key = flight.runner.key
         now = self._clock.monotonic()
         was_heard = self._heard.get(key, float("-inf")) > now - RECENTLY_SECONDS
         case = self._open_case(key, flight.runner, now)
@@ -284,7 +284,7 @@
             case.task = asyncio.create_task(self._investigate(case))
 
     async def _investigate(self, case: _Case) -> None:
-        key = _name_crash(case.runner)
+        key = case.runner.key
         until = self._clock.monotonic() + INVESTIGATION_SECONDS
         interval = FIRST_INTERVAL_SECONDS
         try:
@@ -354,7 +354,7 @@
 
     async def _await_breaks(self, case: _Case) -> None:
         """Wait until no request from before the loss is open at the runner."""
-        key = _name_crash(case.runner)
+        key = case.runner.key
         until = self._clock.monotonic() + HALF_OPEN_SECONDS
         while self._clock.monotonic() < until:
             flights = self._flights.get(key, ())
@@ -410,8 +410,3 @@
             reported=case.reported is not None,
         )
         case.reported = case.broke_at = None
-
-
-def _name_crash(runner: Runner) -> str:
-    """Return the name that all nodes give to the crash of one boot of a runner."""
-    return f"{runner.name}/{runner.boot}"
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -1,7 +1,7 @@
 """Define requests, responses, and the interfaces to callers and runners."""
 
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import NamedTuple
@@ -21,6 +21,7 @@
     "PrefillRefused",
     "Prompt",
     "PromptSegment",
+    "RateLimitNotice",
     "ResponseWriter",
     "RunnerClient",
     "RunnerReplaced",
@@ -197,8 +198,28 @@
         """Release the response; if it is unfinished, its connection is closed."""
 
 
+class RateLimitNotice(NamedTuple):
+    """Tell what a runner's answer says of the rate that it takes of all nodes.
+
+    `rate` is in requests a second, None if the answer names no limit. `sent_at` and
+    `answered_at` are in monotonic seconds. `has_run` means that the request was run.
+    """
+
+    runner: Runner
+    rate: float | None
+    sent_at: float
+    answered_at: float
+    has_run: bool
+
+
+def ignore_notice(notice: RateLimitNotice) -> None:
+    """Do nothing about a notice."""
+
+
 class RunnerClient(ABC):
-    """Send attempts to runners."""
+    """Send attempts to runners; `on_rate_limit` is told of each of their answers."""
+
+    on_rate_limit: Callable[[RateLimitNotice], None] = staticmethod(ignore_notice)
 
     @abstractmethod
     async def send(self, attempt: Attempt) -> RunnerResponse:
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -26,6 +26,7 @@
 from hawthornshelf.gateway.loadprobe import LoadProbe
 from hawthornshelf.gateway.placement import Placer
 from hawthornshelf.gateway.quarantine import Quarantine, RequestBlocked
+from hawthornshelf.gateway.ratelimiter import RateLimiter
 from hawthornshelf.gateway.recorder import Recorder
 from hawthornshelf.gateway.retrydetector import RetryDetector
 from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteIndex, RouteTable
@@ -39,6 +40,7 @@
 from hawthornshelf.gateway.streamrelay import StreamRelay
 from hawthornshelf.logs import write_log
 from hawthornshelf.metrics import Metrics
+from hawthornshelf.ratelimits import RateLimitTable
 
 __all__ = ["Forwarder"]
 
@@ -70,8 +72,11 @@
         count_nodes: Callable[[], int],
         count_interactive_requests: Callable[[], float],
         crashes: CrashTable,
+        rate_limits: RateLimitTable,
     ) -> None:
         self._client = client
+        self._limiter = RateLimiter(rate_limits, clock)
+        client.on_rate_limit = self._limiter.record
         self._runners = runners
         self._budget = budget
         self._recorder = Recorder(runners, metrics, clock)
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -81,6 +81,7 @@
             lambda: self.count_nodes(clock.monotonic()),
             self._estimate_interactive_requests,
             self._core.crashes,
+            self._core.rate_limits,
         )
         self._core.members.count_streams = self.runners.count_interactive_requests
         self.is_leaving = False
@@ -99,6 +100,7 @@
             "suspect_requests": float(counts.suspects),
             "held_requests": float(counts.held),
             "quarantined_requests": float(counts.quarantined),
+            "rate_limited_runners": float(self._core.rate_limits.count),
         }
 
     def is_ready(self) -> bool:
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -68,6 +68,11 @@
     stage: Stage = Stage.MIXED
     boot: int = 0
 
+    @property
+    def key(self) -> str:
+        """Return the name that all nodes give to this boot of the runner."""
+        return f"{self.name}/{self.boot}"
+
 
 class RunnerList(NamedTuple):
     """Store the platform's list of runners; `read_at` is in monotonic seconds."""
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -60,6 +60,7 @@
 )
 from hawthornshelf.raft import Timing
 from hawthornshelf.raftmessages import RaftMessage
+from hawthornshelf.ratelimits import RateLimitTable
 from hawthornshelf.state import SharedView
 from hawthornshelf.submission import Submitter
 
@@ -127,6 +128,7 @@
         self.view = SharedView()
         self._crash_gossip = CrashGossip()
         self.crashes = self._crash_gossip.table
+        self.rate_limits = RateLimitTable()
         if recovered is not None:
             self.control = self._make_control(recovered, rng, now)
         if settings.entry:
@@ -345,6 +347,7 @@
         self.members.staleness = self.staleness(now)
         self._update_own_member(now)
         self._spread_crashes(now)
+        self._effects.extend(self.rate_limits.take_lines())
         for outgoing in self.members.tick(now):
             self._gossip(outgoing)
         self.submitter.update_control(self.control_nodes())
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -377,6 +377,7 @@
             lambda: len(self._fleet.entry_names),
             self.runners.count_interactive_requests,
             self.core.crashes,
+            self.core.rate_limits,
         )
 
     def kill(self) -> None:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -31,6 +31,7 @@
 )
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable, Stage
 from hawthornshelf.metrics import Metrics
+from hawthornshelf.ratelimits import RateLimitTable
 
 __all__ = ["Caller", "FakeResponse", "Fleet", "broken", "make_inbound", "not_run", "ok"]
 
@@ -168,6 +169,7 @@
             lambda: 1,
             self.runners.count_interactive_requests,
             self.crashes,
+            RateLimitTable(),
         )
         self.forwarder.load(TABLE)
 
--- a/tests/gateway/load.py
+++ b/tests/gateway/load.py
@@ -31,6 +31,7 @@
 from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteTable, Split
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable, Stage
 from hawthornshelf.metrics import Metrics
+from hawthornshelf.ratelimits import RateLimitTable
 from tests.gateway.fakes import Caller, event
 
 __all__ = ["LoadSimulation", "Outcome", "VirtualClock", "run_in_virtual_time"]
@@ -302,6 +303,7 @@
             lambda: len(self._nodes),
             lambda: 1.0,
             CrashTable(),
+            RateLimitTable(),
         )
         split = (Split("llm", 1),)
         route = Route(
--- a/tests/southernveil/test_framing.py
+++ b/tests/southernveil/test_framing.py
@@ -29,6 +29,7 @@
 )
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable
 from hawthornshelf.metrics import Metrics
+from hawthornshelf.ratelimits import RateLimitTable
 from tests.gateway.fakes import Caller
 
 CLOCK = SystemClock()
@@ -187,6 +188,7 @@
         lambda: 1,
         table.count_interactive_requests,
         CrashTable(),
+        RateLimitTable(),
     )
     forwarder.load(RouteTable(1, (route,), (ServiceSpec("app", "/healthz"),)))
     try:
