--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -21,6 +21,7 @@
     KvCacheHandle,
     Prompt,
     PromptSegment,
+    RateLimitNotice,
     RunnerClient,
     RunnerReplaced,
     RunnerResponse,
@@ -80,11 +81,22 @@
     is_poison: bool = False
 
 
+@dataclass
+class Contact:
+    """Record one request of any kind that reached a boot of a runner."""
+
+    at: float
+    node: str
+    runner: str
+    kind: str
+
+
 @dataclass
 class SimRunner:
     """Simulate one runner, which a poison request crashes as it begins to run.
 
     `silent_until` makes it unreachable, as behind a cut link or while it is frozen.
+    `draw_limit` returns the rate limit that its next answer names, if any.
     """
 
     clock: VirtualClock
@@ -102,6 +114,7 @@
     crashes: list[float] = field(default_factory=list)
     open: dict[asyncio.Future[None], None] = field(default_factory=dict)
     listed: list[tuple[float, Runner | None]] = field(default_factory=list)
+    draw_limit: Callable[[], float | None] = lambda: None
 
     def __post_init__(self) -> None:
         self.address = f"{self.name}:80"
@@ -250,10 +263,28 @@
             raise ConnectionRefused(name, "refused")
         return runner
 
+    async def _reach(self, runner: Runner, kind: str) -> SimRunner:
+        """Return the runner at an address once a request has reached it."""
+        found = self._find(runner.address, runner.name)
+        await found.reach()
+        now = self._fleet.clock.monotonic()
+        key = found.describe().key
+        self._fleet.contacts.append(Contact(now, self._node, key, kind))
+        return found
+
+    def _answer(self, runner: SimRunner, sent_at: float, has_run: bool = True) -> None:
+        """Tell the node what an answer of a runner says of its rate limit."""
+        now = self._fleet.clock.monotonic()
+        described, rate = runner.describe(), runner.draw_limit()
+        if rate is not None:
+            self._fleet.told.setdefault((self._node, described.key), now)
+        notice = RateLimitNotice(described, rate, sent_at, now, has_run)
+        self.on_rate_limit(notice)
+
     async def send(self, attempt: Attempt) -> RunnerResponse:
         name = attempt.runner.name
-        runner = self._find(attempt.runner.address, name)
-        await runner.reach()
+        sent_at = self._fleet.clock.monotonic()
+        runner = await self._reach(attempt.runner, "run")
         if runner.name != name:
             return _Response(runner, attempt, not_run=True)
         await self._begin(runner, attempt, is_prefill=False)
@@ -261,6 +292,7 @@
             await self._work(runner, name, RUN_SECONDS)
         if self.resets(attempt):
             raise AttemptFailed("read answer", name, "reset", sent=True)
+        self._answer(runner, sent_at)
         is_poison = self._fleet.is_poison(attempt.inbound)
         events = self._fleet.poison_events if is_poison else 0
         return _Response(runner, attempt, False, self.closes(attempt), events)
@@ -310,19 +342,21 @@
             raise AttemptFailed("send", name, "reset", sent=True) from error
 
     async def prefill(self, attempt: Attempt) -> KvCacheHandle:
-        runner = self._find(attempt.runner.address, attempt.runner.name)
-        await runner.reach()
+        sent_at = self._fleet.clock.monotonic()
+        runner = await self._reach(attempt.runner, "prefill")
         await self._begin(runner, attempt, is_prefill=True)
         await self._work(runner, attempt.runner.name, 0.05)
+        self._answer(runner, sent_at)
         return KvCacheHandle(runner.address, "handle")
 
     async def read_load(self, runner: Runner) -> EngineLoad:
-        await self._find(runner.address, runner.name).reach()
+        sent_at = self._fleet.clock.monotonic()
+        found = await self._reach(runner, "load")
+        self._answer(found, sent_at, has_run=False)
         return EngineLoad(0, 0)
 
     async def probe(self, runner: Runner, health_path: str) -> int:
-        found = self._find(runner.address, runner.name)
-        await found.reach()
+        found = await self._reach(runner, "probe")
         self._fleet.probes += 1
         if found.name != runner.name:
             raise RunnerReplaced(runner.name, found.name)
@@ -459,6 +493,8 @@
         self.rng = random.Random(self.seed)
         self.numbers = itertools.count()
         self.arrivals: list[Arrival] = []
+        self.contacts: list[Contact] = []
+        self.told: dict[tuple[str, str], float] = {}
         self.probes = 0
         self.is_poison_mended = False
         self.poison_parts: set[str] = set()
