Issue permits for requests to runners that name a rate limit (LIMIT)

What callers saw: nothing yet; a runner in need that asked for 3.2 requests a second got 42 in 4 s (24 allowed) and could not recover.

Cause: no node read what the runner names. Class: a limit of the whole fleet without anybody who keeps the sum.

Why it works: one node issues the permits of a runner, chosen alike by all nodes (rendezvous hashing over those that serve), evenly spaced (GCRA). Before each request of any kind (run, prefill, resumption, probe, release of a cache) to such a runner a node asks for a permit, 2 messages; a refusal tells when to ask again, so most requests don't ask. Others are used first; where all are limited a request waits for its turn for three tenths of its time at most, else it is refused at once with Retry-After. A refusal spends no retry budget: it is spent where an attempt is sent. A node that is not first, has just become first or sees no majority issues less; without an answer within 0.1 s the next one is asked for 1 s.

--- a/hawthornshelf/effects.py
+++ b/hawthornshelf/effects.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from hawthornshelf.commands import Answer, PlaceOrder, Result
+from hawthornshelf.limitrecords import Permit
 from hawthornshelf.log import Persist
 from hawthornshelf.messages import Message
 
@@ -16,6 +17,7 @@
     "Finish",
     "LogLine",
     "Outcome",
+    "PermitEnded",
     "ReadEngineState",
     "ReadLoad",
     "Refuse",
@@ -144,6 +146,14 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class PermitEnded:
+    """Return the answer to a question for a permit."""
+
+    request: str
+    permit: Permit
+
+
 class Field(NamedTuple):
     """Represent one key and value of a log line."""
 
@@ -177,6 +187,7 @@
     | Refuse
     | CommandEnded
     | ReplicaChangeEnded
+    | PermitEnded
     | LogLine
     | StopProcess
 )
--- a/hawthornshelf/events.py
+++ b/hawthornshelf/events.py
@@ -21,6 +21,7 @@
     "LoadReported",
     "MessageReceived",
     "OrderEnded",
+    "PermitRequested",
     "Persisted",
     "PlatformListed",
     "ReplicaChangeRequested",
@@ -212,6 +213,18 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class PermitRequested:
+    """Request a permit for a boot of a rate-limited runner.
+
+    It is to be free within `max_wait` seconds.
+    """
+
+    request: str
+    runner: str
+    max_wait: float
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """Report that the process was asked to stop gracefully."""
@@ -223,6 +236,7 @@
     | StorageLost
     | CommandRequested
     | ReplicaChangeRequested
+    | PermitRequested
     | PlatformListed
     | EngineStateRead
     | OrderEnded
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -34,6 +34,8 @@
     names the suspects that it may run with although they may be to blame.
     `response` is that of the last attempt, `unfinished_bytes` the number of bytes after
     its last whole event; `events` counts those that the caller has received.
+    `permits` counts those granted for requests to rate-limited runners,
+    `permit_seconds` is the time spent on asking and waiting for them.
     `owes_event` tells whether a stream is known to have an event to come.
     """
 
@@ -64,6 +66,8 @@
     source: KvCacheHandle | None = None
     prefills: int = 0
     is_late: bool = False
+    permits: int = 0
+    permit_seconds: float = 0.0
     backup: RunnerState | None = None
     is_suspect: bool = False
     trial: frozenset[bytes] = frozenset()
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -25,12 +25,12 @@
 )
 from hawthornshelf.gateway.loadprobe import LoadProbe
 from hawthornshelf.gateway.placement import Placer
-from hawthornshelf.gateway.quarantine import Quarantine, RequestBlocked
-from hawthornshelf.gateway.ratelimiter import RateLimiter
+from hawthornshelf.gateway.quarantine import RUN_STAGES, Quarantine, RequestBlocked
+from hawthornshelf.gateway.ratelimiter import AskPermit, RateLimiter
 from hawthornshelf.gateway.recorder import Recorder
 from hawthornshelf.gateway.retrydetector import RetryDetector
 from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteIndex, RouteTable
-from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
+from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable, Stage
 from hawthornshelf.gateway.scheduler import (
     AdmissionRejected,
     EngineScheduler,
@@ -58,6 +58,13 @@
 """Share of the remaining time that a repeatable request waits for response headers."""
 
 
+MAX_PERMIT_WAIT_SECONDS = 1.0
+PERMIT_WAIT_SHARE = 0.3
+"""Share of the remaining time for which a request waits for a permit at most."""
+
+PROBE_PERMIT_WAIT_SECONDS = 0.1
+
+
 class Forwarder:
     """Forward open requests, with retries, by the routes and runners given to it."""
 
@@ -73,9 +80,10 @@
         count_interactive_requests: Callable[[], float],
         crashes: CrashTable,
         rate_limits: RateLimitTable,
+        ask_permit: AskPermit,
     ) -> None:
         self._client = client
-        self._limiter = RateLimiter(rate_limits, clock)
+        self._limiter = RateLimiter(rate_limits, ask_permit, clock, rng)
         client.on_rate_limit = self._limiter.record
         self._runners = runners
         self._budget = budget
@@ -85,7 +93,8 @@
         self._rng = rng
         self._count_nodes = count_nodes
         placer = Placer(runners, rng, count_interactive_requests)
-        self._scheduler = EngineScheduler(placer, LoadProbe(client, rng), clock)
+        probe = LoadProbe(client, rng, self._limiter.is_limited)
+        self._scheduler = EngineScheduler(placer, probe, clock)
         self._crashes = CrashDetector(crashes, runners, self._probe, clock)
         self._quarantine = Quarantine(
             crashes, runners, self._crashes.suspects_at, clock, rng, count_nodes
@@ -211,10 +220,17 @@
 
     async def _free(self, source: KvCacheHandle) -> None:
         try:
+            if not await self._may_drop(source):
+                raise AttemptFailed("drop handle", source.address, "rate limit", False)
             await self._client.drop_handle(source)
         except AttemptFailed as error:
             write_log("handle-left", peer=error.peer, reason=error.reason)
 
+    async def _may_drop(self, source: KvCacheHandle) -> bool:
+        """Return whether the engine that keeps a KV cache takes a request now."""
+        state = self._runners.find_address(source.address)
+        return state is None or await self._limiter.acquire(state.runner)
+
     def _record_timeout(self, context: RequestContext) -> None:
         """Record that the time of a request passed without a response.
 
@@ -238,9 +254,10 @@
                 if not self._may_retry(context):
                     await self._fail(context, 502 if context.may_have_run else 503)
                     return
-                self._budget.spend(self._clock.monotonic(), context.service)
         except RequestBlocked as blocked:
             await self._refuse_blocked(context, blocked)
+        except AdmissionRejected as rejection:
+            await self._reject(context, rejection)
 
     async def _settle_crash(self, context: RequestContext) -> None:
         """Wait for the evidence on the last runner before a request is sent again."""
@@ -264,8 +281,7 @@
         """
         now = self._clock.monotonic()
         if context.deadline - now < MIN_SECONDS_LEFT:
-            await self._reject(context, AdmissionRejected("no time left", 0.0))
-            return True
+            raise AdmissionRejected("no time left", 0.0)
         standing = self._quarantine.check(context)
         prompt = context.inbound.prompt
         if context.is_recoverable and context.backup is not None:
@@ -273,12 +289,7 @@
         if prompt is not None and context.route.is_generation:
             return await self._try_engine(context, prompt)
         excluded = context.tried | self._quarantine.exclude_runners(context, standing)
-        state = self._runners.choose_plain(now, context.service, excluded)
-        if state is None:
-            await self._reject(
-                context, AdmissionRejected("no runner", RETRY_AFTER_SECONDS)
-            )
-            return True
+        state = await self._choose_plain(context, excluded)
         state.in_flight += 1
         try:
             return await self._send(context, state, None)
@@ -290,6 +301,8 @@
     ) -> bool:
         """Continue a broken run at the engine that has a copy of its KV cache."""
         context.backup = None
+        if not await self._acquire(context, backup, self._max_permit_wait(context)):
+            raise AdmissionRejected("rate limit", self._limiter.retry_after([backup]))
         request = context.inbound.request_id
         context.source = KvCacheHandle(backup.runner.address, request)
         backup.in_flight += 1
@@ -299,6 +312,67 @@
             context.source = None
             backup.in_flight -= 1
 
+    async def _choose_plain(
+        self, context: RequestContext, excluded: frozenset[str] | set[str]
+    ) -> RunnerState:
+        """Return a runner of a plain service that takes the request now.
+
+        If all of them name a rate, wait for a permit. Raise AdmissionRejected if there
+        is no runner, or no permit in time.
+        """
+        service = context.service
+        while True:
+            states = self._runners.in_service(service)
+            busy = self._limiter.exhausted(states)
+            now = self._clock.monotonic()
+            state = self._runners.choose_plain(now, service, excluded | busy)
+            if state is None:
+                stages = (Stage.MIXED,)
+                return await self._await_permit(context, stages, excluded)
+            if await self._acquire(context, state):
+                return state
+
+    async def _await_permit(
+        self,
+        context: RequestContext,
+        stages: tuple[Stage, ...],
+        excluded: frozenset[str] | set[str],
+    ) -> RunnerState:
+        """Return a rate-limited runner once it takes the request.
+
+        Raise AdmissionRejected if there is none, or no permit in time.
+        """
+        now = self._clock.monotonic()
+        states = self._runners.available(now, context.service, stages, excluded)
+        limited = self._limiter.limited(states)
+        first = self._limiter.first_free(limited)
+        if first is None:
+            raise AdmissionRejected("no runner", RETRY_AFTER_SECONDS)
+        if await self._acquire(context, first, self._max_permit_wait(context)):
+            return first
+        raise AdmissionRejected("rate limit", self._limiter.retry_after(limited))
+
+    async def _acquire(
+        self, context: RequestContext, state: RunnerState, max_wait: float = 0.0
+    ) -> bool:
+        """Return whether a runner takes a request, within `max_wait` seconds."""
+        if not self._limiter.is_limited(state.runner):
+            return True
+        asked_at = self._clock.monotonic()
+        is_granted = await self._limiter.acquire(state.runner, max_wait)
+        seconds = self._clock.monotonic() - asked_at
+        self._recorder.record_permit(context, is_granted, seconds)
+        return is_granted
+
+    def _max_permit_wait(self, context: RequestContext) -> float:
+        """Return how long a request may wait for a permit, in seconds.
+
+        Less urgent requests wait less, so that permits go to urgent ones first.
+        """
+        seconds_left = context.deadline - self._clock.monotonic()
+        seconds = min(MAX_PERMIT_WAIT_SECONDS, PERMIT_WAIT_SHARE * seconds_left)
+        return max(0.0, seconds / (1 + context.route.priority))
+
     async def _try_engine(self, context: RequestContext, prompt: Prompt) -> bool:
         """Place a request on engines, prefill its prompt and send it to run.
 
@@ -307,19 +381,24 @@
         """
         standing = self._quarantine.check(context)
         excluded = context.tried | self._quarantine.exclude_runners(context, standing)
-        request = PlacementRequest(
-            context.service,
-            prompt,
-            context.route.priority,
-            context.target_at,
-            context.deadline,
-            frozenset(excluded),
+        states = self._runners.in_service(context.service)
+        busy = self._limiter.exhausted(states)
+        has_permit = False
+        if busy and not self._has_decoder(context, excluded | busy):
+            run = await self._await_permit(context, RUN_STAGES, excluded)
+            engines = {s.runner.name for s in states if s.runner.stage in RUN_STAGES}
+            busy = (busy | engines) - {run.runner.name}
+            has_permit = True
+        reservation = await self._scheduler.acquire(
+            PlacementRequest(
+                context.service,
+                prompt,
+                context.route.priority,
+                context.target_at,
+                context.deadline,
+                frozenset(excluded | busy),
+            )
         )
-        try:
-            reservation = await self._scheduler.acquire(request)
-        except AdmissionRejected as rejection:
-            await self._reject(context, rejection)
-            return True
         context.reserved_at = self._clock.monotonic()
         context.prefiller = reservation.placement.prefiller.runner.name
         context.is_late = reservation.is_late
@@ -333,13 +412,21 @@
             if context.source is None:
                 context.source = await self._prefill(context, reservation)
             run = reservation.placement.run
-            if self._runners.accepts_work(run):
+            if not self._runners.accepts_work(run):
+                self._recorder.record_leaving_runner(context, run)
+            elif has_permit or await self._acquire(context, run):
                 return await self._send(context, run, reservation)
-            self._recorder.record_leaving_runner(context, run)
         finally:
             reservation.release()
         return await self._try_engine(context, prompt)
 
+    def _has_decoder(
+        self, context: RequestContext, excluded: frozenset[str] | set[str]
+    ) -> bool:
+        """Return whether an engine that is not excluded can run requests now."""
+        now = self._clock.monotonic()
+        return bool(self._runners.available(now, context.service, RUN_STAGES, excluded))
+
     def _needs_backup(self, context: RequestContext) -> bool:
         """Return whether a copy of the run's KV cache is worth the memory.
 
@@ -383,6 +470,8 @@
         state = reservation.placement.prefill
         if state is None:
             return None
+        if not await self._acquire(context, state):
+            return None
         now = self._clock.monotonic()
         if context.prefills > 0:
             nodes = self._count_nodes()
@@ -424,6 +513,8 @@
     ) -> bool:
         """Send one attempt; return whether the caller has a response."""
         self._recorder.record_standing(context, state, self._quarantine.check(context))
+        if context.sends:
+            self._budget.spend(self._clock.monotonic(), context.service)
         context.tried.add(state.runner.name)
         context.last_runner = state.runner.name
         context.sends += 1
@@ -557,4 +648,6 @@
 
     async def _probe(self, runner: Runner) -> int:
         """Return the boot of a runner that responds; raise AttemptFailed."""
+        if not await self._limiter.acquire(runner, PROBE_PERMIT_WAIT_SECONDS):
+            raise AttemptFailed("probe", runner.name, "rate limit", sent=False)
         return await self._client.probe(runner, self._index.health_path(runner.service))
--- a/hawthornshelf/gateway/loadprobe.py
+++ b/hawthornshelf/gateway/loadprobe.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from hawthornshelf.gateway.exchange import AttemptFailed, RunnerClient
-from hawthornshelf.gateway.runners import RunnerState
+from hawthornshelf.gateway.runners import Runner, RunnerState
 from hawthornshelf.logs import write_log
 
 __all__ = ["LoadProbe"]
@@ -24,15 +24,23 @@
     counts leave out what the others have placed.
     """
 
-    def __init__(self, client: RunnerClient, rng: random.Random) -> None:
+    def __init__(
+        self,
+        client: RunnerClient,
+        rng: random.Random,
+        is_limited: Callable[[Runner], bool] = lambda runner: False,
+    ) -> None:
         self._client = client
         self._rng = rng
+        self._is_limited = is_limited
 
     async def choose(self, states: Sequence[RunnerState]) -> RunnerState | None:
         """Return the less loaded of two engines.
 
-        Returns None if there are too few engines or if neither load is known.
+        Returns None if there are too few engines or if neither load is known. Engines
+        that name a rate are not asked, as reports count against it.
         """
+        states = [state for state in states if not self._is_limited(state.runner)]
         if len(states) < MIN_ENGINES:
             return None
         pair = self._rng.sample(states, 2)
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -9,13 +9,14 @@
 from hawthornshelf.clock import Clock
 from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
 from hawthornshelf.errors import HawthornshelfError
-from hawthornshelf.events import StopRequested
+from hawthornshelf.events import PermitRequested, StopRequested
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
 from hawthornshelf.gateway.contract import RouteCodec, RunnerSource
 from hawthornshelf.gateway.exchange import RunnerClient
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.polling import ListPace, poll_interval
 from hawthornshelf.gateway.runners import RunnerTable
+from hawthornshelf.limitrecords import Permit
 from hawthornshelf.logs import write_log
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.node import NodeSettings
@@ -82,6 +83,7 @@
             self._estimate_interactive_requests,
             self._core.crashes,
             self._core.rate_limits,
+            self._ask_permit,
         )
         self._core.members.count_streams = self.runners.count_interactive_requests
         self.is_leaving = False
@@ -164,6 +166,13 @@
             return 0
         return self._core.members.known_entry_count()
 
+    async def _ask_permit(self, runner: str, max_wait: float) -> Permit:
+        """Ask the node that issues a runner's permits for one."""
+        request = f"permit-{self.new_request_id()}"
+        event = PermitRequested(request, runner, max_wait)
+        permit: Permit = await self._await_result(request, event)
+        return permit
+
     def _estimate_interactive_requests(self) -> float:
         return self._core.members.estimate_streams(self._clock.monotonic())
 
--- a/hawthornshelf/gateway/quarantine.py
+++ b/hawthornshelf/gateway/quarantine.py
@@ -13,7 +13,7 @@
 from hawthornshelf.gateway.runners import RunnerState, RunnerTable, Stage
 from hawthornshelf.logs import write_log
 
-__all__ = ["Quarantine", "RequestBlocked", "choose_isolated"]
+__all__ = ["RUN_STAGES", "Quarantine", "RequestBlocked", "choose_isolated"]
 
 HELD_RETRY_SECONDS = 1.0
 """Retry-After of a held request: by then most unconfirmed crashes are decided."""
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -101,6 +101,14 @@
             list_age=self._list_age(),
         )
 
+    def record_permit(
+        self, context: RequestContext, is_granted: bool, seconds: float
+    ) -> None:
+        """Record the answer to a question for a permit, and the time that it took."""
+        context.permits += is_granted
+        context.permit_seconds += seconds
+        self._metrics.count_permit(context.service, is_granted)
+
     def record_standing(
         self, context: RequestContext, state: RunnerState, standing: Standing
     ) -> None:
@@ -190,6 +198,8 @@
             reader=context.prefiller,
             late=context.is_late,
             sends=context.sends,
+            permits=context.permits,
+            permit_seconds=round(context.permit_seconds, 4),
             waited=round(waited, 4),
             seconds=round(seconds, 4),
             first=round(first, 4),
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -176,6 +176,11 @@
         """Return the state of a runner, or None if it is not listed."""
         return self._states.get(name)
 
+    def find_address(self, address: str) -> RunnerState | None:
+        """Return the state of the runner listed at an address, or None."""
+        states = self._states.values()
+        return next((s for s in states if s.runner.address == address), None)
+
     def is_leaving(self, runner: Runner) -> bool:
         """Return whether a boot of a runner gave notice, also once it has left."""
         listed = self._states.get(runner.name)
--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -80,6 +80,7 @@
         self.revision = 0
         self.staleness = float("inf")
         self.crashes = 0
+        self.limits = 0
         self.count_streams: Callable[[], int] = _return_zero
         self._stream_counts: dict[str, tuple[float, int]] = {}
 
@@ -267,10 +268,13 @@
     def _reply(self, sequence: int, origin: str) -> PingReply:
         return PingReply(sequence, origin, *self._describe_self())
 
-    def _describe_self(self) -> tuple[int, float, tuple[MemberRow, ...], int, int]:
+    def _describe_self(
+        self,
+    ) -> tuple[int, float, tuple[MemberRow, ...], int, int, int]:
         """Return the fields that each probe and each reply carries."""
-        rows = self._select_gossip_rows()
-        return self.revision, self.staleness, rows, self.count_streams(), self.crashes
+        rows, streams = self._select_gossip_rows(), self.count_streams()
+        tables = self.crashes, self.limits
+        return self.revision, self.staleness, rows, streams, *tables
 
     def _select_gossip_rows(self) -> tuple[MemberRow, ...]:
         """Return this node's row, the recently changed rows and random other rows."""
--- a/hawthornshelf/messages.py
+++ b/hawthornshelf/messages.py
@@ -6,6 +6,7 @@
 
 from hawthornshelf.commands import COMMAND_TYPES
 from hawthornshelf.crashrecords import CrashRow, RowSummary
+from hawthornshelf.limitrecords import Permit, RateLimitRow
 from hawthornshelf.raftmessages import RaftMessage
 from hawthornshelf.state import SharedView
 from hawthornshelf.wire import Codec
@@ -13,6 +14,7 @@
 __all__ = [
     "CODEC",
     "AskControl",
+    "AskPermit",
     "ChangeReplica",
     "ControlWord",
     "CrashNews",
@@ -22,11 +24,13 @@
     "MemberStatus",
     "Message",
     "NotLeader",
+    "PermitReply",
     "Ping",
     "PingReply",
     "PingRequest",
     "PullCrashes",
     "PullView",
+    "RateLimitNews",
     "ReplicaChanged",
     "Submit",
     "SubmitReply",
@@ -122,7 +126,7 @@
     `origin` is the node that requested the probe, if it is indirect. `age` is the
     staleness of the sender's state in seconds. `streams` is the number of
     interactive requests that the sender has open, `crashes` the checksum of its table
-    of crashes.
+    of crashes, `limits` that of the runners that name a rate limit.
     """
 
     sequence: int
@@ -132,6 +136,7 @@
     members: tuple[MemberRow, ...]
     streams: int = 0
     crashes: int = 0
+    limits: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +150,7 @@
     members: tuple[MemberRow, ...]
     streams: int = 0
     crashes: int = 0
+    limits: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +196,34 @@
     summaries: tuple[RowSummary, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AskPermit:
+    """Ask for a permit for a rate-limited runner, free within `max_wait` seconds.
+
+    `limit` is what the sender knows of the runner.
+    """
+
+    request: str
+    limit: RateLimitRow
+    max_wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class PermitReply:
+    """Answer a question for a permit, with what the sender knows of the runner."""
+
+    request: str
+    permit: Permit
+    limit: RateLimitRow | None
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimitNews:
+    """Carry rate limits that have changed."""
+
+    rows: tuple[RateLimitRow, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class AskControl:
     """Request a freshness report from a control replica for a node's incarnation."""
@@ -234,6 +268,9 @@
     | ViewUpdate
     | CrashNews
     | PullCrashes
+    | AskPermit
+    | PermitReply
+    | RateLimitNews
     | AskControl
     | ControlWord
     | LeaderWord
--- a/hawthornshelf/metrics.py
+++ b/hawthornshelf/metrics.py
@@ -28,6 +28,11 @@
     outcome: str
 
 
+class _PermitKey(NamedTuple):
+    service: str
+    is_granted: bool
+
+
 class RequestOutcome(NamedTuple):
     """Represent how a request ended; `seconds` is its latency.
 
@@ -68,6 +73,7 @@
         self._outcomes: dict[_OutcomeKey, int] = {}
         self._latencies: dict[str, HdrHistogram] = {}
         self._buckets: dict[tuple[int, str], _Bucket] = {}
+        self._permits: dict[_PermitKey, int] = {}
 
     def record(self, wall_time: float, request: RequestOutcome) -> None:
         """Count a request that ended at `wall_time`, in seconds since the epoch.
@@ -87,6 +93,11 @@
         self._latencies[work].record_value(microseconds)
         bucket.latencies.record_value(microseconds)
 
+    def count_permit(self, service: str, is_granted: bool) -> None:
+        """Count the answer to a question for a permit for a rate-limited runner."""
+        key = _PermitKey(service, is_granted)
+        self._permits[key] = self._permits.get(key, 0) + 1
+
     def buckets(self) -> list[OutcomeBucket]:
         """Return the buckets of the last six hours, with encoded histograms."""
         return [
@@ -99,7 +110,9 @@
     def export(self, gauges: Mapping[str, float]) -> bytes:
         """Return all metrics in the Prometheus text format."""
         registry = CollectorRegistry()
-        registry.register(_MetricsCollector(self._outcomes, self._latencies, gauges))
+        registry.register(
+            _MetricsCollector(self._outcomes, self._permits, self._latencies, gauges)
+        )
         return generate_latest(registry)
 
     def _find_bucket(self, wall_time: float, work: str) -> _Bucket:
@@ -116,10 +129,12 @@
     def __init__(
         self,
         outcomes: Mapping[_OutcomeKey, int],
+        permits: Mapping[_PermitKey, int],
         latencies: Mapping[str, HdrHistogram],
         gauges: Mapping[str, float],
     ) -> None:
         self._outcomes = outcomes
+        self._permits = permits
         self._latencies = latencies
         self._gauges = gauges
 
@@ -130,7 +145,19 @@
         )
         for key, count in self._outcomes.items():
             requests.add_metric([key.work, key.outcome], count)
-        return [requests, *self._collect_latencies(), *self._collect_gauges()]
+        families = [requests, self._collect_permits()]
+        return [*families, *self._collect_latencies(), *self._collect_gauges()]
+
+    def _collect_permits(self) -> CounterMetricFamily:
+        family = CounterMetricFamily(
+            "hawthornshelf_permits",
+            "Answers to questions for permits for rate-limited runners",
+            labels=["service", "answer"],
+        )
+        for key, count in self._permits.items():
+            answer = "granted" if key.is_granted else "refused"
+            family.add_metric([key.service, answer], count)
+        return family
 
     def _collect_latencies(self) -> list[Any]:
         family = GaugeMetricFamily(
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -26,6 +26,7 @@
     Event,
     MessageReceived,
     OrderEnded,
+    PermitRequested,
     Persisted,
     PlatformListed,
     ReplicaChangeRequested,
@@ -38,6 +39,7 @@
 from hawthornshelf.membership import Gossip, MembershipTable, OutgoingGossip
 from hawthornshelf.messages import (
     AskControl,
+    AskPermit,
     ChangeReplica,
     ControlWord,
     CrashNews,
@@ -47,20 +49,22 @@
     MemberStatus,
     Message,
     NotLeader,
+    PermitReply,
     Ping,
     PingReply,
     PingRequest,
     PullCrashes,
     PullView,
+    RateLimitNews,
     ReplicaChanged,
     Submit,
     SubmitReply,
     ViewNews,
     ViewUpdate,
 )
+from hawthornshelf.permitexchange import Outgoing, PermitExchange
 from hawthornshelf.raft import Timing
 from hawthornshelf.raftmessages import RaftMessage
-from hawthornshelf.ratelimits import RateLimitTable
 from hawthornshelf.state import SharedView
 from hawthornshelf.submission import Submitter
 
@@ -128,7 +132,8 @@
         self.view = SharedView()
         self._crash_gossip = CrashGossip()
         self.crashes = self._crash_gossip.table
-        self.rate_limits = RateLimitTable()
+        self._permits = PermitExchange(self.members)
+        self.rate_limits = self._permits.limits
         if recovered is not None:
             self.control = self._make_control(recovered, rng, now)
         if settings.entry:
@@ -188,6 +193,8 @@
                 change = ChangeReplica(request, node, admit)
                 deadline = now + OPERATOR_TIMEOUT_SECONDS
                 self._replica_changes[request] = (change, deadline, now)
+            case PermitRequested(request, runner, max_wait):
+                self._exchange(self._permits.ask(now, request, runner, max_wait))
             case StopRequested():
                 self._on_stop(now)
             case _ if isinstance(event, EntryEvent):
@@ -231,6 +238,8 @@
                 news = self._crash_gossip.answer(now, message)
                 if news is not None:
                     self._send(sender, news)
+            case AskPermit() | PermitReply() | RateLimitNews():
+                self._exchange(self._permits.receive(now, sender, message))
             case PullView(revision) if self.view.revision > revision:
                 self._send(sender, ViewUpdate(self.view))
             case Hello() | Submit() | ChangeReplica() | AskControl():
@@ -253,6 +262,7 @@
             self.lifecycle.record_staleness(now, message.age)
             self._pull_view(now, sender, message.revision)
             self._pull_crashes(now, sender, message.crashes)
+            self._exchange(self._permits.compare(now, sender, message.limits))
         for outgoing in self.members.receive(now, sender, message):
             self._gossip(outgoing)
 
@@ -327,6 +337,16 @@
             for member in self.members.sample(CRASH_NEWS_FANOUT):
                 self._send(member.node, news)
 
+    # Rate limits of runners
+
+    def _exchange(self, effects: Sequence[Outgoing | Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Outgoing(node, message):
+                    self._send(node, message)
+                case _:
+                    self._effects.append(effect)
+
     # Scheduled work
 
     def _run_immediate(self, now: float, wall: float) -> None:
@@ -347,7 +367,7 @@
         self.members.staleness = self.staleness(now)
         self._update_own_member(now)
         self._spread_crashes(now)
-        self._effects.extend(self.rate_limits.take_lines())
+        self._exchange(self._permits.tick(now))
         for outgoing in self.members.tick(now):
             self._gossip(outgoing)
         self.submitter.update_control(self.control_nodes())
--- a/hawthornshelf/nodeshell.py
+++ b/hawthornshelf/nodeshell.py
@@ -12,6 +12,7 @@
     CommandEnded,
     Effect,
     LogLine,
+    PermitEnded,
     ReplicaChangeEnded,
     Send,
 )
@@ -195,6 +196,8 @@
                     self._writer.write(effect)
             case CommandEnded(request, result):
                 self._resolve(request, result)
+            case PermitEnded(request, permit):
+                self._resolve(request, permit)
             case ReplicaChangeEnded(request, accepted, reason):
                 self._resolve(request, ReplicaAnswer(accepted, reason))
             case LogLine(event, fields):
--- a/hawthornshelf/ratelimits.py
+++ b/hawthornshelf/ratelimits.py
@@ -5,13 +5,14 @@
 seconds of the node; rows carry ages instead.
 """
 
+import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import NamedTuple
 
 from hawthornshelf.effects import LogLine, log
+from hawthornshelf.limitrecords import RateLimitRow
 
-__all__ = ["RateLimitRow", "RateLimitTable"]
+__all__ = ["RateLimitTable"]
 
 MAX_LIMITS = 4096
 """Runners whose limits are stored; the one heard of the longest ago goes first."""
@@ -27,17 +28,6 @@
 """Change of a limit, as a share of it, that other nodes are told at once."""
 
 
-class RateLimitRow(NamedTuple):
-    """Represent the latest word of one boot of a runner; `age` is in seconds.
-
-    `rate` is in requests a second, None if the runner names no limit any more.
-    """
-
-    runner: str
-    rate: float | None
-    age: float
-
-
 @dataclass(slots=True)
 class _Limit:
     """Store a limit; `at` is when the runner said so, `told` what was passed on."""
@@ -58,6 +48,7 @@
         self._news: dict[str, None] = {}
         self._lines: list[LogLine] = []
         self.count = 0
+        self.checksum = 0
 
     def find(self, runner: str) -> float | None:
         """Return a runner's limit in requests a second, or None without one."""
@@ -87,7 +78,8 @@
         told = known.told if known is not None else None
         self._limits.pop(row.runner, None)
         self._limits[row.runner] = _Limit(rate, at, told)
-        self.count += (rate is not None) - (before is not None)
+        if (rate is None) is not (before is None):
+            self._count(row.runner, 1 if before is None else -1)
         if _differs(told, rate):
             self._limits[row.runner].told = rate
             self._news[row.runner] = None
@@ -102,6 +94,11 @@
             return None
         return RateLimitRow(runner, limit.rate, now - limit.at)
 
+    def rows(self, now: float) -> tuple[RateLimitRow, ...]:
+        """Return what is known of all runners."""
+        rows = (self.row(now, runner) for runner in self._limits)
+        return tuple(row for row in rows if row is not None)
+
     def take_news(self, now: float) -> tuple[RateLimitRow, ...]:
         """Return and forget what other nodes are to be told, with current ages."""
         news, self._news = self._news, {}
@@ -141,7 +138,14 @@
             self._drop(next(iter(self._limits)))
 
     def _drop(self, runner: str) -> None:
-        self.count -= self._limits.pop(runner).rate is not None
+        if self._limits.pop(runner).rate is not None:
+            self._count(runner, -1)
+
+    def _count(self, runner: str, change: int) -> None:
+        """Count a runner that has got a limit, or has none any more."""
+        self.count += change
+        digest = hashlib.blake2b(runner.encode(), digest_size=8).digest()
+        self.checksum ^= int.from_bytes(digest, "big")
 
 
 def _differs(told: float | None, rate: float | None) -> bool:
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field, replace
 
 from hawthornshelf.crashrecords import Standing
-from hawthornshelf.effects import Send
-from hawthornshelf.events import MessageReceived
+from hawthornshelf.effects import PermitEnded, Send
+from hawthornshelf.events import MessageReceived, PermitRequested
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
 from hawthornshelf.gateway.exchange import (
     Attempt,
@@ -29,7 +29,8 @@
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.identity import digest_request
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable, Stage
-from hawthornshelf.messages import Message
+from hawthornshelf.limitrecords import Permit
+from hawthornshelf.messages import AskPermit, Message, PermitReply
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.node import NodeCore, NodeSettings
 from tests.gateway import fakes
@@ -374,7 +375,7 @@
         self.is_up = True
         self.disturbed_at = fleet.clock.monotonic()
         self._fleet = fleet
-        self._events: list[MessageReceived] = []
+        self._events: list[MessageReceived | PermitRequested] = []
         clock = fleet.clock
         rng = random.Random(f"{fleet.seed}/{name}")
         self.rng = rng
@@ -393,6 +394,7 @@
         )
         self.core = NodeCore(settings, None, rng, clock.monotonic())
         self.core.is_serving = True
+        self._asks: dict[str, asyncio.Future[Permit]] = {}
         self.client = _Client(fleet, name)
         self.runners = RunnerTable("dc", rng)
         self.forwarder = self._make_forwarder(rng)
@@ -412,16 +414,28 @@
             self.runners.count_interactive_requests,
             self.core.crashes,
             self.core.rate_limits,
+            self.ask_permit,
         )
 
+    async def ask_permit(self, runner: str, max_wait: float) -> Permit:
+        future: asyncio.Future[Permit] = asyncio.get_running_loop().create_future()
+        request = f"{self.name}-permit-{next(self._fleet.numbers)}"
+        self._asks[request] = future
+        self._events.append(PermitRequested(request, runner, max_wait))
+        self._step()
+        return await future
+
     def kill(self) -> None:
         self.is_up = False
         for task in self._tasks:
             task.cancel()
 
     def receive(self, sender: str, message: Message) -> None:
-        if self.is_up:
-            self._events.append(MessageReceived(sender, message))
+        if not self.is_up:
+            return
+        self._events.append(MessageReceived(sender, message))
+        if isinstance(message, AskPermit | PermitReply):
+            self._step()
 
     async def ask(
         self, path: str, body: bytes, prompt: Prompt | None = None, budget: float = 2.0
@@ -451,13 +465,19 @@
 
     async def _tick(self) -> None:
         while True:
-            events, self._events = self._events, []
-            now = self._fleet.clock.monotonic()
-            for effect in self.core.step(now, now, events):
-                if isinstance(effect, Send):
-                    self._fleet.deliver(self.name, effect.address, effect.message)
+            self._step()
             await asyncio.sleep(TICK_SECONDS if not self._events else HOP_SECONDS)
 
+    def _step(self) -> None:
+        events, self._events = self._events, []
+        now = self._fleet.clock.monotonic()
+        for effect in self.core.step(now, now, events):
+            match effect:
+                case Send(_, address, message):
+                    self._fleet.deliver(self.name, address, message)
+                case PermitEnded(request, permit):
+                    self._asks.pop(request).set_result(permit)
+
     async def _poll(self) -> None:
         while True:
             now = self._fleet.clock.monotonic()
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -30,6 +30,7 @@
     Split,
 )
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable, Stage
+from hawthornshelf.limitrecords import Permit
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.ratelimits import RateLimitTable
 
@@ -38,6 +39,10 @@
 CLOCK = SystemClock()
 
 
+async def grant_permit(runner: str, max_wait: float) -> Permit:
+    return Permit(True, 0.0)
+
+
 def event(number: int) -> bytes:
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
@@ -170,6 +175,7 @@
             self.runners.count_interactive_requests,
             self.crashes,
             RateLimitTable(),
+            grant_permit,
         )
         self.forwarder.load(TABLE)
 
--- a/tests/gateway/limitfleet.py
+++ b/tests/gateway/limitfleet.py
@@ -26,6 +26,7 @@
     def __post_init__(self) -> None:
         super().__post_init__()
         self.limited_from: dict[str, float] = {}
+        self.limited_until: dict[str, float] = {}
         self.rates: dict[str, float] = {}
 
     def limit(self, runner: SimRunner, draw: Callable[[], float | None]) -> None:
@@ -36,15 +37,21 @@
         rate = draw()
         self.rates[key] = rate if rate is not None else 0.0
 
+    def end_limit(self, runner: SimRunner) -> None:
+        """Let a runner name no limit any more."""
+        runner.draw_limit = lambda: None
+        self.limited_until[runner.describe().key] = self.clock.monotonic()
+
     def counted(self, key: str) -> list[Contact]:
         """Return the requests that the platform counts against a runner's limit."""
         start = self.limited_from[key] + CONTACT_SECONDS
         never = float("inf")
+        end = self.limited_until.get(key, never)
         return [
             contact
             for contact in self.contacts
             if contact.runner == key
-            and contact.at >= start
+            and start <= contact.at <= end
             and contact.at >= self.told.get((contact.node, key), never) + TOLD_SECONDS
         ]
 
@@ -81,6 +88,7 @@
     outcomes: Counter[str] = field(default_factory=Counter)
     waits: list[float] = field(default_factory=list)
     retry_afters: list[float] = field(default_factory=list)
+    refusal_waits: list[float] = field(default_factory=list)
 
     async def send(self) -> None:
         clock, rng = self.fleet.clock, self.fleet.rng
@@ -99,7 +107,9 @@
         prompt = self.make_prompt(number)
         caller = await entry.ask(self.path, body, prompt, self.budget)
         self.outcomes[str(caller.status)] += 1
+        seconds = self.fleet.clock.monotonic() - started_at
         if caller.status == 200:
-            self.waits.append(self.fleet.clock.monotonic() - started_at)
+            self.waits.append(seconds)
         else:
             self.retry_afters.append(caller.retry_after)
+            self.refusal_waits.append(seconds)
--- a/tests/gateway/load.py
+++ b/tests/gateway/load.py
@@ -32,7 +32,7 @@
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable, Stage
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.ratelimits import RateLimitTable
-from tests.gateway.fakes import Caller, event
+from tests.gateway.fakes import Caller, event, grant_permit
 
 __all__ = ["LoadSimulation", "Outcome", "VirtualClock", "run_in_virtual_time"]
 
@@ -304,6 +304,7 @@
             lambda: 1.0,
             CrashTable(),
             RateLimitTable(),
+            grant_permit,
         )
         split = (Split("llm", 1),)
         route = Route(
--- a/tests/southernveil/test_framing.py
+++ b/tests/southernveil/test_framing.py
@@ -30,7 +30,7 @@
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.ratelimits import RateLimitTable
-from tests.gateway.fakes import Caller
+from tests.gateway.fakes import Caller, grant_permit
 
 CLOCK = SystemClock()
 SECONDS = 20.0
@@ -189,6 +189,7 @@
         table.count_interactive_requests,
         CrashTable(),
         RateLimitTable(),
+        grant_permit,
     )
     forwarder.load(RouteTable(1, (route,), (ServiceSpec("app", "/healthz"),)))
     try:
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -3,11 +3,11 @@
 from hypothesis import strategies as st
 
 from hawthornshelf.effects import LogLine
+from hawthornshelf.limitrecords import RateLimitRow
 from hawthornshelf.ratelimits import (
     KEPT_SECONDS,
     MAX_LIMITS,
     UNBOUNDED_RATE,
-    RateLimitRow,
     RateLimitTable,
 )
 
