--- a/scripts/soak_crashes.py
+++ b/scripts/soak_crashes.py
@@ -27,7 +27,8 @@
         crashes[result.crashes] += 1
         late = max(result.late_sends, result.late_part_sends)
         blocked = result.outcomes["quarantined"]
-        if late > MAX_LATE_SENDS or blocked or result.short_streams:
+        is_wrong = blocked or result.short_streams or result.over_limit
+        if late > MAX_LATE_SENDS or is_wrong:
             failed += 1
             print(f"seed {seed} failed: {result}")
     print(f"{options.rounds} rounds from seed {options.seed}: {failed} failed")
--- a/tests/gateway/limitfleet.py
+++ b/tests/gateway/limitfleet.py
@@ -52,9 +52,15 @@
             for contact in self.contacts
             if contact.runner == key
             and start <= contact.at <= end
+            and not self._is_excused(contact)
             and contact.at >= self.told.get((contact.node, key), never) + TOLD_SECONDS
         ]
 
+    def _is_excused(self, contact: Contact) -> bool:
+        """Return whether the sender was started or cut off shortly before."""
+        disturbed_at = self.entries[contact.node].disturbed_at
+        return contact.at < disturbed_at + CONTACT_SECONDS
+
     def worst_window(self, key: str) -> int:
         """Return the most requests counted in any window."""
         times = [contact.at for contact in self.counted(key)]
@@ -65,6 +71,10 @@
             worst = max(worst, last - first + 1)
         return worst
 
+    def is_over_limit(self, key: str) -> bool:
+        """Return whether a runner got more than it takes."""
+        return self.worst_window(key) > allowed_requests(self.rates[key])
+
     def used_share(self, key: str, until: float) -> float:
         """Return the share of a limit that was used until some time."""
         start = self.limited_from[key] + CONTACT_SECONDS
--- a/tests/gateway/test_crash_soak.py
+++ b/tests/gateway/test_crash_soak.py
@@ -17,5 +17,6 @@
     assert result.late_sends <= MAX_LATE_SENDS
     assert result.late_part_sends <= MAX_LATE_SENDS
     assert result.short_streams == 0
+    assert result.over_limit == ()
     assert not result.outcomes["quarantined"]
     assert result.outcomes["200"] > 0.5 * result.outcomes.total()
