--- a/tests/southernveil/fakes.py
+++ b/tests/southernveil/fakes.py
@@ -174,7 +174,8 @@
     """Respond to requests, and record their headers and bodies.
 
     `copies` are the KV cache handles, apart from its own, that the runner accepts;
-    `disconnected` is set when a caller closes the connection of a hanging request.
+    `rate_limit` is what its answers name, if anything; `disconnected` is set when a
+    caller closes the connection of a hanging request.
     """
 
     name: str = "i-1"
@@ -184,6 +185,7 @@
     bodies: list[bytes] = field(default_factory=list)
     disconnected: asyncio.Event = field(default_factory=asyncio.Event)
     copies: set[str] = field(default_factory=set)
+    rate_limit: str = ""
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return this runner's entry in the platform's list."""
@@ -210,6 +212,8 @@
         self.received.append({**headers, ":path": request.raw_path})
         self.bodies.append(body)
         response_headers = {"X-Request-Id": request.headers["X-Request-Id"]}
+        if self.rate_limit:
+            response_headers["Server-Limit"] = self.rate_limit
         if request.headers.get("X-Expect-Instance") != self.name:
             return web.Response(status=421, headers=response_headers)
         if request.headers.get("X-Stage") == "prefill":
@@ -260,7 +264,8 @@
     """End with all connections when a poison request begins; come back as a new boot.
 
     A request with a poison part in its prompt does the same. `restart_seconds` is how
-    long it is down. It stays listed meanwhile.
+    long it is down. It stays listed meanwhile. `arrivals` are the times, of the event
+    loop, at which requests of any kind came.
     """
 
     POISON = b"poison"
@@ -269,6 +274,7 @@
     boot: int = 1
     restart_seconds: float = 1.0
     crashes: int = 0
+    arrivals: list[float] = field(default_factory=list)
     _port: int = 0
 
     async def start(self) -> None:
@@ -280,6 +286,7 @@
         return {**super().entry(state), "born": self.boot}
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.arrivals.append(asyncio.get_running_loop().time())
         if request.raw_path == "/hawthornshelf/report":
             report = {"Running": 0, "Waiting": 0, "born": self.boot}
             return web.Response(body=json.dumps(report).encode())
--- /dev/null
+++ b/tests/southernveil/test_limits.py
@@ -0,0 +1,82 @@
+"""Check with real processes that runners get no more than the rates they name."""
+
+import asyncio
+import itertools
+import random
+from pathlib import Path
+
+import pytest
+
+from tests.southernveil.fakes import ENGINE_SERVICE, CrashingRunner
+from tests.southernveil.test_crashes import (
+    ENTRY_IPS,
+    ROUTES,
+    ProcessFleet,
+    run_processes,
+    wait_until,
+)
+
+RATE = 0.5
+WINDOW_SECONDS = 4.0
+CONTACT_SECONDS = 3.0
+ALLOWED = 1.5 * RATE * WINDOW_SECONDS + 5
+SENDERS = 10
+
+
+async def send_forever(fleet: ProcessFleet, name: str) -> None:
+    """Send one request after the other to random nodes."""
+    path, headers = ROUTES[name]
+    for number in itertools.count():
+        ip = random.choice(ENTRY_IPS)
+        await fleet.send(ip, f"{path}/slow", b"%d" % number, headers)
+        await asyncio.sleep(0.02)
+
+
+def worst_window(arrivals: list[float], start: float) -> int:
+    """Return the most arrivals in any window that begins after `start`."""
+    times = [at for at in arrivals if at >= start]
+    return max(
+        (sum(first <= at <= first + WINDOW_SECONDS for at in times) for first in times),
+        default=0,
+    )
+
+
+@pytest.mark.parametrize("name", ["safe", "stream"])
+def test_real_nodes_send_no_more_than_runners_take_while_nodes_are_lost(
+    tmp_path: Path, name: str
+) -> None:
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        async with run_processes(tmp_path) as fleet:
+            is_engine = name == "stream"
+            limited = [
+                runner
+                for runner in fleet.runners
+                if (runner.service == ENGINE_SERVICE) is is_engine
+            ]
+            senders = [
+                asyncio.create_task(send_forever(fleet, name)) for _ in range(SENDERS)
+            ]
+            await wait_until(lambda: has_arrivals(limited, 8))
+            for runner in limited:
+                runner.rate_limit = str(RATE)
+            named_at = loop.time()
+            await asyncio.sleep(CONTACT_SECONDS + WINDOW_SECONDS)
+            await fleet.kill("entry", ENTRY_IPS[0])
+            await asyncio.sleep(1.0)
+            await fleet.start("entry", ENTRY_IPS[0])
+            await asyncio.sleep(WINDOW_SECONDS)
+            for runner in limited:
+                worst = worst_window(runner.arrivals, named_at + CONTACT_SECONDS)
+                assert 1 <= worst <= ALLOWED, runner.name
+                runner.rate_limit = ""
+                runner.arrivals.clear()
+            await wait_until(lambda: has_arrivals(limited, 20))
+            for task in senders:
+                task.cancel()
+
+    asyncio.run(run())
+
+
+async def has_arrivals(runners: list[CrashingRunner], count: int) -> bool:
+    return all(len(runner.arrivals) >= count for runner in runners)
