--- a/hawthornshelf/messages.py
+++ b/hawthornshelf/messages.py
@@ -200,12 +200,15 @@
 class AskPermit:
     """Ask for a permit for a rate-limited runner, free within `max_wait` seconds.
 
-    `limit` is what the sender knows of the runner.
+    `limit` is what the sender knows of the runner, `silent` the nodes that did not
+    answer it lately. A forwarded question names the node that asks.
     """
 
     request: str
     limit: RateLimitRow
     max_wait: float
+    silent: tuple[str, ...] = ()
+    asker: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/hawthornshelf/permitexchange.py
+++ b/hawthornshelf/permitexchange.py
@@ -1,6 +1,7 @@
 """Exchange permits and rate limits between nodes."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import NamedTuple
 
 from hawthornshelf.effects import LogLine, PermitEnded, log
@@ -24,6 +25,9 @@
 SILENT_SECONDS = 1.0
 """Time for which the next node is asked in place of one that did not answer."""
 
+JOINING_SECONDS = 2.0
+"""Time without an unknown node after which a node sees all others, or nearly so."""
+
 NEWS_FANOUT = 3
 COMPARE_INTERVAL_SECONDS = 0.25
 TRANSIT_SECONDS = 0.02
@@ -61,6 +65,8 @@
         self._asks: dict[str, _Ask] = {}
         self._silent_until: dict[str, float] = {}
         self._compare_due = 0.0
+        self._known = 0
+        self._joined_at = float("-inf")
 
     def ask(
         self, now: float, request: str, runner: str, max_wait: float
@@ -69,15 +75,16 @@
         row = self.limits.row(now, runner)
         if row is None or row.rate is None:
             return [PermitEnded(request, Permit(True, 0.0))]
-        issuer = self._choose_issuer(now, runner)
+        silent = tuple(n for n, until in self._silent_until.items() if now < until)
+        issuer = self._choose_issuer(runner, silent)
         self._asks[request] = _Ask(issuer, runner, now)
-        return [Outgoing(issuer, AskPermit(request, row, max_wait))]
+        return [Outgoing(issuer, AskPermit(request, row, max_wait, silent))]
 
     def receive(self, now: float, sender: str, message: Message) -> list[Effect]:
         """Process a message; return the answer to send and what has ended."""
         match message:
             case AskPermit():
-                return [Outgoing(sender, self._answer(now, message))]
+                return [self._answer(now, sender, message)]
             case PermitReply(request, permit, limit):
                 if limit is not None:
                     self._merge(now, limit)
@@ -99,6 +106,10 @@
     def tick(self, now: float) -> list[Effect]:
         """Give up questions without an answer, and tell what is new."""
         effects: list[Effect] = []
+        known = self._members.known_entry_count()
+        if known > self._known:
+            self._joined_at = now
+        self._known = known
         for request, ask in list(self._asks.items()):
             if now < ask.at + ASK_TIMEOUT_SECONDS:
                 continue
@@ -117,35 +128,41 @@
         self._members.limits = self.limits.checksum
         return effects
 
-    def _answer(self, now: float, message: AskPermit) -> PermitReply:
+    def _answer(self, now: float, sender: str, message: AskPermit) -> Outgoing:
+        """Answer a question, or pass it on once to a node that goes before this one.
+
+        Nodes that have just started don't see all others, and may ask the wrong one.
+        """
         runner = message.limit.runner
         self._merge(now, message.limit)
         row = self.limits.row(now, runner)
+        asker = message.asker or sender
         if row is None or row.rate is None:
-            return PermitReply(message.request, Permit(True, 0.0), row)
-        standing = self._describe_standing(runner)
+            return Outgoing(asker, PermitReply(message.request, Permit(True, 0.0), row))
+        issuer = self._choose_issuer(runner, message.silent)
+        if issuer != self._members.own.node and not message.asker:
+            return Outgoing(issuer, replace(message, asker=sender))
+        standing = self._describe_standing(now, runner)
         permit = self._issuer.issue(now, runner, row.rate, standing, message.max_wait)
-        return PermitReply(message.request, permit, row)
+        return Outgoing(asker, PermitReply(message.request, permit, row))
 
     def _merge(self, now: float, row: RateLimitRow) -> None:
         row = row._replace(age=row.age + TRANSIT_SECONDS)
         self.limits.merge(now, row, "node")
 
-    def _choose_issuer(self, now: float, runner: str) -> str:
-        """Return the first node in the order that has answered lately."""
+    def _choose_issuer(self, runner: str, silent: Sequence[str]) -> str:
+        """Return the first node in the order that is not silent."""
         order = order_issuers(runner, self._candidates())
-        for node in order:
-            if now >= self._silent_until.get(node, now):
-                return node
-        return self._members.own.node
+        return next((n for n in order if n not in silent), self._members.own.node)
 
-    def _describe_standing(self, runner: str) -> IssuerStanding:
+    def _describe_standing(self, now: float, runner: str) -> IssuerStanding:
         order = order_issuers(runner, self._candidates())
         rows = [row for row in self._members.rows() if row.entry]
         lost = (MemberStatus.SUSPECT, MemberStatus.DEAD)
         alive = sum(row.status not in lost for row in rows)
         is_first = bool(order) and order[0] == self._members.own.node
-        return IssuerStanding(is_first, alive, max(1, len(rows)))
+        is_joining = now < self._joined_at + JOINING_SECONDS
+        return IssuerStanding(is_first, alive, max(1, len(rows)), is_joining)
 
     def _candidates(self) -> Sequence[str]:
         return [row.node for row in self._members.serving()]
--- a/hawthornshelf/permits.py
+++ b/hawthornshelf/permits.py
@@ -37,12 +37,14 @@
     """Describe how a node sees itself among those that may issue a runner's permits.
 
     `is_first` is set if it is the first in the order of the nodes that it sees alive;
-    `alive` of the `known` nodes are those that it sees.
+    `alive` of the `known` nodes are those that it sees. `is_joining` is set while it
+    still learns of nodes that it did not know.
     """
 
     is_first: bool
     alive: int
     known: int
+    is_joining: bool = False
 
     @property
     def has_majority(self) -> bool:
@@ -100,7 +102,7 @@
         if not standing.has_majority:
             return MINORITY_SHARE * standing.alive / standing.known
         is_settled = now >= bucket.first_since + SETTLE_SECONDS
-        return 1.0 if is_settled else UNSETTLED_SHARE
+        return 1.0 if is_settled and not standing.is_joining else UNSETTLED_SHARE
 
     def _find(self, now: float, runner: str) -> _Bucket:
         """Return a runner's bucket, the one used the longest ago making room."""
