Forget the rate limits of runners that are gone (LIMIT)

Nothing called the table's retain: limits of boots that are gone for ever stayed until 4096 were known, in the gauge and in what nodes compare.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -131,8 +131,9 @@
         }
 
     def on_runner_list(self) -> None:
-        """Look for crashed runners in a list that has just been loaded."""
+        """Look for runners that crashed or are gone in a list just loaded."""
         self._crashes.check_list()
+        self._limiter.retain(self._runners.keys())
 
     async def serve(self, inbound: InboundRequest, writer: ResponseWriter) -> None:
         """Serve one request; return once its whole response has been written."""
--- a/hawthornshelf/gateway/ratelimiter.py
+++ b/hawthornshelf/gateway/ratelimiter.py
@@ -16,8 +16,6 @@
 RETRY_SECONDS = 0.02
 """Shortest time after which a node asks again for a permit that it did not get."""
 
-MAX_RUNNERS = 4096
-
 AskPermit = Callable[[str, float], Awaitable[Permit]]
 """Ask for a permit for a boot of a runner, free within some seconds."""
 
@@ -50,6 +48,11 @@
         elif notice.has_run:
             self._table.learn(now, notice.runner.key, None, notice.sent_at)
 
+    def retain(self, runners: frozenset[str]) -> None:
+        """Forget the limits of boots of runners that have been gone for long."""
+        self._table.retain(self._clock.monotonic(), runners)
+        self._free_at = {k: at for k, at in self._free_at.items() if k in runners}
+
     def is_limited(self, runner: Runner) -> bool:
         """Return whether a runner takes requests with a permit only."""
         return self._table.find(runner.key) is not None
@@ -107,10 +110,7 @@
         pause = RETRY_SECONDS
         if permit.is_granted:
             pause = 1.0 / max(rate, MIN_RATE) if rate is not None else 0.0
-        self._free_at.pop(key, None)
         self._free_at[key] = self._clock.monotonic() + permit.wait + pause
-        if len(self._free_at) > MAX_RUNNERS:
-            del self._free_at[next(iter(self._free_at))]
 
     def _find_free_at(self, state: RunnerState) -> float:
         return self._free_at.get(state.runner.key, 0.0)
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -176,6 +176,10 @@
         """Return the state of a runner, or None if it is not listed."""
         return self._states.get(name)
 
+    def keys(self) -> frozenset[str]:
+        """Return the names of all listed boots of runners."""
+        return frozenset(state.runner.key for state in self._states.values())
+
     def find_address(self, address: str) -> RunnerState | None:
         """Return the state of the runner listed at an address, or None."""
         states = self._states.values()
--- a/tests/gateway/test_ratelimiter.py
+++ b/tests/gateway/test_ratelimiter.py
@@ -6,7 +6,7 @@
 from hawthornshelf.gateway.ratelimiter import RETRY_SECONDS, RateLimiter
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerState, RunnerTable
 from hawthornshelf.limitrecords import Permit
-from hawthornshelf.ratelimits import RateLimitTable
+from hawthornshelf.ratelimits import KEPT_SECONDS, RateLimitTable
 from tests.gateway.load import VirtualClock, run_in_virtual_time
 
 RUNNERS = tuple(Runner(f"i-{n}", "app", f"h:{n}", "dc", 6, boot=17) for n in range(3))
@@ -86,6 +86,18 @@
     assert limiter.asked == [("i-0/17", 0.5)]
 
 
+def test_the_limits_of_runners_that_are_gone_are_forgotten_after_a_while() -> None:
+    limiter = Limiter([Permit(False, 0.4)])
+    limiter.answer(2.0, 0.0, 0.0)
+    assert not limiter.acquire()
+    limiter.limiter.retain(frozenset({"i-0/18"}))
+    assert limiter.limiter.is_limited(RUNNERS[0])
+    assert not limiter.limiter.exhausted(limiter.states)
+    limiter.clock.seconds += 2 * KEPT_SECONDS
+    limiter.limiter.retain(frozenset({"i-0/18"}))
+    assert not limiter.limiter.is_limited(RUNNERS[0])
+
+
 def test_a_new_boot_of_a_runner_needs_no_permit() -> None:
     limiter = Limiter()
     limiter.answer(2.0, 0.0, 0.0)
