--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -9,6 +9,7 @@
 from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.admission import engine_priority
 from hawthornshelf.gateway.budget import RetryBudget
+from hawthornshelf.gateway.chooser import RunnerChooser
 from hawthornshelf.gateway.context import MIN_SECONDS_LEFT, RequestContext
 from hawthornshelf.gateway.crashdetector import CrashDetector, Flight
 from hawthornshelf.gateway.exchange import (
@@ -25,12 +26,12 @@
 )
 from hawthornshelf.gateway.loadprobe import LoadProbe
 from hawthornshelf.gateway.placement import Placer
-from hawthornshelf.gateway.quarantine import RUN_STAGES, Quarantine, RequestBlocked
+from hawthornshelf.gateway.quarantine import Quarantine, RequestBlocked
 from hawthornshelf.gateway.ratelimiter import AskPermit, RateLimiter
 from hawthornshelf.gateway.recorder import Recorder
 from hawthornshelf.gateway.retrydetector import RetryDetector
 from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteIndex, RouteTable
-from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable, Stage
+from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
 from hawthornshelf.gateway.scheduler import (
     AdmissionRejected,
     EngineScheduler,
@@ -58,10 +59,6 @@
 """Share of the remaining time that a repeatable request waits for response headers."""
 
 
-MAX_PERMIT_WAIT_SECONDS = 1.0
-PERMIT_WAIT_SHARE = 0.3
-"""Share of the remaining time for which a request waits for a permit at most."""
-
 PROBE_PERMIT_WAIT_SECONDS = 0.1
 
 
@@ -88,6 +85,7 @@
         self._runners = runners
         self._budget = budget
         self._recorder = Recorder(runners, metrics, clock)
+        self._chooser = RunnerChooser(runners, self._limiter, self._recorder, clock)
         self._streams = StreamRelay(self._recorder)
         self._clock = clock
         self._rng = rng
@@ -290,7 +288,7 @@
         if prompt is not None and context.route.is_generation:
             return await self._try_engine(context, prompt)
         excluded = context.tried | self._quarantine.exclude_runners(context, standing)
-        state = await self._choose_plain(context, excluded)
+        state = await self._chooser.choose_plain(context, excluded)
         state.in_flight += 1
         try:
             return await self._send(context, state, None)
@@ -302,8 +300,7 @@
     ) -> bool:
         """Continue a broken run at the engine that has a copy of its KV cache."""
         context.backup = None
-        if not await self._acquire(context, backup, self._max_permit_wait(context)):
-            raise AdmissionRejected("rate limit", self._limiter.retry_after([backup]))
+        await self._chooser.await_permit(context, [backup])
         request = context.inbound.request_id
         context.source = KvCacheHandle(backup.runner.address, request)
         backup.in_flight += 1
@@ -313,67 +310,6 @@
             context.source = None
             backup.in_flight -= 1
 
-    async def _choose_plain(
-        self, context: RequestContext, excluded: frozenset[str] | set[str]
-    ) -> RunnerState:
-        """Return a runner of a plain service that takes the request now.
-
-        If all of them name a rate, wait for a permit. Raise AdmissionRejected if there
-        is no runner, or no permit in time.
-        """
-        service = context.service
-        while True:
-            states = self._runners.in_service(service)
-            busy = self._limiter.exhausted(states)
-            now = self._clock.monotonic()
-            state = self._runners.choose_plain(now, service, excluded | busy)
-            if state is None:
-                stages = (Stage.MIXED,)
-                return await self._await_permit(context, stages, excluded)
-            if await self._acquire(context, state):
-                return state
-
-    async def _await_permit(
-        self,
-        context: RequestContext,
-        stages: tuple[Stage, ...],
-        excluded: frozenset[str] | set[str],
-    ) -> RunnerState:
-        """Return a rate-limited runner once it takes the request.
-
-        Raise AdmissionRejected if there is none, or no permit in time.
-        """
-        now = self._clock.monotonic()
-        states = self._runners.available(now, context.service, stages, excluded)
-        limited = self._limiter.limited(states)
-        first = self._limiter.first_free(limited)
-        if first is None:
-            raise AdmissionRejected("no runner", RETRY_AFTER_SECONDS)
-        if await self._acquire(context, first, self._max_permit_wait(context)):
-            return first
-        raise AdmissionRejected("rate limit", self._limiter.retry_after(limited))
-
-    async def _acquire(
-        self, context: RequestContext, state: RunnerState, max_wait: float = 0.0
-    ) -> bool:
-        """Return whether a runner takes a request, within `max_wait` seconds."""
-        if not self._limiter.is_limited(state.runner):
-            return True
-        asked_at = self._clock.monotonic()
-        is_granted = await self._limiter.acquire(state.runner, max_wait)
-        seconds = self._clock.monotonic() - asked_at
-        self._recorder.record_permit(context, is_granted, seconds)
-        return is_granted
-
-    def _max_permit_wait(self, context: RequestContext) -> float:
-        """Return how long a request may wait for a permit, in seconds.
-
-        Less urgent requests wait less, so that permits go to urgent ones first.
-        """
-        seconds_left = context.deadline - self._clock.monotonic()
-        seconds = min(MAX_PERMIT_WAIT_SECONDS, PERMIT_WAIT_SHARE * seconds_left)
-        return max(0.0, seconds / (1 + context.route.priority))
-
     async def _try_engine(self, context: RequestContext, prompt: Prompt) -> bool:
         """Place a request on engines, prefill its prompt and send it to run.
 
@@ -382,14 +318,7 @@
         """
         standing = self._quarantine.check(context)
         excluded = context.tried | self._quarantine.exclude_runners(context, standing)
-        states = self._runners.in_service(context.service)
-        busy = self._limiter.exhausted(states)
-        has_permit = False
-        if busy and not self._has_decoder(context, excluded | busy):
-            run = await self._await_permit(context, RUN_STAGES, excluded)
-            engines = {s.runner.name for s in states if s.runner.stage in RUN_STAGES}
-            busy = (busy | engines) - {run.runner.name}
-            has_permit = True
+        limited = await self._chooser.exclude_limited(context, excluded)
         reservation = await self._scheduler.acquire(
             PlacementRequest(
                 context.service,
@@ -397,7 +326,7 @@
                 context.route.priority,
                 context.target_at,
                 context.deadline,
-                frozenset(excluded | busy),
+                frozenset(excluded | limited.excluded),
             )
         )
         context.reserved_at = self._clock.monotonic()
@@ -415,19 +344,12 @@
             run = reservation.placement.run
             if not self._runners.accepts_work(run):
                 self._recorder.record_leaving_runner(context, run)
-            elif has_permit or await self._acquire(context, run):
+            elif limited.has_permit or await self._chooser.acquire(context, run):
                 return await self._send(context, run, reservation)
         finally:
             reservation.release()
         return await self._try_engine(context, prompt)
 
-    def _has_decoder(
-        self, context: RequestContext, excluded: frozenset[str] | set[str]
-    ) -> bool:
-        """Return whether an engine that is not excluded can run requests now."""
-        now = self._clock.monotonic()
-        return bool(self._runners.available(now, context.service, RUN_STAGES, excluded))
-
     def _needs_backup(self, context: RequestContext) -> bool:
         """Return whether a copy of the run's KV cache is worth the memory.
 
@@ -471,7 +393,7 @@
         state = reservation.placement.prefill
         if state is None:
             return None
-        if not await self._acquire(context, state):
+        if not await self._chooser.acquire(context, state):
             return None
         now = self._clock.monotonic()
         if context.prefills > 0:
