Take a CRLF stream that ends one byte short for broken off

After a CRLF a lone CR now ends an event only once the next byte shows that no LF follows; streams whose lines end with CR are passed on as before. 2 new tests failed before; the tests of event streams, framing and the forwarder pass.

--- a/hawthornshelf/gateway/eventstream.py
+++ b/hawthornshelf/gateway/eventstream.py
@@ -7,8 +7,13 @@
 
 __all__ = ["EventSplitter", "StreamEvent"]
 
-_EVENT_END = re.compile(rb"(?>\r\n|\r|\n)(?>\r\n|\r|\n)")
-"""Two line ends, each of any form; the atomic groups never split a CRLF in two."""
+_EVENT_END = re.compile(
+    rb"\r\n(?>\r\n|\n|\r(?=[^\n]))|(?>\r(?!\n)|(?<!\r)\n)(?>\r\n|\r|\n)"
+)
+"""Two line ends, each of any form; no CRLF is split in two.
+
+After a CRLF a lone CR counts once the next byte shows that no LF follows.
+"""
 
 _EVENT_END_BYTES = 4
 _LINE_END = re.compile(rb"\r\n|\r|\n")
@@ -24,8 +29,8 @@
 class EventSplitter:
     """Split a byte stream into events, each of which ends with an empty line.
 
-    Lines end with LF, CR or CRLF. An event is whole with the CR of its empty line; an
-    LF that follows is the first byte of the next one.
+    Lines end with LF, CR or CRLF. Where lines end with CR an event is whole with the CR
+    of its empty line; an LF that follows is the first byte of the next one.
     """
 
     def __init__(self) -> None:
--- a/tests/gateway/test_eventstream.py
+++ b/tests/gateway/test_eventstream.py
@@ -43,6 +43,22 @@
     assert splitter.feed(b"\n") == []
 
 
+def test_an_event_with_crlf_line_ends_is_not_whole_one_byte_before_its_end() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\r\ndata: x\r\n\r") == []
+    assert splitter.is_inside_event
+    (event,) = splitter.feed(b"\n")
+    assert event.data == b"id: 1\r\ndata: x\r\n\r\n"
+    assert not splitter.is_inside_event and splitter.unfinished_bytes == 0
+
+
+def test_an_empty_line_of_cr_alone_ends_an_event_once_another_byte_follows() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\r\n\r") == []
+    (event,) = splitter.feed(b"id: 2")
+    assert event.data == b"id: 1\r\n\r"
+
+
 def test_an_incomplete_event_stays_in_the_buffer() -> None:
     splitter = EventSplitter()
     assert len(splitter.feed(STREAM[:-3])) == 2
