Do not take the end of a resumed stream for proof of its beginning

A stream that crashed its runner after two events and was completed by another one from the third on was cleared by that, and, since what completes is blamed last, not even blamed for three crashes: each repeat ended one more runner. The response of a resumed stream now speaks for the parts of its prompt alone, which it begins to write once more.

--- a/hawthornshelf/gateway/crashdetector.py
+++ b/hawthornshelf/gateway/crashdetector.py
@@ -86,6 +86,7 @@
     started_at: float
     is_suspect: bool
     is_prefill: bool = False
+    is_resumption: bool = False
     is_answered: bool = False
     has_run: bool = False
     writing_since: float = float("inf")
@@ -99,6 +100,17 @@
             return self.context.request_suspects()
         return self.context.suspects()
 
+    def proven(self) -> tuple[bytes, ...]:
+        """Return for what the completed response speaks.
+
+        That of a resumed stream says nothing about the part that it left out.
+        """
+        if not self.has_run:
+            return ()
+        if self.is_resumption:
+            return self.context.part_digests()
+        return self.context.suspects()
+
     @property
     def has_written(self) -> bool:
         """Return whether an event of the response has arrived."""
@@ -155,7 +167,14 @@
         The caller records on the flight what has come of the response.
         """
         now = self._clock.monotonic()
-        flight = Flight(context, runner, now, context.is_suspect, is_prefill)
+        flight = Flight(
+            context,
+            runner,
+            now,
+            context.is_suspect,
+            is_prefill,
+            bool(context.last_event_id or context.inbound.resume_after),
+        )
         key = runner.key
         self._flights.setdefault(key, set()).add(flight)
         self.suspects_at[runner.name] += flight.is_suspect
@@ -214,12 +233,7 @@
         if not flight.is_answered:
             return
         context = flight.context
-        if flight.has_run:
-            cleared = self._table.complete(now, context.suspects())
-        else:
-            has_suspects = self._table.has_suspects
-            cleared = has_suspects and self._table.clear(now, context.digest())
-        if cleared:
+        if self._table.complete(now, flight.proven()) or self._clear(now, flight):
             write_log(
                 "suspect-cleared",
                 request=context.inbound.request_id,
@@ -228,6 +242,12 @@
                 runner=flight.runner.name,
             )
 
+    def _clear(self, now: float, flight: Flight) -> bool:
+        """Clear a request whose response was no success; return if it was a suspect."""
+        if flight.has_run or not self._table.has_suspects:
+            return False
+        return self._table.clear(now, flight.context.digest())
+
     def _on_failure(self, flight: Flight, error: AttemptFailed) -> None:
         match error:
             case ConnectionRefused():
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -199,7 +199,8 @@
 class _Response(RunnerResponse):
     """Stream the events of a run; `closes` ends it in order inside an event.
 
-    The runner crashes once it has sent `events` of them, if that is given.
+    The runner crashes once it has sent `events` of them, if that is given; if that is
+    negative, at the event of that number only.
     """
 
     def __init__(
@@ -227,7 +228,7 @@
                 yield event(number)[:-1]
                 return
             yield event(number)
-            if number - first + 1 == self._events:
+            if self._events in (number - first + 1, -number):
                 asyncio.get_running_loop().call_soon(self._runner.crash_once)
             try:
                 await self._runner.work(RUN_SECONDS / EVENTS)
@@ -496,8 +497,8 @@
 
     `cut` names pairs of nodes that don't reach each other. A request of which
     `is_poison` is true crashes its runner `poison_run_seconds` after its run begins, or
-    after `poison_events` of its stream, until `is_poison_mended`. Runners are back
-    `down_seconds` after a crash.
+    after `poison_events` of its stream (at that event only, if that is negative), until
+    `is_poison_mended`. Runners are back `down_seconds` after a crash.
     """
 
     seed: int = 1
--- a/tests/gateway/test_crash_quarantine.py
+++ b/tests/gateway/test_crash_quarantine.py
@@ -86,6 +86,13 @@
     assert fleet.sends_after_third_crash() <= MAX_LATE_SENDS
 
 
+def test_a_stream_that_completes_after_it_crashed_a_runner_is_not_sent_on() -> None:
+    fleet = CrashFleet(nodes=5, poison_events=-2)
+    fleet.run(lambda fleet: send_poison(fleet, "resumable"))
+    assert len(fleet.crash_times()) >= 3
+    assert fleet.sends_after_third_crash() <= MAX_LATE_SENDS
+
+
 def test_copies_sent_at_once_at_all_nodes_are_not_sent_on() -> None:
     fleet = CrashFleet(nodes=8)
 
