--- a/tests/southernveil/test_limits.py
+++ b/tests/southernveil/test_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import signal
 from pathlib import Path
 
 import pytest
@@ -45,6 +46,8 @@
 def test_real_nodes_send_no_more_than_runners_take_while_nodes_are_lost(
     tmp_path: Path, name: str
 ) -> None:
+    """One entry node is killed and started again, then another one is frozen."""
+
     async def run() -> None:
         loop = asyncio.get_running_loop()
         async with run_processes(tmp_path) as fleet:
@@ -65,6 +68,10 @@
             await fleet.kill("entry", ENTRY_IPS[0])
             await asyncio.sleep(1.0)
             await fleet.start("entry", ENTRY_IPS[0])
+            frozen = fleet.processes["entry", ENTRY_IPS[1]]
+            frozen.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(WINDOW_SECONDS)
+            frozen.send_signal(signal.SIGCONT)
             await asyncio.sleep(WINDOW_SECONDS)
             for runner in limited:
                 worst = worst_window(runner.arrivals, named_at + CONTACT_SECONDS)
