--- a/hawthornshelf/gateway/chooser.py
+++ b/hawthornshelf/gateway/chooser.py
@@ -13,10 +13,16 @@
 
 __all__ = ["LimitedEngines", "RunnerChooser"]
 
-MAX_PERMIT_WAIT_SECONDS = 1.0
 PERMIT_WAIT_SHARE = 0.3
 """Share of the remaining time for which a request waits for a permit at most."""
 
+PERMIT_TARGET_SHARE = 0.5
+"""Share of a route's target for which its requests wait for a permit at most.
+
+Where more come than the runners take, the wait is as long as is allowed: a longer one
+would make all of them late, and serve no more.
+"""
+
 
 class LimitedEngines(NamedTuple):
     """Name the engines that a request may not use for want of a permit.
@@ -123,5 +129,7 @@
         Less urgent requests wait less, so that permits go to urgent ones first.
         """
         seconds_left = context.deadline - self._clock.monotonic()
-        seconds = min(MAX_PERMIT_WAIT_SECONDS, PERMIT_WAIT_SHARE * seconds_left)
+        seconds = min(
+            PERMIT_WAIT_SHARE * seconds_left, PERMIT_TARGET_SHARE * context.route.target
+        )
         return max(0.0, seconds / (1 + context.route.priority))
--- a/tests/gateway/test_rate_limit.py
+++ b/tests/gateway/test_rate_limit.py
@@ -8,7 +8,7 @@
 from hawthornshelf.gateway.exchange import Prompt, PromptSegment
 from hawthornshelf.gateway.runners import Stage
 from hawthornshelf.permits import order_issuers
-from tests.gateway.crashfleet import HOP_SECONDS, RUN_SECONDS, SimRunner
+from tests.gateway.crashfleet import HOP_SECONDS, RUN_SECONDS, TABLE, SimRunner
 from tests.gateway.limitfleet import LimitFleet, LimitTraffic, allowed_requests
 
 BEFORE_SECONDS = 3.0
@@ -143,6 +143,21 @@
     assert max(traffic.refusal_waits) <= 0.3 * traffic.budget
 
 
+def test_requests_that_wait_for_a_permit_still_meet_their_target() -> None:
+    fleet = LimitFleet(nodes=11, apps=3, engines=1)
+    traffic = LimitTraffic(fleet, seconds=SECONDS)
+    target = RUN_SECONDS + 0.2
+
+    async def load_routes(fleet: LimitFleet) -> None:
+        routes = tuple(route._replace(target=target) for route in TABLE.routes)
+        for entry in fleet.entries.values():
+            entry.forwarder.load(TABLE._replace(routes=routes))
+
+    play(fleet, apps(3), 3.0, traffic, load_routes)
+    assert max(traffic.waits) <= target
+    assert all(share >= 0.9 for share in used_shares(fleet, 0.0))
+
+
 def test_refusals_for_want_of_a_permit_leave_the_retry_budget_alone() -> None:
     fleet = LimitFleet(nodes=3, apps=3, engines=1)
     traffic = LimitTraffic(fleet, rate=120.0, seconds=SECONDS)
