Weigh engines with a rate limit among those that report their load (LIMIT)

An engine that had named a rate beside three or more that had not got no interactive request any more, neither within its rate nor after it had ceased to name one: a fleet loses each engine that was ever in need, until a node starts again.

Cause: the choice between two engines by their reported load left limited engines out, as reports count against the rate. With three others left it never fell back to the node's own counts. Only an answer to a run ends a limit, so nobody learnt of its end.

Both new tests of the simulated fleet failed before ("nothing was sent", used share 0) and pass.

Now a limited engine is weighed by the requests that the node itself has there, with no report; its permit is asked for as before, so the rate holds. Their test now sends from 16 callers: with 10 the fifth engine was needed by chance only.

--- a/hawthornshelf/gateway/loadprobe.py
+++ b/hawthornshelf/gateway/loadprobe.py
@@ -37,10 +37,8 @@
     async def choose(self, states: Sequence[RunnerState]) -> RunnerState | None:
         """Return the less loaded of two engines.
 
-        Returns None if there are too few engines or if neither load is known. Engines
-        that name a rate are not asked, as reports count against it.
+        Returns None if there are too few engines or if neither load is known.
         """
-        states = [state for state in states if not self._is_limited(state.runner)]
         if len(states) < MIN_ENGINES:
             return None
         pair = self._rng.sample(states, 2)
@@ -53,6 +51,12 @@
         return pair[min(known)[1]] if known else None
 
     async def _read_load(self, state: RunnerState) -> int | None:
+        """Return the load that an engine reports, or None.
+
+        For one that names a rate it is this node's own, as reports count against it.
+        """
+        if self._is_limited(state.runner):
+            return state.in_flight
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                 load = await self._client.read_load(state.runner)
--- a/tests/gateway/test_rate_limit.py
+++ b/tests/gateway/test_rate_limit.py
@@ -1,6 +1,7 @@
 """Send requests to runners that name how many they take of all nodes together."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 import pytest
@@ -275,6 +276,41 @@
     assert set(traffic.outcomes) == {"200"}
 
 
+def make_small_engines() -> LimitFleet:
+    """Return a fleet of which each engine is needed for a few requests a second."""
+    fleet = LimitFleet(nodes=3, apps=1, engines=5)
+    for runner in fleet.runners:
+        runner.slots = 2
+        runner.listed = [(float("-inf"), runner.describe())]
+    return fleet
+
+
+def engine(fleet: LimitFleet) -> list[SimRunner]:
+    return [r for r in fleet.runners if r.stage is Stage.DECODE][:1]
+
+
+def test_a_limited_engine_is_used_beside_engines_that_report_their_load() -> None:
+    fleet = make_small_engines()
+    traffic = LimitTraffic(fleet, "/talk/x", 60.0, SECONDS, make_short, 4.0)
+    play(fleet, engine, 2.3, traffic, idle=IDLE_SECONDS)
+    assert all(share >= 0.9 for share in used_shares(fleet, IDLE_SECONDS))
+
+
+def test_an_engine_that_names_no_rate_any_more_is_used_beside_idle_ones() -> None:
+    fleet = make_small_engines()
+    traffic = LimitTraffic(fleet, "/talk/x", 60.0, SECONDS, make_short, 4.0)
+
+    async def end(fleet: LimitFleet) -> None:
+        await asyncio.sleep(5.0)
+        fleet.end_limit(engine(fleet)[0])
+
+    play(fleet, engine, 0.5, traffic, end)
+    ended_at = next(iter(fleet.limited_until.values()))
+    later = [c for c in fleet.contacts if c.at > ended_at + 2.0 and c.kind == "run"]
+    counts = Counter(contact.runner for contact in later)
+    assert counts["d0/1"] >= 0.5 * len(later) / 5
+
+
 def test_a_new_boot_of_a_limited_runner_is_used_as_before() -> None:
     fleet = LimitFleet(nodes=5, apps=3, engines=1)
     traffic = LimitTraffic(fleet, seconds=SECONDS)
--- a/tests/southernveil/test_limits.py
+++ b/tests/southernveil/test_limits.py
@@ -21,7 +21,7 @@
 WINDOW_SECONDS = 4.0
 CONTACT_SECONDS = 3.0
 ALLOWED = 1.5 * RATE * WINDOW_SECONDS + 5
-SENDERS = 10
+SENDERS = 16
 
 
 async def send_forever(fleet: ProcessFleet, name: str) -> None:
