Let no simulated request outlive the runner that it reaches (BUDGET)

A request that reached a simulated runner at the moment of its crash was still run, on a runner that was down, and completed. That cleared it of all crashes, so plays of two crashing requests at once showed up to 12 late sends that no real fleet would have. It is reset now, as by a peer that is gone. Plays with one crashing request: tests/gateway pass before and after.

--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -184,6 +184,8 @@
 
     async def work(self, seconds: float) -> None:
         """Run for some time; raise ConnectionResetError if the runner ends first."""
+        if not self.is_up and not self.crashes_silently:
+            raise ConnectionResetError
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.open[future] = None
         try:
