--- a/hawthornshelf/gateway/identity.py
+++ b/hawthornshelf/gateway/identity.py
@@ -29,17 +29,19 @@
     """Store the digests under which a request may be to blame for a crash.
 
     Requests of one `content` are the same, those of one `resource` have the same path,
-    caller and body. `parameters` are the resource with one parameter of the query each.
+    caller and body. `target` is the resource with all of the query, `parameters` are
+    the resource with one parameter of it each.
     """
 
     content: bytes
     resource: bytes
+    target: bytes
     parameters: tuple[bytes, ...] = ()
 
     @property
     def shared(self) -> tuple[bytes, ...]:
         """Return the digests that requests with other contents may have as well."""
-        return (self.resource, *self.parameters)
+        return tuple(dict.fromkeys((self.resource, self.target, *self.parameters)))
 
 
 def digest_request(inbound: InboundRequest) -> RequestDigests:
@@ -59,6 +61,7 @@
     return RequestDigests(
         _digest(content, CONTENT_DIGEST_BYTES),
         _digest(key, RESOURCE_DIGEST_BYTES),
+        _digest(key + _encode_query(query), RESOURCE_DIGEST_BYTES),
         tuple(
             _digest(key + _encode_field(parameter), RESOURCE_DIGEST_BYTES)
             for parameter in dict.fromkeys(query[:MAX_PARAMETERS])
@@ -87,6 +90,11 @@
     return [parameter for parameter in query.split("&") if parameter]
 
 
+def _encode_query(query: list[str]) -> bytes:
+    """Return the bytes of a query, which are some even without parameters."""
+    return b"".join(map(_encode_field, query or [""]))
+
+
 def _normalize_escapes(text: str) -> str:
     """Return part of a URL with each character in one spelling (RFC 3986, 6.2.2)."""
     return _ESCAPE.sub(_normalize_escape, text)
--- a/tests/gateway/test_changing_request.py
+++ b/tests/gateway/test_changing_request.py
@@ -301,6 +301,8 @@
         lambda i, n: change_method(set_query(i, "id=7"), n),
         ask_another,
     ),
+    "beside a changing method and no query": (change_method, ask_another),
+    "beside a changing host and no query": (change_host, change_query),
     "of another caller": (
         lambda i, n: replace(change_query(i, n), caller="one"),
         lambda i, n: replace(change_query(i, n), caller="other"),
--- a/tests/gateway/test_identity.py
+++ b/tests/gateway/test_identity.py
@@ -92,7 +92,26 @@
     for target in ("/a/b", "/a/b?", "/a/b?&"):
         digests = digest_request(replace(REQUEST, target=target))
         assert digests == digest_request(replace(REQUEST, target="/a/b"))
-        assert digests.shared == (digests.resource,)
+        assert digests.parameters == ()
+        assert digests.shared == (digests.resource, digests.target)
+        assert digests.target != digests.resource
+
+
+def test_a_target_has_one_digest_whatever_method_or_host_it_has() -> None:
+    one = digest_request(replace(REQUEST, target="/a/b?c=1&d=2"))
+    for variant in (
+        replace(REQUEST, target="/a/b?d=2&%63=1", method="PUT"),
+        replace(REQUEST, target="/a/b?c=1&d=2", host="other"),
+    ):
+        assert digest_request(variant).target == one.target
+    for target in ("/a/b", "/a/b?c=1", "/a/b?c=1&d=3", "/a/c?c=1&d=2"):
+        other = digest_request(replace(REQUEST, target=target))
+        assert not {other.target, *other.parameters} & {one.target}
+
+
+def test_a_target_with_one_parameter_has_no_other_digest_for_it() -> None:
+    digests = digest_request(REQUEST)
+    assert digests.shared == (digests.resource, digests.target)
 
 
 def test_the_parameters_of_one_query_are_bounded() -> None:
