--- a/scripts/measure_crashes.py
+++ b/scripts/measure_crashes.py
@@ -42,6 +42,7 @@
     SOUND,
     Repeats,
     make_fleet,
+    play_several,
 )
 from tests.gateway.test_part_quarantine import (  # noqa: E402
     DEPTHS,
@@ -274,6 +275,22 @@
     )
 
 
+def measure_several(count: int, apps: int, prefix: str, name: str) -> None:
+    """Print the runners lost to several crashing requests at once."""
+    bodies = [b"request %d" % number for number in range(count)]
+    crashes: Counter[int] = Counter()
+    late: Counter[int] = Counter()
+    for seed in SEEDS:
+        fleet = make_fleet(seed=seed, apps=apps)
+        late.update(play_several(fleet, CHANGES[name], prefix, bodies))
+        crashes[len(fleet.crash_times())] += 1
+    print(
+        f"  {count} requests, {apps} runners, {prefix}, {name}, {len(SEEDS)} seeds: "
+        f"crashes {dict(sorted(crashes.items()))}, "
+        f"late sends of each {dict(sorted(late.items()))}"
+    )
+
+
 def measure_changes() -> None:
     """Print what a request costs that changes, and what it costs others."""
     print("a request repeated every 0.15 s at a pool of three, one field changed")
@@ -285,6 +302,11 @@
     for name in SOUND:
         for apps, rate in ((3, 20.0), (5, 20.0), (5, 1.0)):
             measure_sound(name, apps, rate)
+    print("several requests repeated every 0.15 s each, one field changed")
+    for count, apps in ((2, 3), (2, 5), (3, 3), (3, 5)):
+        for prefix in ("/safe/", "/once/"):
+            for name in ("id", "query", "method"):
+                measure_several(count, apps, prefix, name)
 
 
 def main() -> None:
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -595,6 +595,26 @@
         limit = crashes[2] + CONTACT_SECONDS if len(crashes) >= 3 else float("inf")
         return [a for a in self.arrivals if a.is_poison and a.at > limit]
 
+    def late_sends_of(self, body: bytes) -> list[Arrival]:
+        """Return the sends that the platform counts of one of several poison requests.
+
+        Of those in flight at a crash, the one that had run for long enough caused it.
+        """
+        sends = [arrival for arrival in self.arrivals if arrival.body == body]
+        run_seconds = self.poison_run_seconds
+        causes = {
+            (send.runner.partition(".")[0], round(send.at + run_seconds, 6))
+            for send in sends
+        }
+        crashes = sorted(
+            at
+            for runner in self.runners
+            for at in runner.crashes
+            if (runner.base, round(at, 6)) in causes
+        )
+        limit = crashes[2] + CONTACT_SECONDS if len(crashes) >= 3 else float("inf")
+        return [send for send in sends if send.at > limit]
+
     def find_poisons(self, prompt: Prompt | None) -> set[str]:
         """Return the parts of a prompt that crash the runner that runs it."""
         if prompt is None or self.sound_model == prompt.model != "":
--- a/tests/gateway/crashsoak.py
+++ b/tests/gateway/crashsoak.py
@@ -31,6 +31,7 @@
 
 
 POISON_PART = "poison"
+BODIES = [POISON, b"other poison"]
 SUBJECTS = 8
 
 
@@ -143,7 +144,8 @@
 def run_soak(seed: int) -> SoakResult:
     """Play one seed; faults come in series and overlap.
 
-    In half of the plays the crashing request has another query each time.
+    In half of the plays a crashing request has another query each time, and in three of
+    ten there are two of them at once.
     """
     rng = random.Random(seed)
     fleet = LimitFleet(
@@ -162,6 +164,8 @@
         fleet.poison_parts.add(POISON_PART)
     names_limits = random.Random(f"{seed}/limits").random() < 0.5
     changes = random.Random(f"{seed}/changes").random() < 0.5
+    bodies = [POISON] if random.Random(f"{seed}/bodies").random() < 0.7 else BODIES
+    fleet.is_poison = lambda inbound: inbound.body in BODIES
     outcomes: Counter[str] = Counter()
 
     async def ask(number: int) -> None:
@@ -177,11 +181,11 @@
         outcome = "held" if blocked and caller.retry_after <= 1.0 else "quarantined"
         outcomes[outcome if blocked else str(caller.status)] += 1
 
-    async def crash_runners() -> None:
+    async def crash_runners(repeated: bytes) -> None:
         for number in itertools.count():
             if fleet.clock.monotonic() >= SECONDS:
                 return
-            body, own_prompt = POISON, prompt
+            body, own_prompt = repeated, prompt
             if crashing_part and prompt is not None:
                 body = b"part %d" % number
                 own_prompt = _add_parts(prompt, POISON_PART, f"poison own{number}")
@@ -196,7 +200,8 @@
 
     async def play(fleet: CrashFleet) -> None:
         async with asyncio.TaskGroup() as group:
-            group.create_task(crash_runners())
+            for body in bodies:
+                group.create_task(crash_runners(body))
             group.create_task(draw_faults(group))
             if names_limits:
                 limits = random.Random(f"{seed}/rates")
@@ -206,14 +211,17 @@
                 await asyncio.sleep(rng.expovariate(NEIGHBOURS_PER_SECOND))
 
     fleet.run(play)
+    several = [fleet.late_sends_of(body) for body in bodies]
     late = [
-        send
-        for send in fleet.late_sends()
-        if send.at > fleet.entries[send.node].disturbed_at + CONTACT_SECONDS
+        sum(
+            send.at > fleet.entries[send.node].disturbed_at + CONTACT_SECONDS
+            for send in sends
+        )
+        for sends in (several if len(bodies) > 1 else [fleet.late_sends()])
     ]
     return SoakResult(
         len(fleet.crash_times()),
-        0 if crashing_part else len(late),
+        0 if crashing_part else max(late),
         len(fleet.late_part_sends(POISON_PART)),
         outcomes.pop("short", 0),
         tuple(key for key in fleet.rates if fleet.is_over_limit(key)),
--- a/tests/gateway/test_changing_request.py
+++ b/tests/gateway/test_changing_request.py
@@ -1,7 +1,7 @@
 """Repeat a request that crashes its runners, changed a little each time."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 
 import pytest
@@ -205,24 +205,21 @@
     play(Repeats(make_fleet(nodes=nodes, seed=seed), change_query))
 
 
-def count_late_sends(fleet: CrashFleet, body: bytes) -> int:
-    """Return how often a request was sent on after it had crashed three runners.
+def play_several(
+    fleet: CrashFleet, change: Change, prefix: str, bodies: Sequence[bytes]
+) -> list[int]:
+    """Repeat several requests at once; return how often each was sent on too late."""
 
-    Of several in flight at a crash, the one that had run for long enough caused it.
-    """
-    sends = [arrival for arrival in fleet.arrivals if arrival.body == body]
-    causes = {
-        (send.runner.partition(".")[0], round(send.at + fleet.poison_run_seconds, 6))
-        for send in sends
-    }
-    crashes = sorted(
-        at
-        for runner in fleet.runners
-        for at in runner.crashes
-        if (runner.base, round(at, 6)) in causes
-    )
-    limit = crashes[2] + CONTACT_SECONDS if len(crashes) >= 3 else float("inf")
-    return sum(send.at > limit for send in sends)
+    async def send(fleet: CrashFleet) -> None:
+        async with asyncio.TaskGroup() as group:
+            for body in bodies:
+                repeats = Repeats(fleet, change, prefix, body=body)
+                group.create_task(repeats.send())
+                await asyncio.sleep(REPEAT_SECONDS / len(bodies))
+
+    fleet.run(send)
+    assert len(fleet.crash_times()) >= 3
+    return [len(fleet.late_sends_of(body)) for body in bodies]
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
@@ -233,17 +230,7 @@
 ) -> None:
     fleet = make_fleet(apps=apps, seed=seed)
     bodies = (b"one", b"two", b"three")
-
-    async def send(fleet: CrashFleet) -> None:
-        async with asyncio.TaskGroup() as group:
-            for body in bodies:
-                repeats = Repeats(fleet, change_query, prefix, body=body)
-                group.create_task(repeats.send())
-                await asyncio.sleep(REPEAT_SECONDS / len(bodies))
-
-    fleet.run(send)
-    assert len(fleet.crash_times()) >= 3
-    assert max(count_late_sends(fleet, body) for body in bodies) <= MAX_LATE_SENDS
+    assert max(play_several(fleet, change_query, prefix, bodies)) <= MAX_LATE_SENDS
 
 
 @pytest.mark.parametrize("events", [1, 2])
