Let a fake runner that has ended not end again (BUDGET)

Two crashing requests in flight at one fake runner each ended it: two crashes were counted for one, and the second restart failed to listen ("address already in use", an exception that nobody retrieved). Seen when two crashing requests were first sent to real processes at once. Now a runner that is down does not end. test_crashes and test_limits pass.

--- a/tests/southernveil/fakes.py
+++ b/tests/southernveil/fakes.py
@@ -309,6 +309,10 @@
         return request.headers.get("X-Expect-Instance", self.name) == self.name
 
     def crash(self) -> None:
+        """End, unless another request has ended it."""
+        assert self._server is not None
+        if not self._server.is_serving():
+            return
         self.crashes += 1
         self.stop()
         for connection in list(self._protocol.connections):
