--- a/tests/southernveil/test_crashes.py
+++ b/tests/southernveil/test_crashes.py
@@ -233,6 +233,40 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("name", ["safe", "unsafe"])
+def test_real_nodes_quarantine_two_requests_that_crash_the_same_runners(
+    tmp_path: Path, name: str
+) -> None:
+    """They come in turn, until every node blocks both."""
+    prefix, headers = ROUTES[name]
+
+    async def run() -> None:
+        async with run_processes(tmp_path) as fleet:
+
+            async def send(ip: str, path: str) -> tuple[int, float]:
+                return await fleet.send(ip, path, CrashingRunner.POISON, headers)
+
+            async def are_blocked(ip: str) -> bool:
+                async with asyncio.TaskGroup() as group:
+                    paths = (f"{prefix}/one", f"{prefix}/two")
+                    tasks = [group.create_task(send(ip, path)) for path in paths]
+                return all(task.result()[1] > 100.0 for task in tasks)
+
+            await are_blocked(ENTRY_IPS[0])
+            await fleet.kill("entry", ENTRY_IPS[0])
+            for ip in ENTRY_IPS[1:]:
+                await wait_until(lambda ip=ip: are_blocked(ip))  # type: ignore[misc]
+            await fleet.start("entry", ENTRY_IPS[0])
+            await wait_until(lambda: are_blocked(ENTRY_IPS[0]))
+            crashes = fleet.crashes
+            for _ in range(10):
+                for ip in ENTRY_IPS:
+                    assert await are_blocked(ip)
+            assert fleet.crashes == crashes <= 2 * (3 + MAX_RETRIES)
+
+    asyncio.run(run())
+
+
 def make_poison_headers(number: int) -> dict[str, str]:
     """Return the headers of a request with a poison part and an own one."""
     parts = f"5c1e:100,{CrashingRunner.POISON_PART}:50,{number:x}a:50"
