--- a/tests/gateway/test_changing_request.py
+++ b/tests/gateway/test_changing_request.py
@@ -240,6 +240,22 @@
     play(Repeats(make_fleet(poison_events=events), change_query, "/talk/"))
 
 
+@pytest.mark.parametrize("prefix", ["/safe/", "/talk/"])
+def test_a_request_that_crashes_runners_after_nodes_gave_it_up_is_not_sent_on(
+    prefix: str,
+) -> None:
+    fleet = make_fleet(poison_run_seconds=1.5)
+    play(Repeats(fleet, change_some_queries, prefix))
+
+
+@pytest.mark.parametrize("apps", [3, 5])
+def test_repeats_with_a_query_of_their_own_are_one_request_beside_sound_ones(
+    apps: int,
+) -> None:
+    fleet = make_fleet(apps=apps)
+    play(Repeats(fleet, change_query, rate=20.0, sound=change_query))
+
+
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__.strip("_"))
 def test_a_changing_request_is_not_sent_on_while_other_things_fail(fault) -> None:  # type: ignore[no-untyped-def]
     fleet = make_fleet()
