Order the nodes once for each question for a permit (LIMIT)

The answer to a question ordered all serving nodes twice, to find the issuer and to see whether this node goes first, and counted the known nodes beside known_entry_count.

--- a/hawthornshelf/permitexchange.py
+++ b/hawthornshelf/permitexchange.py
@@ -76,7 +76,7 @@
         if row is None or row.rate is None:
             return [PermitEnded(request, Permit(True, 0.0))]
         silent = tuple(n for n, until in self._silent_until.items() if now < until)
-        issuer = self._choose_issuer(runner, silent)
+        issuer = self._choose_issuer(self._order_nodes(runner), silent)
         self._asks[request] = _Ask(issuer, runner, now)
         return [Outgoing(issuer, AskPermit(request, row, max_wait, silent))]
 
@@ -139,10 +139,11 @@
         asker = message.asker or sender
         if row is None or row.rate is None:
             return Outgoing(asker, PermitReply(message.request, Permit(True, 0.0), row))
-        issuer = self._choose_issuer(runner, message.silent)
+        order = self._order_nodes(runner)
+        issuer = self._choose_issuer(order, message.silent)
         if issuer != self._members.own.node and not message.asker:
             return Outgoing(issuer, replace(message, asker=sender))
-        standing = self._describe_standing(now, runner)
+        standing = self._describe_standing(now, order)
         permit = self._issuer.issue(now, runner, row.rate, standing, message.max_wait)
         return Outgoing(asker, PermitReply(message.request, permit, row))
 
@@ -150,19 +151,19 @@
         row = row._replace(age=row.age + TRANSIT_SECONDS)
         self.limits.merge(now, row, "node")
 
-    def _choose_issuer(self, runner: str, silent: Sequence[str]) -> str:
+    def _order_nodes(self, runner: str) -> list[str]:
+        """Return the nodes that serve, in the order for a runner's permits."""
+        return order_issuers(runner, [row.node for row in self._members.serving()])
+
+    def _choose_issuer(self, order: Sequence[str], silent: Sequence[str]) -> str:
         """Return the first node in the order that is not silent."""
-        order = order_issuers(runner, self._candidates())
         return next((n for n in order if n not in silent), self._members.own.node)
 
-    def _describe_standing(self, now: float, runner: str) -> IssuerStanding:
-        order = order_issuers(runner, self._candidates())
-        rows = [row for row in self._members.rows() if row.entry]
+    def _describe_standing(self, now: float, order: Sequence[str]) -> IssuerStanding:
         lost = (MemberStatus.SUSPECT, MemberStatus.DEAD)
-        alive = sum(row.status not in lost for row in rows)
+        rows = self._members.rows()
+        alive = sum(row.entry and row.status not in lost for row in rows)
+        known = self._members.known_entry_count()
         is_first = bool(order) and order[0] == self._members.own.node
         is_joining = now < self._joined_at + JOINING_SECONDS
-        return IssuerStanding(is_first, alive, max(1, len(rows)), is_joining)
-
-    def _candidates(self) -> Sequence[str]:
-        return [row.node for row in self._members.serving()]
+        return IssuerStanding(is_first, alive, known, is_joining)
