--- a/hawthornshelf/gateway/crashdetector.py
+++ b/hawthornshelf/gateway/crashdetector.py
@@ -17,10 +17,11 @@
     RunnerReplaced,
     RunnerSilent,
 )
+from hawthornshelf.gateway.flight import Flight
 from hawthornshelf.gateway.runners import Runner, RunnerTable
 from hawthornshelf.logs import write_log
 
-__all__ = ["CrashDetector", "Flight"]
+__all__ = ["CrashDetector"]
 
 PROBE_TIMEOUT_SECONDS = 0.25
 FIRST_INTERVAL_SECONDS = 0.25
@@ -55,12 +56,6 @@
 RECENTLY_SECONDS = 0.5
 """A runner that responded to another request within this time needs no probe."""
 
-WRITING_SECONDS = 0.25
-"""Time after its first event from which a response shows that its parts are sound.
-
-A part that crashes runners does so as they begin to write.
-"""
-
 MAX_LOST_PER_RUNNER = 1024
 MAX_LOGGED_CONTENTS = 8
 
@@ -73,54 +68,6 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(slots=True, eq=False)
-class Flight:
-    """Represent one request in flight at one runner, since `started_at`.
-
-    `is_answered` is set once its whole response is there, `has_run` if that was a
-    success, `writing_since` when its first event arrived.
-    """
-
-    context: RequestContext
-    runner: Runner
-    started_at: float
-    is_suspect: bool
-    is_prefill: bool = False
-    is_resumption: bool = False
-    is_answered: bool = False
-    has_run: bool = False
-    writing_since: float = float("inf")
-
-    def suspects(self, now: float) -> tuple[bytes, ...]:
-        """Return what may have crashed the runner.
-
-        Parts do so only where an answer is about to be written.
-        """
-        if self.is_prefill or self.is_writing(now):
-            return self.context.request_suspects()
-        return self.context.suspects()
-
-    def proven(self) -> tuple[bytes, ...]:
-        """Return for what the completed response speaks.
-
-        That of a resumed stream says nothing about the part that it left out.
-        """
-        if not self.has_run:
-            return ()
-        if self.is_resumption:
-            return self.context.part_digests()
-        return self.context.suspects()
-
-    @property
-    def has_written(self) -> bool:
-        """Return whether an event of the response has arrived."""
-        return self.writing_since < float("inf")
-
-    def is_writing(self, now: float) -> bool:
-        """Return whether the runner has been writing the response for long enough."""
-        return now >= self.writing_since + WRITING_SECONDS
-
-
 @dataclass(slots=True)
 class _Case:
     """Collect the requests lost at one boot of a runner, with the times of their loss.
@@ -172,8 +119,8 @@
             runner,
             now,
             context.is_suspect,
-            is_prefill,
-            bool(context.last_event_id or context.inbound.resume_after),
+            is_prefill=is_prefill,
+            is_resumption=bool(context.last_event_id or context.inbound.resume_after),
         )
         key = runner.key
         self._flights.setdefault(key, set()).add(flight)
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -11,7 +11,7 @@
 from hawthornshelf.gateway.budget import RetryBudget
 from hawthornshelf.gateway.chooser import RunnerChooser
 from hawthornshelf.gateway.context import MIN_SECONDS_LEFT, RequestContext
-from hawthornshelf.gateway.crashdetector import CrashDetector, Flight
+from hawthornshelf.gateway.crashdetector import CrashDetector
 from hawthornshelf.gateway.exchange import (
     Attempt,
     AttemptFailed,
@@ -24,6 +24,7 @@
     RunnerResponse,
     RunnerSilent,
 )
+from hawthornshelf.gateway.flight import Flight
 from hawthornshelf.gateway.loadprobe import LoadProbe
 from hawthornshelf.gateway.placement import Placer
 from hawthornshelf.gateway.quarantine import Quarantine, RequestBlocked
--- a/hawthornshelf/gateway/streamrelay.py
+++ b/hawthornshelf/gateway/streamrelay.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 from hawthornshelf.gateway.context import RequestContext
-from hawthornshelf.gateway.crashdetector import Flight
 from hawthornshelf.gateway.eventstream import EventSplitter, StreamEvent
 from hawthornshelf.gateway.exchange import AttemptFailed, Framing, RunnerResponse
+from hawthornshelf.gateway.flight import Flight
 from hawthornshelf.gateway.recorder import Recorder
 
 __all__ = ["StreamRelay"]
--- a/tests/gateway/test_crashdetector.py
+++ b/tests/gateway/test_crashdetector.py
@@ -7,7 +7,7 @@
 
 from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.context import RequestContext
-from hawthornshelf.gateway.crashdetector import WRITING_SECONDS, CrashDetector
+from hawthornshelf.gateway.crashdetector import CrashDetector
 from hawthornshelf.gateway.exchange import (
     AttemptFailed,
     ConnectionRefused,
@@ -17,6 +17,7 @@
     RunnerReplaced,
     RunnerSilent,
 )
+from hawthornshelf.gateway.flight import WRITING_SECONDS
 from hawthornshelf.gateway.routes import RetryPolicy, Route
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable
 from tests.gateway.fakes import Caller
