--- a/hawthornshelf/attribution.py
+++ b/hawthornshelf/attribution.py
@@ -10,7 +10,6 @@
 CRASHES_AGAINST_PROOF = 8
 """Crashes that count against a suspect which completed shortly before them."""
 
-
 CRASHES_OF_ITS_OWN = 1
 """Crashes that count against a suspect if the rest of them has other culprits."""
 
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -9,6 +9,7 @@
 from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.admission import engine_priority
 from hawthornshelf.gateway.budget import RetryBudget
+from hawthornshelf.gateway.cacherelease import CacheReleaser
 from hawthornshelf.gateway.chooser import RunnerChooser
 from hawthornshelf.gateway.context import MIN_SECONDS_LEFT, RequestContext
 from hawthornshelf.gateway.crashdetector import CrashDetector
@@ -40,7 +41,6 @@
     Reservation,
 )
 from hawthornshelf.gateway.streamrelay import StreamRelay
-from hawthornshelf.logs import write_log
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.ratelimits import RateLimitTable
 
@@ -59,8 +59,8 @@
 RESPONSE_TIMEOUT_SHARE = 0.4
 """Share of the remaining time that a repeatable request waits for response headers."""
 
-
 PROBE_PERMIT_WAIT_SECONDS = 0.1
+"""Longest wait for a permit to probe a lost runner that names a rate."""
 
 
 class Forwarder:
@@ -88,6 +88,7 @@
         self._recorder = Recorder(runners, metrics, clock)
         self._chooser = RunnerChooser(runners, self._limiter, self._recorder, clock)
         self._streams = StreamRelay(self._recorder)
+        self._releaser = CacheReleaser(client, runners, self._limiter)
         self._clock = clock
         self._rng = rng
         self._count_nodes = count_nodes
@@ -100,7 +101,6 @@
         )
         self._retry_detectors: dict[str, RetryDetector] = {}
         self._index = RouteIndex()
-        self._free_tasks: set[asyncio.Task[None]] = set()
         self.open_requests = 0
         self.is_closed = False
 
@@ -116,9 +116,7 @@
     async def stop(self) -> None:
         """Cancel what goes on besides requests; call it once none is open."""
         await self._crashes.stop()
-        for task in self._free_tasks:
-            task.cancel()
-        await asyncio.gather(*self._free_tasks, return_exceptions=True)
+        await self._releaser.stop()
 
     def load(self, table: RouteTable) -> None:
         """Apply a newer route table; requests in flight keep the old one."""
@@ -210,26 +208,7 @@
             await self._fail(context, 502 if context.may_have_run else 503)
         finally:
             if context.source is not None:
-                self._free_in_background(context.source)
-
-    def _free_in_background(self, source: KvCacheHandle) -> None:
-        """Free a KV cache that no engine fetched, without waiting for the result."""
-        task = asyncio.create_task(self._free(source))
-        self._free_tasks.add(task)
-        task.add_done_callback(self._free_tasks.discard)
-
-    async def _free(self, source: KvCacheHandle) -> None:
-        try:
-            if not await self._may_drop(source):
-                raise AttemptFailed("drop handle", source.address, "rate limit", False)
-            await self._client.drop_handle(source)
-        except AttemptFailed as error:
-            write_log("handle-left", peer=error.peer, reason=error.reason)
-
-    async def _may_drop(self, source: KvCacheHandle) -> bool:
-        """Return whether the engine that keeps a KV cache takes a request now."""
-        state = self._runners.find_address(source.address)
-        return state is None or await self._limiter.acquire(state.runner)
+                self._releaser.release(context.source)
 
     def _record_timeout(self, context: RequestContext) -> None:
         """Record that the time of a request passed without a response.
