--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -120,6 +120,8 @@
             "reaches_runners": float(self.forwarder.reaches_runners),
             "relayed_requests": float(self.forwarder.relayed_requests),
             "leaving_runners": float(len(self._core.departures)),
+            "routes_number": float(self._route_number),
+            "lost_peers": float(self.count_lost_peers()),
         }
 
     def is_ready(self) -> bool:
@@ -271,7 +273,11 @@
         result = await self._run(ReplaceRoutes(number, zlib.compress(body)))
         current = result.number if result else 0
         write_log(
-            "routes-replaced", number=number, in_force=current, known=bool(result)
+            "routes-replaced",
+            number=number,
+            in_force=current,
+            known=bool(result),
+            bytes=len(body),
         )
         return result
 
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -110,6 +110,7 @@
             runs=context.runs,
             attempt=context.sends,
             number=len(context.peers),
+            routes=context.route_number,
         )
 
     def record_relay_failure(
@@ -232,6 +233,7 @@
             **_describe_response(context),
             budget=round(context.deadline - arrived, 3),
             routes=context.route_number,
+            relayed=context.inbound.relayed_runs is not None,
             reason=context.reason,
         )
 
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -229,7 +229,7 @@
             case ViewNews(revision):
                 self._pull_view(now, sender, revision)
             case ViewUpdate(view):
-                self._apply_view(now, view)
+                self._apply_view(now, view, sender)
             case LeaderWord(age):
                 self.lifecycle.record_staleness(now, age)
                 if self.control:
@@ -297,9 +297,10 @@
 
     # Shared view
 
-    def _apply_view(self, now: float, view: SharedView) -> None:
+    def _apply_view(self, now: float, view: SharedView, source: str) -> None:
         """Apply a view if it is newer, and forward it to VIEW_FANOUT nodes.
 
+        `source` is the node that it came from, this one for its own replica.
         A small view is sent whole. Of a large one only the revision is announced,
         since each node would receive it about three times.
         """
@@ -314,7 +315,13 @@
         for member in self.members.sample(VIEW_FANOUT):
             self._send(member.node, announcement)
         self._effects.append(
-            log("view-in-force", revision=view.revision, version=view.version)
+            log(
+                "view-in-force",
+                revision=view.revision,
+                version=view.version,
+                routes=view.routes.number,
+                source=source,
+            )
         )
 
     def _pull_view(self, now: float, sender: str, revision: int) -> None:
@@ -371,7 +378,7 @@
         if self.control:
             self._effects.extend(self.control.tick(now, wall))
             if self.control.state.revision > self.view.revision:
-                self._apply_view(now, self.control.view())
+                self._apply_view(now, self.control.view(), self.settings.node)
         if self.entry:
             self._effects.extend(self.entry.take_effects())
         for node, message in self.submitter.take_unsent(now):
--- a/hawthornshelf/nodeshell.py
+++ b/hawthornshelf/nodeshell.py
@@ -145,6 +145,10 @@
         if self._writer:
             self._writer.close()
 
+    def count_lost_peers(self) -> int:
+        """Return the number of nodes to which the last call failed."""
+        return self._peer_client.count_lost()
+
     async def wait_stopped(self) -> None:
         """Wait until the node stops; raise the exception if it failed."""
         await self._stopped.wait()
--- a/hawthornshelf/peers.py
+++ b/hawthornshelf/peers.py
@@ -117,6 +117,10 @@
             self._queues[address] = queue
         return queue
 
+    def count_lost(self) -> int:
+        """Return the number of addresses to which the last call failed."""
+        return sum(queue.failures > 0 for queue in self._queues.values())
+
     async def drain(self, seconds: float) -> None:
         """Wait until all queues are empty, for at most the given seconds."""
         deadline = asyncio.get_running_loop().time() + seconds
@@ -165,6 +169,7 @@
         self._call = self._channel.unary_unary(METHOD)
         self._is_sending = False
         self.is_closed = False
+        self.failures = 0
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -211,13 +216,32 @@
         self._is_sending = True
         try:
             response = await self._call(self._pack(batch), timeout=CALL_TIMEOUT_SECONDS)
-        except grpc.aio.AioRpcError:
+        except grpc.aio.AioRpcError as error:
+            self._record_failure(error, len(batch))
             return
         finally:
             self._is_sending = False
+        self._record_success()
         if response:
             self._receive(response, self._address)
 
+    def _record_failure(self, error: grpc.aio.AioRpcError, messages: int) -> None:
+        """Log the first of several failed calls: the others have the same cause."""
+        self.failures += 1
+        if self.failures == 1:
+            write_log(
+                "peer-lost",
+                peer=self._address,
+                step="deliver",
+                reason=error.code().name,
+                dropped=messages,
+            )
+
+    def _record_success(self) -> None:
+        if self.failures:
+            write_log("peer-regained", peer=self._address, failures=self.failures)
+        self.failures = 0
+
     def _take_batch(self) -> tuple[Message, ...]:
         count = min(len(self._messages), MAX_BATCH_MESSAGES)
         return tuple(self._messages.popleft() for _ in range(count))
