--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -128,10 +128,15 @@
         self.open_requests = 0
         self.is_closed = False
 
+    @property
+    def route_number(self) -> int:
+        """Return the number of the route document in force here, 0 for none."""
+        return self._index.table.number
+
     @property
     def has_routes(self) -> bool:
         """Return whether a route table is in force here."""
-        return self._index.table.number > 0
+        return self.route_number > 0
 
     @property
     def reaches_runners(self) -> bool:
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -552,7 +552,7 @@
         self.client = _Client(fleet, name)
         self.runners = RunnerTable("dc", rng, self.core.departures)
         self.forwarder = self._make_forwarder(rng)
-        self.forwarder.load(TABLE)
+        fleet.load_first_routes(self.forwarder)
         self._tasks = [asyncio.create_task(self._tick())]
         self._tasks.append(asyncio.create_task(self._poll()))
         self._tasks.append(asyncio.create_task(self._check_reachability()))
@@ -657,6 +657,7 @@
                     future = self._asks.pop(request)
                     if not future.done():
                         future.set_result(permit)
+        self._fleet.follow_view(self)
 
     async def _poll(self) -> None:
         while True:
@@ -744,6 +745,13 @@
         if target in self.entries:
             self.entries[target].receive(sender, message)
 
+    def load_first_routes(self, forwarder: Forwarder) -> None:
+        """Load the routes that a node has from its start."""
+        forwarder.load(TABLE)
+
+    def follow_view(self, entry: Entry) -> None:
+        """Apply what a node's shared view says; here nothing is in it."""
+
     def draw_entry(self) -> Entry:
         """Return a random entry node that is up."""
         return self.rng.choice([e for e in self.entries.values() if e.is_up])
