Apply one route document to a relayed request, the newest that either node holds (CONFIG)

Callers saw: requests that a node without runners took were handled by a document from before one that had been acknowledged seconds ago, and added routes were answered 404, where the node that the request was relayed to had just been frozen or cut off. Cause: the hop named no document; the other node applied whichever it held. Class: a decision made anew on the way with other knowledge. Change: the hop names the newest document that the sender knows of. In the case of cuts the test now excuses nodes while they are cut off, not only after: two requests at such nodes were held against the product.

--- a/hawthornshelf/events.py
+++ b/hawthornshelf/events.py
@@ -28,6 +28,7 @@
     "RequestArrived",
     "StopRequested",
     "StorageLost",
+    "ViewRequested",
 ]
 
 
@@ -230,6 +231,13 @@
     """Report that the process was asked to stop gracefully."""
 
 
+@dataclass(frozen=True, slots=True)
+class ViewRequested:
+    """Request a newer shared view of a node, or of a few if none is named."""
+
+    node: str
+
+
 Event = (
     MessageReceived
     | Persisted
@@ -249,4 +257,5 @@
     | AttemptRefused
     | AttemptBroken
     | StopRequested
+    | ViewRequested
 )
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -26,6 +26,7 @@
     "RateLimitNotice",
     "ResponseWriter",
     "RunnerClient",
+    "RoutesDiffer",
     "RunnerNotice",
     "RunnerReplaced",
     "RunnerResponse",
@@ -78,7 +79,8 @@
     `resume_after` is the id of the last event that the caller has received. `caller`
     is the credential that the caller sent, empty if it sent none. `relayed_runs` is
     None unless another node relayed the request: then it counts the attempts of the
-    route that this node may not make.
+    route that this node may not make, and `relayed_routes` is the number of the newest
+    route document that the other node knows of, 0 if it does not say.
     """
 
     request_id: str
@@ -93,6 +95,7 @@
     resume_after: str = ""
     caller: str = ""
     relayed_runs: int | None = None
+    relayed_routes: int = 0
 
     @property
     def path(self) -> str:
@@ -154,6 +157,15 @@
         super().__init__("await answer", peer, "silence", sent=True)
 
 
+class RoutesDiffer(AttemptFailed):
+    """Signal that another node refused a request: it holds another route document."""
+
+    def __init__(self, peer: str, number: int) -> None:
+        reason = f"route document {number}"
+        super().__init__("relay", peer, reason, sent=False)
+        self.number = number
+
+
 class PrefillRefused(HawthornshelfError):
     """Signal that an engine refused to prefill a prompt, with its HTTP status."""
 
@@ -313,5 +325,11 @@
         """Send a runner's whole response."""
 
     @abstractmethod
-    async def refuse(self, status: int, reason: str, retry_after: float) -> None:
-        """Send an error response of this node; `retry_after` in seconds, 0 for none."""
+    async def refuse(
+        self, status: int, reason: str, retry_after: float, route_number: int = 0
+    ) -> None:
+        """Send an error response of this node; `retry_after` in seconds, 0 for none.
+
+        `route_number` tells a node that relayed the request which route document is in
+        force here, if that is why it is refused.
+        """
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -41,6 +41,7 @@
 from hawthornshelf.gateway.reachability import RunnerReachability
 from hawthornshelf.gateway.recorder import Recorder
 from hawthornshelf.gateway.retrydetector import RetryDetector
+from hawthornshelf.gateway.routegate import RouteGate
 from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteIndex, RouteTable
 from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
 from hawthornshelf.gateway.scheduler import (
@@ -91,6 +92,7 @@
         ask_permit: AskPermit,
         relay_client: RelayClient | None = None,
         choose_peer: ChoosePeer = choose_no_peer,
+        request_view: Callable[[str], None] = lambda node: None,
     ) -> None:
         self._client = client
         self._limiter = RateLimiter(rate_limits, ask_permit, clock, rng)
@@ -101,6 +103,7 @@
         self._chooser = RunnerChooser(runners, self._limiter, self._recorder, clock)
         self._streams = StreamRelay(self._recorder)
         self._reachability = RunnerReachability(clock, runners.forget_failures)
+        self._routes = RouteGate(clock, request_view)
         self._relay = PeerRelay(
             relay_client,
             choose_peer,
@@ -108,6 +111,7 @@
             self._recorder,
             budget,
             count_nodes,
+            self._routes,
             clock,
         )
         self._releaser = CacheReleaser(client, runners, self._limiter)
@@ -185,6 +189,7 @@
     def load(self, table: RouteTable) -> None:
         """Apply a newer route table; requests in flight keep the old one."""
         self._index = RouteIndex(table)
+        self._routes.load(table.number)
         names = {route.name for route in table.routes}
         items = self._retry_detectors.items()
         self._retry_detectors = {
@@ -206,16 +211,26 @@
         if not self.has_routes:
             await self._refuse_unrouted(inbound, writer, 503, "no routes yet")
             return
-        route = self._index.find(inbound.host, inbound.path)
-        if route is None:
-            await self._refuse_unrouted(inbound, writer, 404, "no route")
-            return
         self.open_requests += 1
         try:
-            await self._run_request(self._make_context(inbound, route, writer))
+            await self._route_request(inbound, writer)
         finally:
             self.open_requests -= 1
 
+    async def _route_request(
+        self, inbound: InboundRequest, writer: ResponseWriter
+    ) -> None:
+        """Serve a request by the route document, once that may be applied to it."""
+        if not await self._routes.admit(inbound):
+            reason = f"another route document than {self._routes.newest}"
+            await self._refuse_unrouted(inbound, writer, 503, reason, self.route_number)
+            return
+        route = self._index.find(inbound.host, inbound.path)
+        if route is None:
+            await self._refuse_unrouted(inbound, writer, 404, "no route")
+            return
+        await self._run_request(self._make_context(inbound, route, writer))
+
     def _make_context(
         self, inbound: InboundRequest, route: Route, writer: ResponseWriter
     ) -> RequestContext:
@@ -247,7 +262,12 @@
         return inbound.arrived_at - detector.elapsed(budget)
 
     async def _refuse_unrouted(
-        self, inbound: InboundRequest, writer: ResponseWriter, status: int, reason: str
+        self,
+        inbound: InboundRequest,
+        writer: ResponseWriter,
+        status: int,
+        reason: str,
+        route_number: int = 0,
     ) -> None:
         number = self._index.table.number
         self._recorder.record_unrouted(inbound.request_id, status, reason, number)
@@ -256,7 +276,7 @@
             retry_after = (
                 STOPPING_RETRY_SECONDS if self.is_closed else NOT_READY_RETRY_SECONDS
             )
-        await writer.refuse(status, reason, retry_after)
+        await writer.refuse(status, reason, retry_after, route_number)
 
     async def _run_request(self, context: RequestContext) -> None:
         seconds_left = context.deadline - self._clock.monotonic()
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -10,7 +10,7 @@
 from hawthornshelf.clock import Clock
 from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
 from hawthornshelf.errors import HawthornshelfError
-from hawthornshelf.events import PermitRequested, StopRequested
+from hawthornshelf.events import PermitRequested, StopRequested, ViewRequested
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
 from hawthornshelf.gateway.contract import RouteCodec, RunnerSource
 from hawthornshelf.gateway.exchange import RunnerClient
@@ -97,6 +97,7 @@
             self._ask_permit,
             relay_client,
             self._choose_peer,
+            lambda node: self.post(ViewRequested(node)),
         )
         self._core.members.count_streams = self.runners.count_interactive_requests
         self.is_leaving = False
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -12,12 +12,14 @@
 from hawthornshelf.gateway.exchange import (
     AttemptFailed,
     InboundRequest,
+    RoutesDiffer,
     RunnerResponse,
     RunnerSilent,
 )
 from hawthornshelf.gateway.flight import Flight
 from hawthornshelf.gateway.reachability import RunnerReachability
 from hawthornshelf.gateway.recorder import Recorder
+from hawthornshelf.gateway.routegate import RouteGate
 from hawthornshelf.gateway.runners import Runner
 from hawthornshelf.gateway.streamrelay import StreamRelay
 
@@ -52,12 +54,14 @@
     """Describe a request for another node.
 
     `runs` counts the attempts that it has no more, as they were made or are kept back.
+    `route_number` is the route document that the other node must apply.
     """
 
     inbound: InboundRequest
     peer: Peer
     seconds_left: float
     runs: int
+    route_number: int
     resume_after: str = ""
 
 
@@ -69,7 +73,7 @@
         """Send a request and return its response once the headers are there.
 
         The response is marked as not run if the other node refused it. Raises
-        AttemptFailed.
+        RoutesDiffer or AttemptFailed.
         """
 
 
@@ -98,6 +102,7 @@
         recorder: Recorder,
         budget: RetryBudget,
         count_nodes: Callable[[], int],
+        routes: RouteGate,
         clock: Clock,
     ) -> None:
         self._client = client
@@ -106,6 +111,7 @@
         self._recorder = recorder
         self._budget = budget
         self._count_nodes = count_nodes
+        self._routes = routes
         self._streams = StreamRelay(recorder)
         self._clock = clock
         self.relayed = 0
@@ -154,7 +160,7 @@
         may_have_run, context.may_have_run = context.may_have_run, True
         response: RunnerResponse | None = None
         try:
-            response = await self._await_headers(context, peer)
+            response = await self._ask(context, peer)
             if response.not_run:
                 context.may_have_run = may_have_run
             context.response = response
@@ -168,8 +174,22 @@
             if response is not None:
                 response.close()
 
+    async def _ask(self, context: RequestContext, peer: Peer) -> RunnerResponse:
+        """Ask a node that must apply the newest route document known here.
+
+        If it holds a newer one, ask again once this node knows of that.
+        """
+        number = self._routes.newest
+        try:
+            return await self._await_headers(context, peer, number)
+        except RoutesDiffer as error:
+            if error.number <= number:
+                raise
+            self._routes.learn(error.number, peer.node)
+            return await self._await_headers(context, peer, error.number)
+
     async def _await_headers(
-        self, context: RequestContext, peer: Peer
+        self, context: RequestContext, peer: Peer, route_number: int
     ) -> RunnerResponse:
         seconds_left = context.deadline - self._clock.monotonic()
         assert self._client is not None
@@ -178,6 +198,7 @@
             peer,
             seconds_left,
             context.route.max_attempts - 1,
+            route_number,
             context.last_event_id or context.inbound.resume_after,
         )
         is_last = context.runs + 1 >= context.route.max_attempts
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -34,6 +34,7 @@
     RequestArrived,
     StopRequested,
     StorageLost,
+    ViewRequested,
 )
 from hawthornshelf.lifecycle import Lifecycle
 from hawthornshelf.log import RecoveredState
@@ -152,6 +153,7 @@
         self.reaches_runners = True
         self._pulled_revision = 0
         self._pull_retry_at = 0.0
+        self._search_retry_at = 0.0
         self._effects: list[Effect | SendToNode] = []
         self._control_poll_due = 0.0
         self._periodic_due = 0.0
@@ -200,6 +202,8 @@
                 self._replica_changes[request] = (change, deadline, now)
             case PermitRequested(request, runner, max_wait):
                 self._exchange(self._permits.ask(now, request, runner, max_wait))
+            case ViewRequested(node):
+                self._request_view(now, node)
             case StopRequested():
                 self._on_stop(now)
             case _ if isinstance(event, EntryEvent):
@@ -336,6 +340,19 @@
         self._pulled_revision, self._pull_retry_at = revision, now + PULL_RETRY_SECONDS
         self._send(sender, PullView(self.view.revision))
 
+    def _request_view(self, now: float, node: str) -> None:
+        """Request a newer view of a node, or of a few if none is named.
+
+        The latter at most once per PULL_RETRY_SECONDS.
+        """
+        pull = PullView(self.view.revision)
+        if node:
+            self._send(node, pull)
+        elif now >= self._search_retry_at:
+            self._search_retry_at = now + PULL_RETRY_SECONDS
+            for member in self.members.sample(VIEW_FANOUT):
+                self._send(member.node, pull)
+
     # Crashes of runners
 
     def _pull_crashes(self, now: float, sender: str, checksum: int) -> None:
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -9,7 +9,7 @@
 
 from hawthornshelf.crashrecords import Standing
 from hawthornshelf.effects import PermitEnded, Send
-from hawthornshelf.events import MessageReceived, PermitRequested
+from hawthornshelf.events import MessageReceived, PermitRequested, ViewRequested
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
 from hawthornshelf.gateway.exchange import (
     Attempt,
@@ -26,6 +26,7 @@
     Prompt,
     PromptSegment,
     RateLimitNotice,
+    RoutesDiffer,
     RunnerClient,
     RunnerReplaced,
     RunnerResponse,
@@ -461,8 +462,10 @@
         await super().respond(status, headers, body)
         self.begun.set()
 
-    async def refuse(self, status: int, reason: str, retry_after: float) -> None:
-        await super().refuse(status, reason, retry_after)
+    async def refuse(
+        self, status: int, reason: str, retry_after: float, route_number: int = 0
+    ) -> None:
+        await super().refuse(status, reason, retry_after, route_number)
         self.begun.set()
 
 
@@ -507,6 +510,7 @@
             deadline=now + request.seconds_left,
             resume_after=request.resume_after,
             relayed_runs=request.runs,
+            relayed_routes=request.route_number,
         )
         caller = RelayedCaller()
         task = asyncio.create_task(entry.forwarder.serve(inbound, caller))
@@ -517,6 +521,8 @@
         except asyncio.CancelledError:
             task.cancel()
             raise
+        if caller.route_number:
+            raise RoutesDiffer(entry.name, caller.route_number)
         return _RelayedResponse(caller)
 
 
@@ -529,7 +535,7 @@
         self._frozen_until = 0.0
         self.disturbed_at = fleet.clock.monotonic()
         self._fleet = fleet
-        self._events: list[MessageReceived | PermitRequested] = []
+        self._events: list[MessageReceived | PermitRequested | ViewRequested] = []
         clock = fleet.clock
         rng = random.Random(f"{fleet.seed}/{name}")
         self.rng = rng
@@ -572,6 +578,7 @@
             self.ask_permit,
             _Relays(self._fleet),
             self._choose_peer,
+            lambda node: self._events.append(ViewRequested(node)),
         )
 
     def _choose_peer(self, tried: Set[str]) -> Peer | None:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -108,6 +108,7 @@
     aborted: bool = False
     retry_after: float = 0.0
     reason: str = ""
+    route_number: int = 0
     headers: tuple[Header, ...] = ()
     headers_sent: bool = False
 
@@ -131,8 +132,11 @@
         self.headers_sent, self.ended = True, True
         self.status, self.headers, self.data = status, headers, body
 
-    async def refuse(self, status: int, reason: str, retry_after: float) -> None:
+    async def refuse(
+        self, status: int, reason: str, retry_after: float, route_number: int = 0
+    ) -> None:
         assert not self.headers_sent
+        self.route_number = route_number
         self.headers_sent, self.ended = True, True
         self.status, self.reason, self.retry_after = status, reason, retry_after
 
--- a/tests/gateway/test_stale_routes.py
+++ b/tests/gateway/test_stale_routes.py
@@ -39,8 +39,14 @@
     """Cut nodes off from the control group and all nodes but those without runners."""
     others = {CONTROL, *fleet.entry_names} - set(names) - {"n0"}
     fleet.cut = {(name, other) for name in names for other in others}
+    disturb(fleet, names)
     await asyncio.sleep(fleet.rng.uniform(0.8, 2.5))
     fleet.cut = set()
+    disturb(fleet, names)
+
+
+def disturb(fleet: RouteFleet, names: list[str]) -> None:
+    """Excuse nodes for the contact time, which is longer than any cut here."""
     for name in names:
         fleet.entries[name].disturbed_at = fleet.clock.monotonic()
 
--- a/tests/southernveil/test_relay.py
+++ b/tests/southernveil/test_relay.py
@@ -7,13 +7,15 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field, replace
 
+import aiohttp
 import pytest
-from southernveil.headers import RELAY_HEADER
+from southernveil.headers import RELAY_HEADER, ROUTES_HEADER
 from southernveil.servers import CallerServer, start_server
 
 from hawthornshelf.gateway.exchange import Header
+from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.peerrelay import Peer
-from hawthornshelf.gateway.routes import RetryPolicy, Route
+from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteTable
 from tests.gateway.fakes import CLOCK, Caller
 from tests.southernveil.fakes import free_ports
 from tests.southernveil.test_framing import (
@@ -57,14 +59,22 @@
 @contextlib.asynccontextmanager
 async def start_peer(route: Route, runner: RawRunner) -> AsyncIterator[Peer]:
     """Run a node that reaches a runner, and serve callers there."""
-    async with start_forwarder(route, runner) as forwarder:
-        node = types.SimpleNamespace(forwarder=forwarder, is_leaving=False)
-        address = f"127.0.0.1:{free_ports(1)[0]}"
-        server = await start_server(CallerServer(node, CLOCK).handle, address)
-        try:
-            yield Peer("peer", address)
-        finally:
-            server.close()
+    async with (
+        start_forwarder(route, runner) as forwarder,
+        serve_callers(forwarder) as peer,
+    ):
+        yield peer
+
+
+@contextlib.asynccontextmanager
+async def serve_callers(forwarder: Forwarder) -> AsyncIterator[Peer]:
+    node = types.SimpleNamespace(forwarder=forwarder, is_leaving=False)
+    address = f"127.0.0.1:{free_ports(1)[0]}"
+    server = await start_server(CallerServer(node, CLOCK).handle, address)
+    try:
+        yield Peer("peer", address)
+    finally:
+        server.close()
 
 
 async def ask(
@@ -160,3 +170,55 @@
             assert forwarder.relayed_requests == 0 and runner.heads == []
 
     run(check())
+
+
+@pytest.mark.parametrize(("number", "runs"), [(2, 0), (1, 1), (0, 1)])
+def test_a_node_with_an_older_or_newer_document_runs_no_relayed_request(
+    number: int, runs: int
+) -> None:
+    """The nodes hold document 1 here, and the request names another one."""
+
+    async def check() -> None:
+        runner = RecordingRunner("a", [lambda after: plain(b"whole")])
+        async with (
+            start_peer(SAFE_ROUTE, runner) as peer,
+            aiohttp.ClientSession() as session,
+        ):
+            headers = {
+                "X-Request-Id": "r",
+                "Host": "h",
+                RELAY_HEADER: "0",
+                ROUTES_HEADER: str(number),
+            }
+            url = f"http://{peer.address}{make_inbound().target}"
+            async with session.post(url, headers=headers) as response:
+                assert response.status == (200 if runs else 503)
+                told = response.headers.get(ROUTES_HEADER)
+                assert told == (None if runs else "1")
+            assert len(runner.heads) == runs
+
+    run(check())
+
+
+def test_a_node_that_learns_of_a_newer_document_asks_again_with_its_number() -> None:
+    async def check() -> None:
+        runner = RecordingRunner("a", [lambda after: plain(b"whole")])
+        lost = [LostRunner(f"lost{number}", []) for number in range(3)]
+        async with (
+            start_forwarder(SAFE_ROUTE, runner) as other,
+            serve_callers(other) as peer,
+            start_forwarder(SAFE_ROUTE, *lost, peer=peer) as forwarder,
+        ):
+            other.load(RouteTable(7, (SAFE_ROUTE,)))
+            for listed in forwarder._runners.staying():
+                await forwarder._probe_reachability(listed)
+            caller = Caller()
+            inbound = make_inbound()
+            head = (Header("Host", "h"), *inbound.headers)
+            await forwarder.serve(replace(inbound, headers=head), caller)
+            assert (caller.status, caller.data) == (200, b"whole")
+            later = Caller()
+            await forwarder.serve(inbound, later)
+            assert later.status == 503 and len(runner.heads) == 1
+
+    run(check())
