--- a/hawthornshelf/peers.py
+++ b/hawthornshelf/peers.py
@@ -20,6 +20,12 @@
 MAX_QUEUED_MESSAGES = 1000
 MAX_BATCH_MESSAGES = 128
 IDLE_TIMEOUT_SECONDS = 60.0
+SERVER_IDLE_MILLISECONDS = 120_000
+"""Time after which a server closes an idle connection, whose end may never arrive.
+
+It is longer than that of clients, which close theirs first.
+"""
+
 _OPTIONS = (
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
@@ -30,6 +36,16 @@
     ("grpc.so_reuseport", 0),
 )
 
+_CLIENT_OPTIONS = (
+    *_OPTIONS,
+    # A new channel would else get the connection of the one that it replaces.
+    ("grpc.use_local_subchannel_pool", 1),
+)
+_SERVER_OPTIONS = (
+    *_OPTIONS,
+    ("grpc.max_connection_idle_ms", SERVER_IDLE_MILLISECONDS),
+)
+
 Deliver = Callable[[str, Message], None]
 
 
@@ -44,7 +60,7 @@
         self._group = group
         self._deliver = deliver
         self._client = client
-        self._server = grpc.aio.server(options=_OPTIONS)
+        self._server = grpc.aio.server(options=_SERVER_OPTIONS)
         self._server.add_generic_rpc_handlers((_Handler(self._on_call),))
 
     async def start(self, address: str) -> None:
@@ -165,8 +181,7 @@
         self.hold_count = 0
         self._messages: deque[Message] = deque(maxlen=MAX_QUEUED_MESSAGES)
         self._ready = asyncio.Event()
-        self._channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
-        self._call = self._channel.unary_unary(METHOD)
+        self._open_channel()
         self._is_sending = False
         self.is_closed = False
         self.failures = 0
@@ -199,6 +214,12 @@
             await self._task
         await self._channel.close(None)
 
+    def _open_channel(self) -> None:
+        self._channel = grpc.aio.insecure_channel(
+            self._address, options=_CLIENT_OPTIONS
+        )
+        self._call = self._channel.unary_unary(METHOD)
+
     async def _run(self) -> None:
         while True:
             try:
@@ -218,6 +239,8 @@
             response = await self._call(self._pack(batch), timeout=CALL_TIMEOUT_SECONDS)
         except grpc.aio.AioRpcError as error:
             self._record_failure(error, len(batch))
+            if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                await self._replace_channel()
             return
         finally:
             self._is_sending = False
@@ -225,6 +248,11 @@
         if response:
             self._receive(response, self._address)
 
+    async def _replace_channel(self) -> None:
+        """Connect anew: an open connection may have gone silent without an end."""
+        await self._channel.close(None)
+        self._open_channel()
+
     def _record_failure(self, error: grpc.aio.AioRpcError, messages: int) -> None:
         """Log the first of several failed calls: the others have the same cause."""
         self.failures += 1
--- a/tests/partitionproxy.py
+++ b/tests/partitionproxy.py
@@ -12,6 +12,7 @@
     def __init__(self, target: str) -> None:
         self._target = target
         self._is_cut = False
+        self._silent: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self.address = ""
@@ -27,6 +28,10 @@
         """Drop all bytes from now on; both connections stay open."""
         self._is_cut = True
 
+    def silence(self) -> None:
+        """Drop all bytes on the connections open now, for good; new ones are sound."""
+        self._silent |= self._writers
+
     def heal(self) -> None:
         """Forward new connections again, and reset the open ones."""
         self._is_cut = False
@@ -67,7 +72,7 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
-                if not self._is_cut:
+                if not self._is_cut and writer not in self._silent:
                     writer.write(data)
                     await writer.drain()
         writer.transport.abort()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,11 @@
 from hawthornshelf.messages import Message, PullView, Submit
 from hawthornshelf.peers import METHOD, PeerClient, PeerServer
 from tests.fleet import free_port
+from tests.partitionproxy import PartitionProxy
+
+
+HANG_SECONDS = 30.0
+"""Time after which a test that waits for a message has failed."""
 
 
 class Peer:
@@ -88,3 +93,37 @@
 
     _, other = run(scenario)
     assert other.received == []
+
+
+def test_messages_get_through_after_an_open_connection_has_gone_silent() -> None:
+    async def scenario(one: Peer, other: Peer) -> None:
+        proxy = PartitionProxy(other.address)
+        address = await proxy.start()
+        one.client.send(address, PullView(1))
+        await other.wait_for_messages(1)
+        proxy.silence()
+        async with asyncio.timeout(HANG_SECONDS):
+            while len(other.received) == 1:
+                one.client.send(address, PullView(2))
+                await asyncio.sleep(0.05)
+        await proxy.stop()
+
+    run(scenario)
+
+
+def test_answers_get_through_after_an_open_connection_has_gone_silent() -> None:
+    """The first peer does not listen, so only the response can carry the answer."""
+
+    async def scenario(one: Peer, other: Peer) -> None:
+        proxy = PartitionProxy(other.address)
+        address = await proxy.start()
+        one.client.send(address, Submit("r1", b""))
+        await one.wait_for_messages(1)
+        proxy.silence()
+        async with asyncio.timeout(HANG_SECONDS):
+            while len(one.received) == 1:
+                one.client.send(address, Submit("r2", b""))
+                await asyncio.sleep(0.05)
+        await proxy.stop()
+
+    run(scenario)
