Hold no route document from before a restart until a leader has confirmed the log (CONFIG)

Callers saw (in own tests): after a restart of all nodes requests were handled by a document that a later one had replaced long before; while the group had no quorum, for as long as that lasted. Class: recovered state that is taken for current state. Change: a replica publishes a view once its commit index covers an entry of its leader's term. ControlCore's own answer to PullView, which no message reached, is gone: the node answers it.

--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -37,7 +37,6 @@
     MemberStatus,
     Message,
     NotLeader,
-    PullView,
     ReplicaChanged,
     Submit,
     SubmitReply,
@@ -158,9 +157,6 @@
                 self._on_change_replica(sender, message)
             case AskControl():
                 self._on_ask_control(now, sender, message)
-            case PullView():
-                if self.state.revision > message.revision:
-                    self._send(sender, ViewUpdate(self.state.view()))
             case _ if isinstance(message, RaftMessage):
                 self._replica_nodes[message.sender] = sender
                 self.raft.step(now, message)
@@ -238,9 +234,18 @@
         wait = timing.election + self._settings.clock_drift
         return self._leader_since + wait + self._settings.order_timeout
 
+    @property
+    def view_revision(self) -> int:
+        """Return the revision of the view, 0 while the state may be an old one.
+
+        A replica that starts has what its snapshot holds, until a leader tells it what
+        was committed since.
+        """
+        return self.state.revision if self.raft.has_confirmed_commit else 0
+
     def view(self) -> SharedView:
         """Return the part of the state that is distributed to every node."""
-        return self.state.view()
+        return self.state.view() if self.raft.has_confirmed_commit else SharedView()
 
     def membership(self) -> Membership:
         """Return the replicas of the control group."""
@@ -297,8 +302,8 @@
         revision = self.state.revision
         joined = self.state.nodes.get(sender) == NodeRow(sender, message.incarnation)
         report = ControlWord(self.staleness(now), self.applied_index, revision, joined)
-        if revision > message.revision:
-            self._send(sender, ViewUpdate(self.state.view()))
+        if self.view_revision > message.revision:
+            self._send(sender, ViewUpdate(self.view()))
         self._send(sender, report)
 
     # Log
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -394,7 +394,7 @@
         """Run the work that follows each event; its cost depends on the event alone."""
         if self.control:
             self._effects.extend(self.control.tick(now, wall))
-            if self.control.state.revision > self.view.revision:
+            if self.control.view_revision > self.view.revision:
                 self._apply_view(now, self.control.view(), self.settings.node)
         if self.entry:
             self._effects.extend(self.entry.take_effects())
--- a/hawthornshelf/raft.py
+++ b/hawthornshelf/raft.py
@@ -82,6 +82,7 @@
         self.applied_index = recovered.snapshot.index
         self.persisted_index = self.last_index
         self.membership = self._find_membership()
+        self._has_confirmed_commit = False
         self._timing = timing
         self._rng = rng
         self._progress = ProgressTable()
@@ -122,6 +123,16 @@
         """Return whether this leader has committed an entry of its own term."""
         return self.is_leader and self._term_at(self.commit_index) == self.term
 
+    @property
+    def has_confirmed_commit(self) -> bool:
+        """Return whether the commit index was current at some time since the start.
+
+        It was once it covered an entry of the leader's term. Until then entries that
+        were committed before the start may be missing from the applied state.
+        """
+        self._has_confirmed_commit = self._has_confirmed_commit or self.is_ready
+        return self._has_confirmed_commit
+
     def lease_until(self) -> float:
         """Return the end of the leader lease in monotonic seconds, -inf without one.
 
@@ -542,6 +553,8 @@
         self._write_missing(message.entries)
         match = message.prev_index + len(message.entries)
         self.commit_index = max(self.commit_index, min(message.commit, match))
+        if message.commit <= match and self._term_at(message.commit) == message.term:
+            self._has_confirmed_commit = True
         self._reply_append(message, True, match)
 
     def _reply_append(self, message: Append, success: bool, match: int) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,7 +9,6 @@
 from tests.fleet import free_port
 from tests.partitionproxy import PartitionProxy
 
-
 HANG_SECONDS = 30.0
 """Time after which a test that waits for a message has failed."""
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -1,5 +1,7 @@
 """Test a control group that replaces lost voters by itself."""
 
+import pytest
+
 from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
 from hawthornshelf.effects import Effect, Send
 from hawthornshelf.messages import ViewUpdate
@@ -163,6 +165,35 @@
     assert views == [29, 29, 29]
 
 
+@pytest.mark.parametrize("is_cut", [True, False])
+@pytest.mark.parametrize("seed", range(4))
+def test_nodes_that_all_restart_hold_no_older_document_than_was_acknowledged(
+    seed: int, is_cut: bool
+) -> None:
+    """The replicas start from snapshots, which are older than their logs."""
+    simulation = Simulation(seed, control=3, entries=2, voters=3, compact_entries=10)
+    simulation.start_all()
+    simulation.run_until(simulation.leader, TIMEOUT_SECONDS, "leader")
+    for number in range(1, 30):
+        replace_routes(simulation, simulation.leader(), number)
+    for name in simulation.nodes:
+        simulation.kill(name)
+    for name in simulation.control if is_cut else ():
+        simulation.isolate(name, simulation.control)
+    for name in simulation.nodes:
+        simulation.start(name)
+    seen: set[int] = set()
+    for _ in range(200):
+        simulation.run(0.02)
+        cores = [node.core for node in simulation.nodes.values()]
+        seen |= {core.view.routes.number for core in cores if core is not None}
+    assert seen == ({0} if is_cut else {0, 29})
+    simulation.heal()
+    simulation.run(5.0)
+    cores = [node.core for node in simulation.nodes.values()]
+    assert {core.view.routes.number for core in cores if core is not None} == {29}
+
+
 def test_a_minority_can_neither_read_nor_replace() -> None:
     simulation = start_group(7)
     leader = simulation.leader()
