--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -137,6 +137,9 @@
     listed: list[tuple[float, Runner | None]] = field(default_factory=list)
     draw_limit: Callable[[], float | None] = lambda: None
     says_leaving: bool = False
+    build: str = ""
+    event_seconds: float = RUN_SECONDS / EVENTS
+    on_event: Callable[["SimRunner", Attempt], None] = lambda runner, attempt: None
     draw_pause: Callable[[], float | None] = lambda: None
 
     def __post_init__(self) -> None:
@@ -254,11 +257,12 @@
             if self._closes and number == max(first, EVENTS // 2):
                 yield event(number)[:-1]
                 return
+            self._runner.on_event(self._runner, self._attempt)
             yield event(number)
             if self._events in (number - first + 1, -number):
                 asyncio.get_running_loop().call_soon(self._runner.crash_once)
             try:
-                await self._runner.work(RUN_SECONDS / EVENTS)
+                await self._runner.work(self._runner.event_seconds)
             except ConnectionResetError as error:
                 name = self._attempt.runner.name
                 raise AttemptFailed("read answer", name, "reset", True) from error
@@ -572,7 +576,7 @@
             self._fleet.clock,
             rng,
             lambda: len(self._fleet.entry_names),
-            self.runners.count_interactive_requests,
+            lambda: self._fleet.estimate_streams(self),
             self.core.crashes,
             self.core.rate_limits,
             self.ask_permit,
@@ -756,6 +760,10 @@
         """Load the routes that a node has from its start."""
         forwarder.load(TABLE)
 
+    def estimate_streams(self, entry: Entry) -> float:
+        """Return how many interactive requests a node takes all nodes to have open."""
+        return entry.runners.count_interactive_requests()
+
     def follow_view(self, entry: Entry) -> None:
         """Apply what a node's shared view says; here nothing is in it."""
 
--- a/tests/gateway/routefleet.py
+++ b/tests/gateway/routefleet.py
@@ -5,17 +5,15 @@
 import zlib
 from dataclasses import dataclass, field
 
-from hawthornshelf.commands import RoutesInForce
+from hawthornshelf.commands import ReplaceRoutes
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.routes import RouteTable, ServiceSpec, Split
-from hawthornshelf.messages import AskControl, Message, PullView, ViewUpdate
-from hawthornshelf.state import SharedView
 from tests.gateway import fakes
-from tests.gateway.crashfleet import CONTACT_SECONDS, CrashFleet, Entry, SimRunner
+from tests.gateway.controlfleet import ControlFleet
+from tests.gateway.crashfleet import CONTACT_SECONDS, Entry, SimRunner
 
-__all__ = ["CONTROL", "RouteFleet", "RouteTraffic"]
+__all__ = ["RouteFleet", "RouteTraffic"]
 
-CONTROL = "control"
 CONFIG_SECONDS = 2.0
 """The platform's bound on the time until a change is in force everywhere."""
 
@@ -24,7 +22,6 @@
 
 SERVICES = 3
 RUNNERS_PER_SERVICE = 2
-PUSHED_NODES = 3
 MOVED = "/moved/x"
 BUDGET_SECONDS = 1.5
 
@@ -46,11 +43,8 @@
     return RouteTable(number, tuple(routes), services)
 
 
-class RouteFleet(CrashFleet):
-    """Simulate a fleet and a control group, one process that is never lost.
-
-    `cut` may name it as well. The first `unreached` nodes reach no runner.
-    """
+class RouteFleet(ControlFleet):
+    """Simulate a fleet whose first `unreached` nodes reach no runner."""
 
     def __post_init__(self) -> None:
         self.engines = self.apps = 0
@@ -61,23 +55,18 @@
         self.by_address = {runner.address: runner for runner in self.runners}
         self.services = {runner.name: runner.service for runner in self.runners}
         self.unreached = 0
-        self.published_at: list[float] = [-math.inf, 0.0]
-        self.view = _make_view(1)
+        self.published_at: list[float] = [-math.inf]
 
-    @property
-    def newest(self) -> int:
-        return self.view.routes.number
+        self.publish()
 
     def load_first_routes(self, forwarder: Forwarder) -> None:
         """Load nothing: the control group tells a node its routes."""
 
     def publish(self) -> None:
         """Put the next document into force."""
-        self.view = _make_view(self.newest + 1)
+        number = len(self.published_at)
         self.published_at.append(self.clock.monotonic())
-        names = self.rng.sample(self.entry_names, min(PUSHED_NODES, self.nodes))
-        for name in names:
-            self.deliver(CONTROL, name, ViewUpdate(self.view))
+        self.apply(ReplaceRoutes(number, zlib.compress(b"%d" % number)))
 
     def follow_view(self, entry: Entry) -> None:
         """Load the routes of a node's view if they are new, as a gateway node does."""
@@ -85,24 +74,12 @@
         if number > entry.forwarder.route_number:
             entry.forwarder.load(make_table(number))
 
-    def _receive(self, sender: str, target: str, message: Message) -> None:
-        super()._receive(sender, target, message)
-        if target != CONTROL or not isinstance(message, AskControl | PullView):
-            return
-        if message.revision < self.view.revision:
-            self.deliver(CONTROL, sender, ViewUpdate(self.view))
-
     def newest_at(self, at: float) -> int:
         """Return the number of the newest document that was published by some time."""
         numbers = range(len(self.published_at))
         return max(n for n in numbers if self.published_at[n] <= at)
 
 
-def _make_view(number: int) -> SharedView:
-    body = zlib.compress(b"%d" % number)
-    return SharedView(revision=number, routes=RoutesInForce(number, body))
-
-
 @dataclass
 class Sent:
     """Record one request and how it was handled; `boot` is that of the node."""
--- a/tests/gateway/test_stale_routes.py
+++ b/tests/gateway/test_stale_routes.py
@@ -5,8 +5,9 @@
 
 import pytest
 
+from tests.gateway.controlfleet import CONTROL
 from tests.gateway.crashfleet import CONTACT_SECONDS
-from tests.gateway.routefleet import CONTROL, RouteFleet, RouteTraffic
+from tests.gateway.routefleet import RouteFleet, RouteTraffic
 
 BEFORE_SECONDS = 2.0
 CHANGES = 10
