Log the build of a request's runner and what a request resumes (ORDER)

No line named the version of a runner's software or the request that a caller names in Resumes, so the hypotheses on the incident could not be told apart. The list's Version becomes Runner.build; an entry without one gets a build that no other runner has. Nothing is decided by it yet.

--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -77,7 +77,8 @@
     """Represent a complete request of a caller; times are monotonic seconds.
 
     `resume_after` is the id of the last event that the caller has received. `caller`
-    is the credential that the caller sent, empty if it sent none. `relayed_runs` is
+    is the credential that the caller sent, empty if it sent none. `resumes` is the id
+    of the request that brought the first event, as the caller says. `relayed_runs` is
     None unless another node relayed the request: then it counts the attempts of the
     route that this node may not make, and `relayed_routes` is the number of the newest
     route document that the other node knows of, 0 if it does not say.
@@ -94,6 +95,7 @@
     prompt: Prompt | None = None
     resume_after: str = ""
     caller: str = ""
+    resumes: str = ""
     relayed_runs: int | None = None
     relayed_routes: int = 0
 
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -18,6 +18,7 @@
 """Time for which a runner that refused work gets none."""
 
 MAX_LOGGED_PARTS = 16
+MAX_LOGGED_ID = 64
 FAILED_OUTCOMES = ("failed", "cut", "refused")
 
 
@@ -97,6 +98,7 @@
             resource=context.digests().resource.hex(),
             parts=_name_parts(context),
             boot=state.runner.boot,
+            build=state.runner.build,
             down=round(down, 3),
             list_age=self._list_age(),
         )
@@ -221,6 +223,9 @@
             outcome=outcome,
             status=status,
             runner=context.last_runner,
+            build=self._find_build(context.last_runner),
+            resumes=context.inbound.resumes[:MAX_LOGGED_ID],
+            resume_after=context.inbound.resume_after[:MAX_LOGGED_ID],
             reader=context.prefiller,
             late=context.is_late,
             sends=context.sends,
@@ -249,6 +254,10 @@
             routes=routes,
         )
 
+    def _find_build(self, runner: str) -> str:
+        state = self._runners.find(runner)
+        return state.runner.build if state is not None else ""
+
     def _list_age(self) -> float:
         return round(self._clock.monotonic() - self._runners.read_at, 3)
 
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -73,6 +73,7 @@
     """Describe one runner as the platform lists it.
 
     `boot` identifies one start of the runner; 0 means that the list does not say it.
+    `build` is the version of its software, not of the weights that it serves.
     """
 
     name: str
@@ -83,6 +84,7 @@
     is_leaving: bool = False
     stage: Stage = Stage.MIXED
     boot: int = 0
+    build: str = ""
 
     @property
     def key(self) -> str:
--- a/tests/gateway/buildfleet.py
+++ b/tests/gateway/buildfleet.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from hawthornshelf.gateway.exchange import Attempt, Header, InboundRequest
+from hawthornshelf.gateway.exchange import Attempt, InboundRequest
 from tests.gateway.controlfleet import ControlFleet
 from tests.gateway.crashfleet import (
     CONTACT_SECONDS,
@@ -179,23 +179,20 @@
     def _make_inbound(
         self, stream: Stream, request: str, deadline: float
     ) -> InboundRequest:
-        headers = []
-        after = ""
-        if stream.events:
-            after = str(stream.events)
-            headers.append(Header("Resumes", stream.begun))
+        after = str(stream.events) if stream.events else ""
         now = self.fleet.clock.monotonic()
         return InboundRequest(
             request,
             "POST",
             STREAM_PATH,
             "h",
-            tuple(headers),
+            (),
             b"%d" % len(self.streams),
             now,
             deadline,
             SHORT,
             after,
+            resumes=stream.begun,
         )
 
     def joined(self) -> list[Stream]:
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -157,6 +157,7 @@
             self.is_leaving,
             self.stage,
             self.boot,
+            self.build,
         )
 
     def entry(self, now: float) -> Runner | None:
--- a/tests/southernveil/test_runnersource.py
+++ b/tests/southernveil/test_runnersource.py
@@ -32,6 +32,7 @@
         128,
         False,
         Stage.DECODE,
+        build="v1",
     )
     plain = {key: value for key, value in ENTRY.items() if key != "Stage"}
     assert decode_runner(plain).stage is Stage.MIXED
@@ -39,6 +40,14 @@
     assert decode_runner({**ENTRY, "born": 1789256658049}).boot == 1789256658049
 
 
+@pytest.mark.parametrize("version", [None, "", 3, ["v1"]])
+def test_runners_whose_version_is_not_told_share_no_build(version: object) -> None:
+    one = decode_runner({**ENTRY, "Version": version})
+    other = decode_runner({**ENTRY, "Version": version, "Id": "i-2"})
+    again = decode_runner({**ENTRY, "Version": version, "born": 7})
+    assert len({one.build, other.build, again.build, "v1", ""}) == 5
+
+
 @pytest.mark.parametrize(
     "entry",
     [
