Let a stream go on only at the build that began it (ORDER)

Callers saw: the first part of an answer from one software version and the rest from another, within one answer and over their tries, most of all after a kill of all nodes. Cause: the version of a runner's software was read nowhere. A stream that broke was placed like a new one, and so was one that its caller took up; who had begun it died with the node that knew. Class: state that belongs to the caller's stream is kept with one try of it. Change: a request holds what wrote the events that its caller has (service and build). It goes on, also over the hop to another node, on the copy of its KV cache, and from a handle, at that build alone. Who began a stream that a caller takes up: the node remembers its own; else the control group tells (FindOrigin, through its log). Unknown, disputed, or without a runner of its build: 503 at once, and the caller may begin anew. Prompts are not prefilled at one build and run from there at another any more.

--- a/hawthornshelf/commands.py
+++ b/hawthornshelf/commands.py
@@ -5,10 +5,12 @@
 from typing import NamedTuple
 
 from hawthornshelf.configuration import Configuration
+from hawthornshelf.origins import Origin, OriginRow
 
 __all__ = [
     "COMMAND_TYPES",
     "AckDrain",
+    "AdmitBuild",
     "Answer",
     "ChangeIdReused",
     "ClaimAnswered",
@@ -26,22 +28,26 @@
     "DrainReason",
     "DrainUpstream",
     "EndTrial",
+    "FindOrigin",
     "FinishOrder",
     "JoinNode",
     "NotFound",
     "OpenClaim",
     "OpenTrial",
     "OrderPlaced",
+    "OriginFound",
     "PlaceOrder",
     "ProposeConfiguration",
     "ReadRoutes",
     "RecordAnswer",
+    "RecordOrigins",
     "ReleaseClaim",
     "ReleaseUpstream",
     "RemoveNode",
     "ReplaceRoutes",
     "ReportCrash",
     "Result",
+    "RetireBuild",
     "RoutesInForce",
     "TrialGranted",
     "TrialRefused",
@@ -214,8 +220,48 @@
     """Read the current route document through the log, so the read is linearizable."""
 
 
+@dataclass(frozen=True, slots=True)
+class AdmitBuild:
+    """Let the runners of a build begin streams."""
+
+    service: str
+    build: str
+
+
+@dataclass(frozen=True, slots=True)
+class RetireBuild:
+    """Let a build begin no more streams, as no runner of it has been listed lately."""
+
+    service: str
+    build: str
+
+
+@dataclass(frozen=True, slots=True)
+class RecordOrigins:
+    """Record which builds began some streams."""
+
+    rows: tuple[OriginRow, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FindOrigin:
+    """Find which build began a stream, through the log, so that no record is missed.
+
+    `request` is the digest of the id of the request that began it; one of `services`
+    did. `listed` are the builds that run now, as the asking node knows.
+    """
+
+    request: bytes
+    services: tuple[str, ...]
+    listed: tuple[Origin, ...]
+
+
 Command = (
-    ReplaceRoutes
+    AdmitBuild
+    | RetireBuild
+    | RecordOrigins
+    | FindOrigin
+    | ReplaceRoutes
     | ReadRoutes
     | ProposeConfiguration
     | JoinNode
@@ -350,8 +396,16 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class OriginFound:
+    """Return the origin of a stream, None if it can't be known."""
+
+    origin: Origin | None
+
+
 Result = (
     Done
+    | OriginFound
     | RoutesInForce
     | NotFound
     | ConfigurationAccepted
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -15,6 +15,7 @@
 )
 from hawthornshelf.gateway.routes import RetryPolicy, Route
 from hawthornshelf.gateway.runners import RunnerState
+from hawthornshelf.origins import Origin
 
 __all__ = ["MIN_SECONDS_LEFT", "RequestContext"]
 
@@ -39,7 +40,8 @@
     `unreached` counts attempts that no runner can have received; `peers` names the
     nodes to which the request was relayed; with `is_relayed` it goes to no runner of
     this node any more.
-    `owes_event` tells whether a stream is known to have an event to come.
+    `owes_event` tells whether a stream is known to have an event to come; `origin` is
+    what wrote the events that the caller has, None while it has none.
     """
 
     inbound: InboundRequest
@@ -66,6 +68,7 @@
     longest_pause: float = 0.0
     events: int = 0
     owes_event: bool = False
+    origin: Origin | None = None
     response: RunnerResponse | None = None
     unfinished_bytes: int = 0
     reason: str = ""
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -8,6 +8,7 @@
 
 from hawthornshelf.errors import HawthornshelfError
 from hawthornshelf.gateway.runners import Runner
+from hawthornshelf.origins import Origin
 
 __all__ = [
     "Attempt",
@@ -81,7 +82,8 @@
     of the request that brought the first event, as the caller says. `relayed_runs` is
     None unless another node relayed the request: then it counts the attempts of the
     route that this node may not make, and `relayed_routes` is the number of the newest
-    route document that the other node knows of, 0 if it does not say.
+    route document that the other node knows of, 0 if it does not say; `relayed_origin`
+    is what wrote the events that the caller has.
     """
 
     request_id: str
@@ -98,6 +100,7 @@
     resumes: str = ""
     relayed_runs: int | None = None
     relayed_routes: int = 0
+    relayed_origin: Origin | None = None
 
     @property
     def path(self) -> str:
@@ -195,7 +198,8 @@
     """Read one response of a runner.
 
     `not_run` means that the runner refused the request without running it.
-    `connection_end` is "closed" or "reset" once the connection has ended.
+    `connection_end` is "closed" or "reset" once the connection has ended. `origin` is
+    what wrote a stream that another node relays, if that node tells it.
     """
 
     status: int
@@ -204,6 +208,7 @@
     is_stream: bool
     framing: Framing = Framing.CHUNKS
     connection_end: str = ""
+    origin: Origin | None = None
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
@@ -299,10 +304,12 @@
 class ResponseWriter(ABC):
     """Write the response to one caller.
 
-    `headers_sent` is set once a response has begun; then it can't be replaced.
+    `headers_sent` is set once a response has begun; then it can't be replaced. `origin`
+    tells a node that relayed the request what writes the stream.
     """
 
     headers_sent: bool
+    origin: Origin | None = None
 
     @abstractmethod
     async def begin(self, status: int, headers: tuple[Header, ...]) -> None:
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -6,12 +6,14 @@
 from functools import partial
 
 from hawthornshelf.clock import Clock
+from hawthornshelf.crashrecords import Standing
 from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.admission import engine_priority
 from hawthornshelf.gateway.budget import RetryBudget
 from hawthornshelf.gateway.cacherelease import CacheReleaser
 from hawthornshelf.gateway.chooser import RunnerChooser
 from hawthornshelf.gateway.context import MIN_SECONDS_LEFT, RequestContext
+from hawthornshelf.gateway.continuation import StreamContinuer, StreamEnded
 from hawthornshelf.gateway.crashdetector import CrashDetector
 from hawthornshelf.gateway.exchange import (
     Attempt,
@@ -50,8 +52,10 @@
     PlacementRequest,
     Reservation,
 )
+from hawthornshelf.gateway.streamorigins import StreamOrigins
 from hawthornshelf.gateway.streamrelay import StreamRelay
 from hawthornshelf.metrics import Metrics
+from hawthornshelf.origins import Origin
 from hawthornshelf.ratelimits import RateLimitTable
 
 __all__ = ["Forwarder"]
@@ -93,6 +97,7 @@
         relay_client: RelayClient | None = None,
         choose_peer: ChoosePeer = choose_no_peer,
         request_view: Callable[[str], None] = lambda node: None,
+        origins: StreamOrigins | None = None,
     ) -> None:
         self._client = client
         self._limiter = RateLimiter(rate_limits, ask_permit, clock, rng)
@@ -104,6 +109,7 @@
         self._streams = StreamRelay(self._recorder)
         self._reachability = RunnerReachability(clock, runners.forget_failures)
         self._routes = RouteGate(clock, request_view)
+        self._continuer = StreamContinuer(origins, runners, self._recorder)
         self._relay = PeerRelay(
             relay_client,
             choose_peer,
@@ -112,6 +118,7 @@
             budget,
             count_nodes,
             self._routes,
+            self._continuer,
             clock,
         )
         self._releaser = CacheReleaser(client, runners, self._limiter)
@@ -282,7 +289,10 @@
         seconds_left = context.deadline - self._clock.monotonic()
         try:
             async with asyncio.timeout(max(0.0, seconds_left)):
+                await self._continuer.settle(context)
                 await self._try_runners(context)
+        except StreamEnded as ended:
+            await self._refuse_continuation(context, ended)
         except TimeoutError:
             self._record_timeout(context)
             context.reason = context.reason or "deadline passed"
@@ -348,6 +358,14 @@
         if state is not None and context.may_retry(self._clock.monotonic()):
             await self._crashes.settle(state.runner)
 
+    async def _refuse_continuation(
+        self, context: RequestContext, ended: StreamEnded
+    ) -> None:
+        """End a stream that can't go on, so that its caller may begin anew."""
+        context.reason = "; ".join(filter(None, (context.reason, str(ended))))
+        status = 502 if context.may_have_run else 503
+        await self._fail(context, status, ended.retry_after)
+
     async def _refuse_blocked(
         self, context: RequestContext, blocked: RequestBlocked
     ) -> None:
@@ -365,13 +383,14 @@
         now = self._clock.monotonic()
         if context.deadline - now < MIN_SECONDS_LEFT:
             raise AdmissionRejected("no time left", 0.0)
+        self._continuer.check(context)
         standing = self._quarantine.check(context)
         prompt = context.inbound.prompt
         if context.is_recoverable and context.backup is not None:
             return await self._resume_from_backup(context, context.backup)
         if prompt is not None and context.route.is_generation:
             return await self._try_engine(context, prompt)
-        excluded = context.tried | self._quarantine.exclude_runners(context, standing)
+        excluded = self._exclude_runners(context, standing)
         state = await self._chooser.choose_plain(context, excluded)
         state.in_flight += 1
         try:
@@ -401,7 +420,7 @@
         is placed again.
         """
         standing = self._quarantine.check(context)
-        excluded = context.tried | self._quarantine.exclude_runners(context, standing)
+        excluded = self._exclude_runners(context, standing)
         limited = await self._chooser.exclude_limited(context, excluded)
         reservation = await self._scheduler.acquire(
             PlacementRequest(
@@ -426,7 +445,7 @@
             if context.source is None:
                 context.source = await self._prefill(context, reservation)
             run = reservation.placement.run
-            if not self._runners.accepts_work(self._clock.monotonic(), run):
+            if not self._accepts(context, run):
                 self._recorder.record_leaving_runner(context, run)
             elif limited.has_permit or await self._chooser.acquire(context, run):
                 return await self._send(context, run, reservation)
@@ -434,6 +453,19 @@
             reservation.release()
         return await self._try_engine(context, prompt)
 
+    def _exclude_runners(
+        self, context: RequestContext, standing: Standing
+    ) -> frozenset[str]:
+        """Return the runners to which a request is not sent now."""
+        blocked = self._quarantine.exclude_runners(context, standing)
+        return frozenset(context.tried | blocked | self._continuer.excluded(context))
+
+    def _accepts(self, context: RequestContext, state: RunnerState) -> bool:
+        """Return whether a runner chosen earlier takes a request now."""
+        return self._runners.accepts_work(
+            self._clock.monotonic(), state
+        ) and self._continuer.accepts(context, state.runner)
+
     def _needs_backup(self, context: RequestContext) -> bool:
         """Return whether a copy of the run's KV cache is worth the memory.
 
@@ -620,8 +652,9 @@
                 context,
                 flight,
                 response,
-                partial(self._record_first_byte, context, reservation),
+                partial(self._record_first_event, context, state.runner, reservation),
             )
+            self._continuer.end(context)
         else:
             body = await response.read()
             if response.status >= 500 and context.is_repeatable:
@@ -642,6 +675,12 @@
             self._runners.choose_plain(now, context.service, context.tried) is not None
         )
 
+    def _record_first_event(
+        self, context: RequestContext, runner: Runner, reservation: Reservation | None
+    ) -> None:
+        self._continuer.begin(context, Origin(context.service, runner.build))
+        self._record_first_byte(context, reservation)
+
     def _record_first_byte(
         self, context: RequestContext, reservation: Reservation | None
     ) -> None:
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -18,12 +18,14 @@
 from hawthornshelf.gateway.peerrelay import Peer, RelayClient
 from hawthornshelf.gateway.polling import ListPace, poll_interval
 from hawthornshelf.gateway.runners import RunnerTable
+from hawthornshelf.gateway.streamorigins import StreamOrigins
 from hawthornshelf.limitrecords import Permit
 from hawthornshelf.logs import write_log
 from hawthornshelf.membership import MembershipTable
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.node import NodeSettings
 from hawthornshelf.nodeshell import NodeShell, PeerSettings
+from hawthornshelf.origins import BuildRow
 from hawthornshelf.storage import DiskStorage
 
 __all__ = [
@@ -81,8 +83,15 @@
         self._poll_limits = poll_limits
         self._started_at = clock.monotonic()
         self._route_number = 0
+        self._builds: tuple[BuildRow, ...] = ()
         self.metrics = Metrics()
         self.runners = RunnerTable(settings.data_centre, rng, self._core.departures)
+        self.origins = StreamOrigins(
+            clock,
+            rng,
+            self.run_command,
+            lambda: self._core.members.live_entry_count(),
+        )
         self.forwarder = Forwarder(
             client,
             self.runners,
@@ -98,6 +107,7 @@
             relay_client,
             self._choose_peer,
             lambda node: self.post(ViewRequested(node)),
+            self.origins,
         )
         self._core.members.count_streams = self.runners.count_interactive_requests
         self.is_leaving = False
@@ -107,6 +117,7 @@
         await self.start_peers()
         self._tasks.append(asyncio.create_task(self._poll_runner_list()))
         self._tasks.append(asyncio.create_task(self._check_reachability()))
+        self._tasks.append(asyncio.create_task(self.origins.run()))
 
     def gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
@@ -123,6 +134,7 @@
             "leaving_runners": float(len(self._core.departures)),
             "routes_number": float(self._route_number),
             "lost_peers": float(self.count_lost_peers()),
+            "streams_remembered": float(len(self.origins)),
         }
 
     def is_ready(self) -> bool:
@@ -161,12 +173,16 @@
     async def stop_peers(self) -> None:
         """Stop what goes on besides requests, and all that other nodes need."""
         await self.forwarder.stop()
+        await self.origins.stop()
         await super().stop_peers()
 
     def on_step(self) -> None:
         """Apply a newer route document from the shared view."""
         self._core.is_serving = self.is_ready()
         self._core.reaches_runners = self.forwarder.reaches_runners
+        if self._core.view.builds != self._builds:
+            self._builds = self._core.view.builds
+            self.origins.load_builds(self._builds)
         routes = self._core.view.routes
         if routes.number <= self._route_number:
             return
@@ -225,6 +241,7 @@
                 is_available = True
                 added, removed = self.runners.load(runner_list)
                 self.forwarder.on_runner_list()
+                self.origins.observe(runner_list.runners)
                 if added or removed:
                     write_log(
                         "runners-changed", came=",".join(added), went=",".join(removed)
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -9,6 +9,7 @@
 from hawthornshelf.clock import Clock
 from hawthornshelf.gateway.budget import RetryBudget
 from hawthornshelf.gateway.context import RequestContext
+from hawthornshelf.gateway.continuation import StreamContinuer
 from hawthornshelf.gateway.exchange import (
     AttemptFailed,
     InboundRequest,
@@ -22,6 +23,7 @@
 from hawthornshelf.gateway.routegate import RouteGate
 from hawthornshelf.gateway.runners import Runner
 from hawthornshelf.gateway.streamrelay import StreamRelay
+from hawthornshelf.origins import Origin
 
 __all__ = [
     "ChoosePeer",
@@ -54,7 +56,8 @@
     """Describe a request for another node.
 
     `runs` counts the attempts that it has no more, as they were made or are kept back.
-    `route_number` is the route document that the other node must apply.
+    `route_number` is the route document that the other node must apply, `origin` what
+    wrote the events that the caller has.
     """
 
     inbound: InboundRequest
@@ -63,6 +66,7 @@
     runs: int
     route_number: int
     resume_after: str = ""
+    origin: Origin | None = None
 
 
 class RelayClient(ABC):
@@ -103,6 +107,7 @@
         budget: RetryBudget,
         count_nodes: Callable[[], int],
         routes: RouteGate,
+        continuer: StreamContinuer,
         clock: Clock,
     ) -> None:
         self._client = client
@@ -112,6 +117,7 @@
         self._budget = budget
         self._count_nodes = count_nodes
         self._routes = routes
+        self._continuer = continuer
         self._streams = StreamRelay(recorder)
         self._clock = clock
         self.relayed = 0
@@ -200,6 +206,7 @@
             context.route.max_attempts - 1,
             route_number,
             context.last_event_id or context.inbound.resume_after,
+            context.origin,
         )
         is_last = context.runs + 1 >= context.route.max_attempts
         if is_last or not context.is_repeatable:
@@ -233,8 +240,12 @@
                 is_suspect=False,
             )
             await self._streams.relay(
-                context, flight, response, lambda: self._record_first(context)
+                context,
+                flight,
+                response,
+                lambda: self._record_first_event(context, peer, response),
             )
+            self._continuer.end(context)
         else:
             body = await response.read()
             self._record_first(context)
@@ -243,5 +254,13 @@
         self._recorder.record_end(context, outcome, response.status)
         return True
 
+    def _record_first_event(
+        self, context: RequestContext, peer: Peer, response: RunnerResponse
+    ) -> None:
+        """Record the first event; what wrote it is unknown if the peer doesn't tell."""
+        unknown = Origin(context.service, f"?{peer.node}")
+        self._continuer.begin(context, response.origin or unknown)
+        self._record_first(context)
+
     def _record_first(self, context: RequestContext) -> None:
         context.first_byte_at = self._clock.monotonic()
--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -137,7 +137,12 @@
         `run` is an engine that is already chosen, if any.
         """
         run = run or self._least_loaded(engines.interactive)
-        others = [state for state in engines.decoders if state is not run]
+        build = run.runner.build
+        others = [
+            state
+            for state in engines.decoders
+            if state is not run and state.runner.build == build
+        ]
         return Placement(run, backup=self._least_loaded(others) if others else None)
 
     def place_long(
@@ -164,12 +169,20 @@
     def _place_at(self, engines: Engines, owner: RunnerState) -> Placement:
         """Return the placement of a long prompt that an owner prefills.
 
-        A prefill engine can't decode, so the least loaded interactive engine runs the
-        request after it. Any other owner also runs the request.
+        A prefill engine can't decode, so the least loaded interactive engine of its
+        build runs the request after it, or else any engine of its build, as one build
+        may not be able to read the KV cache of another. Without any, the prompt is
+        prefilled where it runs. Any other owner also runs the request.
         """
-        if owner.runner.stage is Stage.PREFILL:
-            return Placement(self._least_loaded(engines.interactive), owner)
-        return Placement(owner)
+        if owner.runner.stage is not Stage.PREFILL:
+            return Placement(owner)
+        build = owner.runner.build
+        same = _of_build(engines.interactive, build) or _of_build(
+            engines.decoders, build
+        )
+        if same:
+            return Placement(self._least_loaded(same), owner)
+        return Placement(self._least_loaded(engines.interactive))
 
     def _count_interactive_engines(self, ordered: list[RunnerState]) -> int:
         """Return how many decoding engines are kept for interactive requests.
@@ -190,6 +203,10 @@
         return min(states, key=load)
 
 
+def _of_build(states: list[RunnerState], build: str) -> list[RunnerState]:
+    return [state for state in states if state.runner.build == build]
+
+
 def _prefix_key(prompt: Prompt) -> str:
     """Return the digest that selects the owners: of the last shared segment, if any."""
     shared = prompt.shared_digests()
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -8,6 +8,7 @@
 from hawthornshelf.gateway.runners import RunnerState, RunnerTable
 from hawthornshelf.logs import write_log
 from hawthornshelf.metrics import Metrics, RequestOutcome
+from hawthornshelf.origins import Continuation
 
 __all__ = ["Recorder"]
 
@@ -129,6 +130,22 @@
             sent=error.sent,
         )
 
+    def record_continuation(
+        self, context: RequestContext, continuation: Continuation
+    ) -> None:
+        """Record whether a stream goes on, and what began it."""
+        origin = context.origin
+        write_log(
+            "stream-continued",
+            request=context.inbound.request_id,
+            resumes=context.inbound.resumes[:MAX_LOGGED_ID],
+            outcome=continuation.name.lower(),
+            service=origin.service if origin is not None else "",
+            build=origin.build if origin is not None else "",
+            events=context.events,
+            list_age=self._list_age(),
+        )
+
     def record_permit(
         self, context: RequestContext, is_granted: bool, seconds: float
     ) -> None:
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -380,8 +380,9 @@
 
 def _is_same(one: Runner, other: Runner) -> bool:
     """Return whether the state recorded for one runner holds for the other."""
-    return (one.address, one.stage, one.boot) == (
+    return (one.address, one.stage, one.boot, one.build) == (
         other.address,
         other.stage,
         other.boot,
+        other.build,
     )
--- a/hawthornshelf/state.py
+++ b/hawthornshelf/state.py
@@ -8,6 +8,7 @@
 from hawthornshelf.claims import ClaimKey, ClaimRow, ClaimTable
 from hawthornshelf.commands import (
     AckDrain,
+    AdmitBuild,
     ChangeIdReused,
     ClearSuspects,
     Command,
@@ -17,25 +18,30 @@
     DrainReason,
     DrainUpstream,
     EndTrial,
+    FindOrigin,
     FinishOrder,
     JoinNode,
     NotFound,
     OpenClaim,
     OpenTrial,
     OrderPlaced,
+    OriginFound,
     PlaceOrder,
     ProposeConfiguration,
     ReadRoutes,
     RecordAnswer,
+    RecordOrigins,
     ReleaseClaim,
     ReleaseUpstream,
     RemoveNode,
     ReplaceRoutes,
     ReportCrash,
     Result,
+    RetireBuild,
     RoutesInForce,
 )
 from hawthornshelf.configuration import Configuration
+from hawthornshelf.origins import BuildRow, OriginRow, OriginTable
 from hawthornshelf.suspects import SuspectRow, SuspectTable, TrialRow
 
 __all__ = [
@@ -115,6 +121,7 @@
     drains: tuple[DrainRow, ...] = ()
     suspects: tuple[SuspectRow, ...] = ()
     routes: RoutesInForce = NO_ROUTES
+    builds: tuple[BuildRow, ...] = ()
 
 
 class _StateSnapshot(NamedTuple):
@@ -133,6 +140,8 @@
     suspects: tuple[SuspectRow, ...]
     trials: tuple[TrialRow, ...]
     routes: RoutesInForce = NO_ROUTES
+    builds: tuple[BuildRow, ...] = ()
+    origins: tuple[OriginRow, ...] = ()
 
 
 class SharedState:
@@ -151,6 +160,7 @@
         self.claims = ClaimTable()
         self.suspects = SuspectTable()
         self.routes = NO_ROUTES
+        self.origins = OriginTable()
 
     def apply(
         self, term: int, index: int, timestamp: float, command: Command
@@ -178,6 +188,8 @@
                 return self._replace_routes(index, command)
             case ReadRoutes():
                 return self.routes
+            case AdmitBuild() | RetireBuild() | RecordOrigins() | FindOrigin():
+                return self._apply_origins(index, command)
             case JoinNode():
                 self.nodes[command.node] = NodeRow(command.node, command.incarnation)
                 return Done(index)
@@ -195,6 +207,7 @@
             tuple(self.drains.values()),
             self.suspects.rows(),
             self.routes,
+            self.origins.builds(),
         )
 
     def find_drain(self, upstream: str, reason: DrainReason) -> DrainRow | None:
@@ -224,6 +237,8 @@
             self.suspects.rows(),
             self.suspects.trials(),
             self.routes,
+            self.origins.builds(),
+            self.origins.origins(),
         )
         return msgspec.msgpack.encode(snapshot)
 
@@ -246,6 +261,7 @@
         state.claims = ClaimTable(snapshot.claims, snapshot.released, snapshot.kept)
         state.suspects = SuspectTable(snapshot.suspects, snapshot.trials)
         state.routes = snapshot.routes
+        state.origins = OriginTable(snapshot.builds, snapshot.origins)
         return state
 
     def _apply_shared(self, index: int, command: Command) -> Result:
@@ -270,6 +286,26 @@
             case _:
                 return NotFound(type(command).__name__)
 
+    def _apply_origins(
+        self, index: int, command: AdmitBuild | RetireBuild | RecordOrigins | FindOrigin
+    ) -> Result:
+        """Apply a command on builds and the streams that they began."""
+        now = self.timestamp
+        is_new = False
+        match command:
+            case FindOrigin(request, services, listed):
+                origin = self.origins.find(now, request, services, set(listed))
+                return OriginFound(origin)
+            case AdmitBuild(service, build):
+                is_new = self.origins.admit(now, service, build)
+            case RetireBuild(service, build):
+                is_new = self.origins.retire(now, service, build)
+            case RecordOrigins(rows):
+                self.origins.record(now, rows)
+        if is_new:
+            self.revision = index
+        return Done(index)
+
     def _propose(self, index: int, command: ProposeConfiguration) -> Result:
         digest = _digest_proposal(command)
         if command.change_id not in self.outcomes:
--- a/tests/gateway/buildfleet.py
+++ b/tests/gateway/buildfleet.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 
 from hawthornshelf.gateway.exchange import Attempt, InboundRequest
+from hawthornshelf.gateway.runners import Runner
+from hawthornshelf.gateway.streamorigins import StreamOrigins
 from tests.gateway.controlfleet import ControlFleet
 from tests.gateway.crashfleet import (
     CONTACT_SECONDS,
@@ -34,6 +36,7 @@
 
     def __post_init__(self) -> None:
         super().__post_init__()
+        self.origins: dict[str, StreamOrigins] = {}
         self.delivered: dict[str, set[str]] = {}
         for runner in self.runners:
             self.prepare(runner)
@@ -47,6 +50,21 @@
         """Return so many that all engines are used for interactive requests."""
         return MANY_STREAMS
 
+    def make_origins(self, entry: Entry) -> StreamOrigins:
+        """Return what a node knows of the origins of streams, and let it run."""
+        origins = StreamOrigins(
+            self.clock, entry.rng, entry.run_command, lambda: self.nodes
+        )
+        entry.tasks.append(asyncio.create_task(origins.run()))
+        self.origins[entry.name] = origins
+        return origins
+
+    def observe_list(self, entry: Entry, listed: tuple[Runner, ...]) -> None:
+        self.origins[entry.name].observe(listed)
+
+    def follow_view(self, entry: Entry) -> None:
+        self.origins[entry.name].load_builds(entry.core.view.builds)
+
     def _note_event(self, runner: SimRunner, attempt: Attempt) -> None:
         request = attempt.inbound.request_id
         self.delivered.setdefault(request, set()).add(runner.build)
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -7,9 +7,16 @@
 from collections.abc import AsyncIterator, Callable, Iterable, Sequence, Set
 from dataclasses import dataclass, field, replace
 
+from hawthornshelf.commands import Command, Result
 from hawthornshelf.crashrecords import Standing
-from hawthornshelf.effects import PermitEnded, Send
-from hawthornshelf.events import MessageReceived, PermitRequested, ViewRequested
+from hawthornshelf.effects import CommandEnded, PermitEnded, Send
+from hawthornshelf.events import (
+    CommandRequested,
+    Event,
+    MessageReceived,
+    PermitRequested,
+    ViewRequested,
+)
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
 from hawthornshelf.gateway.exchange import (
     Attempt,
@@ -36,8 +43,9 @@
 from hawthornshelf.gateway.node import REACHABILITY_INTERVAL_SECONDS, choose_peer
 from hawthornshelf.gateway.peerrelay import Peer, RelayClient, RelayedRequest
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable, Stage
+from hawthornshelf.gateway.streamorigins import StreamOrigins
 from hawthornshelf.limitrecords import Permit
-from hawthornshelf.messages import AskPermit, Message, PermitReply
+from hawthornshelf.messages import AskPermit, Message, PermitReply, SubmitReply
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.node import NodeCore, NodeSettings
 from tests.gateway import fakes
@@ -480,6 +488,7 @@
         self.status = caller.status
         self.headers = caller.headers
         self.is_stream = caller.is_stream
+        self.origin = caller.origin
         self.not_run = caller.status in (408, 421, 429, 503)
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -516,6 +525,7 @@
             resume_after=request.resume_after,
             relayed_runs=request.runs,
             relayed_routes=request.route_number,
+            relayed_origin=request.origin,
         )
         caller = RelayedCaller()
         task = asyncio.create_task(entry.forwarder.serve(inbound, caller))
@@ -540,7 +550,7 @@
         self._frozen_until = 0.0
         self.disturbed_at = fleet.clock.monotonic()
         self._fleet = fleet
-        self._events: list[MessageReceived | PermitRequested | ViewRequested] = []
+        self._events: list[Event] = []
         clock = fleet.clock
         rng = random.Random(f"{fleet.seed}/{name}")
         self.rng = rng
@@ -557,16 +567,18 @@
             gateway=True,
             named_by_address=True,
         )
+        self.tasks: list[asyncio.Task[None]] = []
         self.core = NodeCore(settings, None, rng, clock.monotonic())
         self.core.is_serving = True
         self._asks: dict[str, asyncio.Future[Permit]] = {}
+        self._commands: dict[str, asyncio.Future[Result | None]] = {}
         self.client = _Client(fleet, name)
         self.runners = RunnerTable("dc", rng, self.core.departures)
         self.forwarder = self._make_forwarder(rng)
         fleet.load_first_routes(self.forwarder)
-        self._tasks = [asyncio.create_task(self._tick())]
-        self._tasks.append(asyncio.create_task(self._poll()))
-        self._tasks.append(asyncio.create_task(self._check_reachability()))
+        self.tasks.append(asyncio.create_task(self._tick()))
+        self.tasks.append(asyncio.create_task(self._poll()))
+        self.tasks.append(asyncio.create_task(self._check_reachability()))
 
     def _make_forwarder(self, rng: random.Random) -> Forwarder:
         return Forwarder(
@@ -584,6 +596,7 @@
             _Relays(self._fleet),
             self._choose_peer,
             lambda node: self._events.append(ViewRequested(node)),
+            self._fleet.make_origins(self),
         )
 
     def _choose_peer(self, tried: Set[str]) -> Peer | None:
@@ -597,6 +610,15 @@
         self._step()
         return await future
 
+    async def run_command(self, command: Command) -> Result | None:
+        future: asyncio.Future[Result | None]
+        future = asyncio.get_running_loop().create_future()
+        request = f"{self.core.settings.incarnation}-c{next(self._fleet.numbers)}"
+        self._commands[request] = future
+        self._events.append(CommandRequested(request, command))
+        self._step()
+        return await future
+
     def freeze(self, seconds: float) -> None:
         """Stand still for some time; requests that are open go on."""
         self.is_up = False
@@ -609,14 +631,14 @@
 
     def kill(self) -> None:
         self.is_up = False
-        for task in self._tasks:
+        for task in self.tasks:
             task.cancel()
 
     def receive(self, sender: str, message: Message) -> None:
         if not self.is_up:
             return
         self._events.append(MessageReceived(sender, message))
-        if isinstance(message, AskPermit | PermitReply):
+        if isinstance(message, AskPermit | PermitReply | SubmitReply):
             self._step()
 
     async def ask(
@@ -669,6 +691,10 @@
                     future = self._asks.pop(request)
                     if not future.done():
                         future.set_result(permit)
+                case CommandEnded(request, result):
+                    ended = self._commands.pop(request)
+                    if not ended.done():
+                        ended.set_result(result)
         self._fleet.follow_view(self)
 
     async def _poll(self) -> None:
@@ -678,6 +704,7 @@
             listed = tuple(entry for entry in entries if entry is not None)
             self.runners.load(RunnerList(listed, now))
             self.forwarder.on_runner_list()
+            self._fleet.observe_list(self, listed)
             await asyncio.sleep(LIST_SECONDS * self.rng.uniform(0.9, 1.0))
 
 
@@ -761,10 +788,17 @@
         """Load the routes that a node has from its start."""
         forwarder.load(TABLE)
 
+    def make_origins(self, entry: Entry) -> StreamOrigins | None:
+        """Return what a node knows of the origins of streams, None for nothing."""
+        return None
+
     def estimate_streams(self, entry: Entry) -> float:
         """Return how many interactive requests a node takes all nodes to have open."""
         return entry.runners.count_interactive_requests()
 
+    def observe_list(self, entry: Entry, listed: tuple[Runner, ...]) -> None:
+        """Note what a node has read in the list; nothing by default."""
+
     def follow_view(self, entry: Entry) -> None:
         """Apply what a node's shared view says; here nothing is in it."""
 
--- a/tests/southernveil/test_framing.py
+++ b/tests/southernveil/test_framing.py
@@ -121,6 +121,7 @@
     scripts: list[Callable[[bytes], Script]]
     resumed_after: list[bytes] = field(default_factory=list)
     probes: int = 0
+    build: str = ""
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -176,7 +177,7 @@
         server = await asyncio.start_server(runner.serve, "127.0.0.1", 0)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         servers.append(server)
-        listed.append(Runner(runner.name, "app", address, "dc", 6))
+        listed.append(Runner(runner.name, "app", address, "dc", 6, build=runner.build))
     table = RunnerTable("dc", random.Random(1))
     table.load(RunnerList(tuple(listed), CLOCK.monotonic()))
     for load, runner in enumerate(runners):
--- a/tests/southernveil/test_headers.py
+++ b/tests/southernveil/test_headers.py
@@ -1,5 +1,7 @@
 import pytest
-from southernveil.headers import decode_rate_limit
+from southernveil.headers import decode_origin, decode_rate_limit, encode_origin
+
+from hawthornshelf.origins import Origin
 
 
 @pytest.mark.parametrize(
@@ -25,3 +27,12 @@
 def test_anything_else_is_no_rate(text: str) -> None:
     with pytest.raises(ValueError, match="decimal"):
         decode_rate_limit([text])
+
+
+@pytest.mark.parametrize("build", ["v1.1", "", "a/b", "?i-1/7", "ü\r\n", "%2F"])
+def test_what_began_a_stream_comes_unchanged_over_the_hop(build: str) -> None:
+    origin = Origin("llm/x", build)
+    text = encode_origin(origin)
+    assert text.isascii() and text.isprintable()
+    assert decode_origin(text) == origin
+    assert decode_origin("") is decode_origin("v1") is None
--- a/tests/southernveil/test_relay.py
+++ b/tests/southernveil/test_relay.py
@@ -9,13 +9,15 @@
 
 import aiohttp
 import pytest
-from southernveil.headers import RELAY_HEADER, ROUTES_HEADER
+from southernveil.headers import ORIGIN_HEADER, RELAY_HEADER, ROUTES_HEADER
+from southernveil.runnerclient import HttpRelayClient, make_session
 from southernveil.servers import CallerServer, start_server
 
 from hawthornshelf.gateway.exchange import Header
 from hawthornshelf.gateway.forwarder import Forwarder
-from hawthornshelf.gateway.peerrelay import Peer
+from hawthornshelf.gateway.peerrelay import Peer, RelayedRequest
 from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteTable
+from hawthornshelf.origins import Origin
 from tests.gateway.fakes import CLOCK, Caller
 from tests.southernveil.fakes import free_ports
 from tests.southernveil.test_framing import (
@@ -222,3 +224,29 @@
             assert later.status == 503 and len(runner.heads) == 1
 
     run(check())
+
+
+@pytest.mark.parametrize(("build", "status"), [("v1", 200), ("v2", 503)])
+def test_a_stream_relayed_again_goes_on_at_its_build_only(
+    build: str, status: int
+) -> None:
+    async def check() -> None:
+        body = make_stream(b"\n")
+        runner = RecordingRunner("a", [lambda after: Script(body)], build="v1")
+        async with (
+            start_peer(STREAM_ROUTE, runner) as peer,
+            make_session() as session,
+        ):
+            inbound = make_inbound()
+            head = (Header("Host", "h"), *inbound.headers)
+            inbound = replace(inbound, headers=head)
+            relay = HttpRelayClient(session)
+            origin = Origin("app", build)
+            request = RelayedRequest(inbound, peer, 3.0, 0, 1, "1", origin)
+            response = await relay.relay(request)
+            assert response.status == status and len(runner.heads) == (status == 200)
+            assert response.origin == (origin if status == 200 else None)
+            assert not [h for h in response.headers if h.name == ORIGIN_HEADER]
+            response.close()
+
+    run(check())
