Follow the list of runners past odd entries of other writers (LOST)

Callers saw (in own tests): after one entry with deep nesting or a number of 6,000 digits the list was never read again, even once it was sound; others stopped it while they were there. Entries with a port, a boot or slots out of range, or a line end in the name, were used. Cause: a page was decoded as a whole, and errors of the library other than its own ended the task that reads the list, without a line. Class: one input of many decides on all, and a task that ends silently. Background tasks of an entry node are started again after an error, which is logged.

--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -24,7 +24,7 @@
 from hawthornshelf.membership import MembershipTable
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.node import NodeSettings
-from hawthornshelf.nodeshell import NodeShell, PeerSettings
+from hawthornshelf.nodeshell import NodeShell, PeerSettings, keep_running
 from hawthornshelf.origins import BuildRow
 from hawthornshelf.storage import DiskStorage
 
@@ -115,9 +115,12 @@
     async def start(self) -> None:
         """Connect to the other nodes and start polling the list of runners."""
         await self.start_peers()
-        self._tasks.append(asyncio.create_task(self._poll_runner_list()))
-        self._tasks.append(asyncio.create_task(self._check_reachability()))
-        self._tasks.append(asyncio.create_task(self.origins.run()))
+        for run in (
+            self._poll_runner_list,
+            self._check_reachability,
+            self.origins.run,
+        ):
+            self._tasks.append(asyncio.create_task(keep_running(run)))
 
     def gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
--- a/hawthornshelf/nodeshell.py
+++ b/hawthornshelf/nodeshell.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from hawthornshelf.clock import Clock
@@ -32,11 +33,26 @@
 from hawthornshelf.peers import PeerClient, PeerServer
 from hawthornshelf.storage import DiskStorage
 
-__all__ = ["FLUSH_TIMEOUT_SECONDS", "NodeShell", "PeerSettings"]
+__all__ = ["FLUSH_TIMEOUT_SECONDS", "NodeShell", "PeerSettings", "keep_running"]
 
 TICK_SECONDS = 0.05
 FLUSH_TIMEOUT_SECONDS = 1.0
 STORAGE_RETRY_SECONDS = 0.5
+TASK_RETRY_SECONDS = 1.0
+
+
+async def keep_running(run: Callable[[], Awaitable[None]]) -> None:
+    """Run background work until cancelled; log an error of it, and start it again.
+
+    Without that, what it keeps up to date would silently be out of date for ever.
+    """
+    while True:
+        try:
+            await run()
+        except Exception as error:
+            task = getattr(run, "__qualname__", "")
+            write_log("task-failed", level="error", task=task, reason=repr(error))
+        await asyncio.sleep(TASK_RETRY_SECONDS)
 
 
 class PeerSettings(NamedTuple):
--- /dev/null
+++ b/tests/southernveil/test_odd_entries.py
@@ -0,0 +1,149 @@
+"""Serve lists of runners with one odd entry of another writer among sound ones."""
+
+import asyncio
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+from aiohttp import web
+from southernveil.runnerclient import make_session
+from southernveil.runnersource import CloudRunnerSource
+
+from hawthornshelf.errors import RequestRefused
+from hawthornshelf.gateway.runners import RunnerList
+from tests.gateway.fakes import CLOCK
+from tests.southernveil.fakes import FakeRunner, FakeRunnerList
+from tests.southernveil.test_path import Fleet, run_scenario
+
+SOUND = [
+    {
+        "Id": f"i-{number}",
+        "Service": "llm",
+        "Address": f"10.0.0.{number}:8080",
+        "Zone": "z-a",
+        "Version": "v1",
+        "Slots": 6,
+        "State": "ready",
+        "Note": 'odd "]}, {[ text \\',
+    }
+    for number in range(1, 4)
+]
+MANY_DIGITS = b"9" * 6_000
+
+
+def change(**fields: bytes) -> bytes:
+    """Return a sound entry in which some fields have other values."""
+    entry = {**SOUND[0], "Id": "i-odd", "Address": "10.0.0.9:8080"}
+    texts = {key: json.dumps(value).encode() for key, value in entry.items()}
+    pairs = (b'"%s":%s' % (k.encode(), v) for k, v in {**texts, **fields}.items())
+    return b"{" + b",".join(pairs) + b"}"
+
+
+def nest(levels: int, opening: bytes = b"[", closing: bytes = b"]") -> bytes:
+    return opening * levels + closing * levels
+
+
+ODD_ENTRIES = {
+    "nested-1500": change(Models=nest(1_500)),
+    "nested-100000": change(Models=nest(100_000)),
+    "nested-objects": change(Models=nest(20_000, b'{"a":[', b"]}")),
+    "is-nesting": nest(5_000),
+    "number-1e400": change(Slots=b"1e400"),
+    "number-minus-1e400": change(ColdLeftMs=b"-1e400"),
+    "number-1e308": change(Slots=b"1e308"),
+    "number-of-6000-digits": change(Slots=MANY_DIGITS),
+    "boot-of-6000-digits": change(born=MANY_DIGITS),
+    "unused-number-of-6000-digits": change(ColdLeftMs=MANY_DIGITS),
+    "slots-of-2-to-70": change(Slots=b"%d" % 2**70),
+    "boot-of-2-to-70": change(born=b"%d" % 2**70),
+    "boot-negative": change(born=b"-1"),
+    "slots-true": change(Slots=b"true"),
+    "port-70000": change(Address=b'"10.0.0.9:70000"'),
+    "port-negative": change(Address=b'"10.0.0.9:-1"'),
+    "port-zero": change(Address=b'"10.0.0.9:0"'),
+    "port-of-6000-digits": change(Address=b'"10.0.0.9:%s"' % MANY_DIGITS),
+    "no-port": change(Address=b'"10.0.0.9"'),
+    "a-name": change(Address=b'"runner.example:80"'),
+    "address-with-path": change(Address=b'"10.0.0.9:80/x"'),
+    "bytes-that-are-no-utf-8": change(Note=b'"\xff\xfe"'),
+    "id-that-is-no-utf-8": change(Id=b'"i-\xff"'),
+    "lone-surrogate": change(Note=b'"\\ud800"'),
+    "id-with-lone-surrogate": change(Id=b'"i-\\udfff"'),
+    "id-with-line-end": change(Id=b'"i-1\\r\\nX-Stage: prefill"'),
+    "id-of-100000-letters": change(Id=b'"%s"' % (b"i" * 100_000)),
+    "null": b"null",
+    "text": b'"entry"',
+    "no-json-word": b"oops",
+    "no-json-quotes": b"{'Id': 'i-odd'}",
+    "no-json-value": b'{"Id": oops, "Slots": }',
+    "no-json-colon": b'{"Id" "i-odd"}',
+    "not-closed": b'{"Id": "i-odd", "Models": [{"a": 1}',
+}
+
+
+@dataclass
+class RawList(FakeRunnerList):
+    """Serve one page with an odd entry between sound ones."""
+
+    odd: bytes = b""
+    next_page: bytes = b"null"
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        entries = [json.dumps(entry).encode() for entry in self.entries]
+        if self.odd:
+            entries.insert(1, self.odd)
+        body = b'{"Instances":[%s],"Next":%s}'
+        return web.Response(body=body % (b",".join(entries), self.next_page))
+
+
+def read(odd: bytes, next_page: bytes = b"null") -> RunnerList:
+    async def main() -> RunnerList:
+        server = RawList(entries=list(SOUND), odd=odd, next_page=next_page)
+        await server.start()
+        async with make_session() as session:
+            try:
+                source = CloudRunnerSource(session, server.address, CLOCK)
+                return await source.read()
+            finally:
+                server.stop()
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES.values(), ids=list(ODD_ENTRIES))
+def test_an_odd_entry_names_no_runner_and_the_others_hold(odd: bytes) -> None:
+    names = [runner.name for runner in read(odd).runners]
+    assert names == [entry["Id"] for entry in SOUND]
+
+
+@pytest.mark.parametrize("next_page", [b"5", b"[]", b'"\xff"', b"oops", MANY_DIGITS])
+def test_a_list_whose_next_page_is_not_told_is_not_taken_for_whole(
+    next_page: bytes,
+) -> None:
+    with pytest.raises(RequestRefused):
+        read(b"", next_page)
+
+
+@pytest.mark.parametrize("name", ["nested-100000", "number-of-6000-digits", "null"])
+def test_a_list_is_followed_on_after_an_odd_entry(tmp_path: Path, name: str) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        server = RawList(odd=ODD_ENTRIES[name])
+        await server.start()
+        fleet.entry.node._source = CloudRunnerSource(
+            fleet.client, server.address, CLOCK
+        )
+        runner = FakeRunner(name="i-new")
+        await runner.start()
+        server.entries = [fleet.app.entry()]
+        await asyncio.sleep(1.5)
+        server.odd, server.entries = b"", [runner.entry()]
+
+        async def is_followed() -> bool:
+            return fleet.entry.node.runners.find("i-new") is not None
+
+        await fleet.wait_until(is_followed)
+        runner.stop()
+        server.stop()
+
+    run_scenario(tmp_path, scenario)
