Answer what is open at the end of a planned stop, and take nothing that outlasts it (LOST)

Callers saw (in own tests): requests of 6 s and more that a stopping node took, among them some that may not be repeated, ended with the process, without an answer. Cause: a stopping node took any request for 2.8 s, whatever its route takes, and at the end of the grace the process just ended. Class: work is accepted without asking whether its time is left. Change: a node that stops takes a request only if its deadline, or the longest recent duration of its route, lies before the end (stopping.may_end_in_time); else 503, to be sent elsewhere at once. What is open at the end is answered: 503 if it has not run, 504 else; streams are broken off as such.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -52,6 +52,7 @@
     PlacementRequest,
     Reservation,
 )
+from hawthornshelf.gateway.stopping import RouteDurations, may_end_in_time
 from hawthornshelf.gateway.streamorigins import StreamOrigins
 from hawthornshelf.gateway.streamrelay import StreamRelay
 from hawthornshelf.metrics import Metrics
@@ -136,6 +137,10 @@
         )
         self._retry_detectors: dict[str, RetryDetector] = {}
         self._index = RouteIndex()
+        self._durations = RouteDurations()
+        self._limits: set[asyncio.Timeout] = set()
+        self._ends_at = float("inf")
+        self._has_ended = False
         self.open_requests = 0
         self.is_closed = False
 
@@ -184,10 +189,20 @@
         except (AttemptFailed, TimeoutError):
             self._reachability.record_failure(runner, len(self._runners.keys()))
 
+    def begin_stop(self, ends_at: float) -> None:
+        """Refuse requests that may not end by a time, in monotonic seconds."""
+        self._ends_at = ends_at
+
     def close(self) -> None:
         """Refuse new requests; those in flight continue."""
         self.is_closed = True
 
+    def end_requests(self) -> None:
+        """End all requests in flight with the answer that is true for each."""
+        self._has_ended = True
+        for limit in self._limits:
+            limit.reschedule(asyncio.get_running_loop().time())
+
     async def stop(self) -> None:
         """Cancel what goes on besides requests; call it once none is open."""
         await self._crashes.stop()
@@ -198,6 +213,7 @@
         self._index = RouteIndex(table)
         self._routes.load(table.number)
         names = {route.name for route in table.routes}
+        self._durations.retain(names)
         items = self._retry_detectors.items()
         self._retry_detectors = {
             name: detector for name, detector in items if name in names
@@ -236,8 +252,18 @@
         if route is None:
             await self._refuse_unrouted(inbound, writer, 404, "no route")
             return
+        if not self._ends_in_time(inbound, route):
+            await self._refuse_unrouted(inbound, writer, 503, "this node stops")
+            return
         await self._run_request(self._make_context(inbound, route, writer))
 
+    def _ends_in_time(self, inbound: InboundRequest, route: Route) -> bool:
+        """Return whether a request ends before this node does."""
+        now = self._clock.monotonic()
+        deadline = min(inbound.deadline, inbound.arrived_at + route.timeout)
+        duration = self._durations.longest(now, route.name)
+        return may_end_in_time(now, self._ends_at, deadline, duration)
+
     def _make_context(
         self, inbound: InboundRequest, route: Route, writer: ResponseWriter
     ) -> RequestContext:
@@ -280,22 +306,27 @@
         self._recorder.record_unrouted(inbound.request_id, status, reason, number)
         retry_after = 0.0
         if status == 503:
+            is_stopping = self._ends_at < float("inf") or self.is_closed
             retry_after = (
-                STOPPING_RETRY_SECONDS if self.is_closed else NOT_READY_RETRY_SECONDS
+                STOPPING_RETRY_SECONDS if is_stopping else NOT_READY_RETRY_SECONDS
             )
         await writer.refuse(status, reason, retry_after, route_number)
 
     async def _run_request(self, context: RequestContext) -> None:
         seconds_left = context.deadline - self._clock.monotonic()
+        limit = asyncio.timeout(max(0.0, seconds_left))
+        self._limits.add(limit)
         try:
-            async with asyncio.timeout(max(0.0, seconds_left)):
+            async with limit:
                 await self._continuer.settle(context)
                 await self._try_runners(context)
         except StreamEnded as ended:
             await self._refuse_continuation(context, ended)
         except TimeoutError:
-            self._record_timeout(context)
-            context.reason = context.reason or "deadline passed"
+            if not self._has_ended:
+                self._record_timeout(context)
+            cause = "this node stops" if self._has_ended else "deadline passed"
+            context.reason = context.reason or cause
             await self._fail(context, 504 if context.may_have_run else 503)
         except (asyncio.CancelledError, ConnectionError):
             self._recorder.record_end(context, "caller-gone")
@@ -304,6 +335,7 @@
             self._recorder.record_error(context, error)
             await self._fail(context, 502 if context.may_have_run else 503)
         finally:
+            self._limits.discard(limit)
             if context.source is not None:
                 self._releaser.release(context.source)
 
@@ -667,6 +699,9 @@
             context.first_byte_at = self._clock.monotonic()
             await context.writer.respond(response.status, response.headers, body)
         self._recorder.record_response(context, state, response.status)
+        now = self._clock.monotonic()
+        seconds = now - context.inbound.arrived_at
+        self._durations.record(now, context.route.name, seconds)
         return True
 
     def _has_alternative(self, context: RequestContext) -> bool:
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -46,15 +46,18 @@
 """Time limit of an operator's call, after which the operator is told to retry."""
 
 DRAIN_POLL_SECONDS = 0.05
+END_SECONDS = 0.15
+"""Time for the answers to requests that are still open as the process ends."""
+
 REACHABILITY_INTERVAL_SECONDS = 0.25
 
 
 class StopTiming(NamedTuple):
     """Limit the phases of a graceful stop, in seconds from the request to stop.
 
-    New requests are accepted for `linger`, because callers cache an address for a
-    while. Later ones might not complete by `grace`, when the process ends with
-    whatever is still open.
+    New requests that may complete by `grace` are accepted for `linger`, because callers
+    cache an address for a while. At `grace` what is still open is answered, and the
+    process ends.
     """
 
     linger: float = 2.8
@@ -164,11 +167,17 @@
         self.is_leaving = True
         self._core.is_serving = False
         self.post(StopRequested())
+        self.forwarder.begin_stop(self._clock.monotonic() + timing.grace)
         await asyncio.sleep(timing.linger)
         self.forwarder.close()
 
     async def finish(self, seconds: float) -> None:
-        """Wait until no request is open, for at most the given time."""
+        """Wait until no request is open, and answer those open after the given time."""
+        await self._wait_for_requests(seconds)
+        self.forwarder.end_requests()
+        await self._wait_for_requests(END_SECONDS)
+
+    async def _wait_for_requests(self, seconds: float) -> None:
         deadline = self._clock.monotonic() + seconds
         while self.forwarder.open_requests and self._clock.monotonic() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -59,6 +59,7 @@
     "OTHER_HOST",
     "POISON",
     "SHORT",
+    "TABLE",
     "CrashFleet",
     "Entry",
     "SimRunner",
@@ -551,7 +552,7 @@
         self.disturbed_at = fleet.clock.monotonic()
         self._fleet = fleet
         self._events: list[Event] = []
-        clock = fleet.clock
+        self.clock = clock = fleet.clock
         rng = random.Random(f"{fleet.seed}/{name}")
         self.rng = rng
         settings = NodeSettings(
--- a/tests/southernveil/test_path.py
+++ b/tests/southernveil/test_path.py
@@ -339,6 +339,22 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_a_request_that_outlasts_a_planned_stop_gets_an_answer(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        task = asyncio.create_task(fleet.ask("/unsafe/hang"))
+
+        async def has_arrived() -> bool:
+            return bool(fleet.app.received)
+
+        await fleet.wait_until(has_arrived)
+        await fleet.entry.node.drain(StopTiming(0.0, 0.2))
+        await fleet.entry.node.finish(0.2)
+        assert fleet.entry.node.forwarder.open_requests == 0
+        assert (await task)[0] == 504
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_a_draining_runner_gets_no_new_requests(tmp_path: Path) -> None:
     async def scenario(fleet: Fleet) -> None:
         fleet.runner_list.entries = [fleet.app.entry("draining")]
