Pass on no stream that another node continued without knowing its origin (ORDER)

Callers would see, while nodes of two versions of ours run: a stream joined over the hop, as a node from before ignores the origin that comes with a relayed request. Cause: the node that relays trusted the other one to keep to it. Class: a promise that an older peer doesn't know of. Change: where the caller has events, the answer must name the same origin, else it counts as broken. Evidence: test_relay, one case red before.

--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -226,6 +226,9 @@
         not know it yet.
         """
         is_success = response.status < 300
+        is_continued = context.origin is not None and response.is_stream
+        if is_continued and is_success and response.origin != context.origin:
+            raise AttemptFailed("resume", peer.node, "another origin", sent=True)
         if context.writer.headers_sent and not (response.is_stream and is_success):
             reason = f"status {response.status}"
             raise AttemptFailed("resume", peer.node, reason, sent=True)
--- a/tests/southernveil/test_relay.py
+++ b/tests/southernveil/test_relay.py
@@ -13,7 +13,7 @@
 from southernveil.runnerclient import HttpRelayClient, make_session
 from southernveil.servers import CallerServer, start_server
 
-from hawthornshelf.gateway.exchange import Header
+from hawthornshelf.gateway.exchange import Header, RunnerResponse
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.peerrelay import Peer, RelayedRequest
 from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteTable
@@ -250,3 +250,39 @@
             response.close()
 
     run(check())
+
+
+class ForgetfulRelay(HttpRelayClient):
+    """Relay to a node of a build that knows no origins."""
+
+    async def relay(self, request: RelayedRequest) -> RunnerResponse:
+        response = await super().relay(replace(request, origin=None))
+        response.origin = None
+        return response
+
+
+def test_a_stream_that_a_node_continued_without_its_origin_is_not_passed_on() -> None:
+    async def check() -> None:
+        body = make_stream(b"\n")
+        runner = RecordingRunner("a", [lambda after: Script(body)])
+        lost = [LostRunner(f"lost{number}", []) for number in range(3)]
+        async with (
+            start_peer(STREAM_ROUTE, runner) as peer,
+            start_forwarder(STREAM_ROUTE, *lost, peer=peer) as forwarder,
+            make_session() as session,
+        ):
+            forwarder._relay._client = ForgetfulRelay(session)
+            for listed in forwarder._runners.staying():
+                await forwarder._probe_reachability(listed)
+            caller = Caller()
+            inbound = make_inbound()
+            head = (Header("Host", "h"), *inbound.headers)
+            origin = Origin("app", "v1")
+            inbound = replace(
+                inbound, headers=head, resume_after="1", relayed_origin=origin
+            )
+            await forwarder.serve(inbound, caller)
+            assert len(runner.heads) == 1 and caller.data == b""
+            assert caller.status in (502, 504)
+
+    run(check())
