Expire origins without a copy of the table (ORDER)

Cause: each record copied the whole table to look at its oldest row, 1 ms at 50,000 rows. Found as the script that measures it took minutes.

--- a/hawthornshelf/origins.py
+++ b/hawthornshelf/origins.py
@@ -156,7 +156,8 @@
         return candidates.pop() if len(candidates) == 1 else None
 
     def _expire(self, now: float) -> None:
-        for request, row in list(self._origins.items()):
-            if row.recorded_at + KEPT_SECONDS > now:
+        while self._origins:
+            oldest = next(iter(self._origins.values()))
+            if oldest.recorded_at + KEPT_SECONDS > now:
                 break
-            del self._origins[request]
+            del self._origins[oldest.request]
