--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -93,7 +93,7 @@
             clock,
             rng,
             self.run_command,
-            lambda: self._core.members.live_entry_count(),
+            self._core.members.live_entry_count,
         )
         self.forwarder = Forwarder(
             client,
@@ -140,7 +140,7 @@
             "leaving_runners": float(len(self._core.departures)),
             "routes_number": float(self._route_number),
             "lost_peers": float(self.count_lost_peers()),
-            "streams_remembered": float(len(self.origins)),
+            "streams_remembered": float(self.origins.stream_count),
         }
 
     def is_ready(self) -> bool:
--- a/hawthornshelf/gateway/streamorigins.py
+++ b/hawthornshelf/gateway/streamorigins.py
@@ -103,9 +103,16 @@
         self._unrecorded: dict[bytes, bool] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def __len__(self) -> int:
+    @property
+    def stream_count(self) -> int:
+        """Return the number of streams that are remembered."""
         return len(self._streams)
 
+    @property
+    def build_count(self) -> int:
+        """Return the number of builds that are listed or in the shared view."""
+        return len(self._builds)
+
     def load_builds(self, rows: Iterable[BuildRow]) -> None:
         """Apply the builds that the control group has admitted."""
         known = {Origin(row.service, row.build): row for row in rows}
@@ -124,6 +131,8 @@
             if build is None or build.is_listed is not is_listed:
                 row = build.row if build is not None else None
                 self._builds[origin] = self._make_build(is_listed, row)
+        builds = self._builds.items()
+        self._builds = {o: b for o, b in builds if b.is_listed or b.row is not None}
 
     def _make_build(self, is_listed: bool, row: BuildRow | None = None) -> _Build:
         """Return a build that has just come onto the list, or is not on it."""
--- a/tests/gateway/test_streamorigins.py
+++ b/tests/gateway/test_streamorigins.py
@@ -166,3 +166,12 @@
         assert await control.origins.find("elsewhere", ("llm",)) == OLD
 
     run(scenario)
+
+
+def test_builds_that_come_and_go_are_not_kept() -> None:
+    async def scenario(control: Control) -> None:
+        for number in range(100):
+            control.origins.observe(list_builds(OLD, Origin("llm", f"?{number}")))
+        assert control.origins.build_count == 2
+
+    run(scenario)
