Move no limit that has expired already (LOST)

Cause: a limit that expires in the same step can't be moved; the error would have ended the stop, or the record of a runner out of reach, before the other requests. Found on reading the diff; the same line stood in reachability. Evidence: a test of the forwarder.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -200,8 +200,10 @@
     def end_requests(self) -> None:
         """End all requests in flight with the answer that is true for each."""
         self._has_ended = True
+        now = asyncio.get_running_loop().time()
         for limit in self._limits:
-            limit.reschedule(asyncio.get_running_loop().time())
+            if not limit.expired():
+                limit.reschedule(now)
 
     async def stop(self) -> None:
         """Cancel what goes on besides requests; call it once none is open."""
--- a/hawthornshelf/gateway/reachability.py
+++ b/hawthornshelf/gateway/reachability.py
@@ -83,8 +83,10 @@
             runners=",".join(self._unreached),
             answer_age=round(min(now - self._answered_at, 1e6), 3),
         )
+        loop_time = asyncio.get_running_loop().time()
         for timeout in self._waiting:
-            timeout.reschedule(asyncio.get_running_loop().time())
+            if not timeout.expired():
+                timeout.reschedule(loop_time)
 
     @contextlib.contextmanager
     def watch(self) -> Iterator[None]:
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 
 import pytest
 
@@ -484,3 +485,18 @@
     table.report(now, "r/1", now - 1.0, Evidence.GONE, digest_parts(prompt))
     (part,) = digest_parts(prompt)
     assert bool(table.standing(now, part).crashes) is not proves
+
+
+def test_a_stop_ends_beside_a_request_whose_time_has_just_run_out() -> None:
+    """Its limit has expired then, and can't be moved any more."""
+    fleet = Fleet([ok])
+
+    async def check() -> None:
+        limit = asyncio.timeout(0.0)
+        with contextlib.suppress(TimeoutError):
+            async with limit:
+                fleet.forwarder._limits.add(limit)
+                await asyncio.sleep(1.0)
+        fleet.forwarder.end_requests()
+
+    asyncio.run(check())
