--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -145,8 +145,10 @@
 
     def is_ready(self) -> bool:
         """Return whether this node should get new requests."""
+        if self.is_leaving or not self.forwarder.has_routes:
+            return False
         has_runners = self.runners.read_at > float("-inf")
-        return self.forwarder.has_routes and has_runners and not self.is_leaving
+        return has_runners and self.origins.has_settled()
 
     def addresses_near(self, data_centre: str) -> list[str]:
         """Return the callers' addresses of the serving nodes in a data centre.
--- a/hawthornshelf/gateway/streamorigins.py
+++ b/hawthornshelf/gateway/streamorigins.py
@@ -102,6 +102,7 @@
         self._streams: OrderedDict[bytes, Origin | None] = OrderedDict()
         self._unrecorded: dict[bytes, bool] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._has_settled = False
 
     @property
     def stream_count(self) -> int:
@@ -150,6 +151,17 @@
         waited = self._clock.monotonic() - known.changed_at
         return known.is_admitted or waited > ADMIT_PATIENCE_SECONDS
 
+    def has_settled(self) -> bool:
+        """Return whether streams could begin at all listed services at some time.
+
+        A node that has just started can't begin any until builds are admitted.
+        """
+        if not self._has_settled:
+            listed = [origin for origin, b in self._builds.items() if b.is_listed]
+            begun = {o.service for o in listed if self.may_begin(*o)}
+            self._has_settled = all(origin.service in begun for origin in listed)
+        return self._has_settled
+
     def begin(self, request_id: str, origin: Origin, is_split: bool) -> None:
         """Remember the build whose events the caller of a request gets.
 
--- a/tests/gateway/test_streamorigins.py
+++ b/tests/gateway/test_streamorigins.py
@@ -175,3 +175,16 @@
         assert control.origins.build_count == 2
 
     run(scenario)
+
+
+def test_a_node_is_not_ready_before_streams_may_begin() -> None:
+    async def scenario(control: Control) -> None:
+        control.origins.observe(list_builds(OLD, Origin("app", "v1")))
+        control.origins.load_builds([BuildRow(*OLD)])
+        assert not control.origins.has_settled()
+        control.origins.load_builds([BuildRow(*OLD), BuildRow("app", "v1")])
+        assert control.origins.has_settled()
+        control.origins.observe(list_builds(OLD, NEW, Origin("new", "v1")))
+        assert control.origins.has_settled()
+
+    run(scenario)
--- a/tests/southernveil/test_path.py
+++ b/tests/southernveil/test_path.py
@@ -113,23 +113,25 @@
         f"{ip}:{port}" for port in ports[:4]
     )
     async with aiohttp.ClientSession() as client:
-        yield Fleet(
-            client,
-            control,
-            entry,
-            runner_list,
-            app,
-            prefiller,
-            decoders,
-            caller_address,
-            ready_address,
-            operator_address,
-            directory_address,
-        )
-        await entry.stop(StopTiming(0.0, 1.0))
-        await control.stop()
-    for server in (app, prefiller, *decoders, runner_list):
-        server.stop()
+        try:
+            yield Fleet(
+                client,
+                control,
+                entry,
+                runner_list,
+                app,
+                prefiller,
+                decoders,
+                caller_address,
+                ready_address,
+                operator_address,
+                directory_address,
+            )
+        finally:
+            await entry.stop(StopTiming(0.0, 1.0))
+            await control.stop()
+            for server in (app, prefiller, *decoders, runner_list):
+                server.stop()
 
 
 def run_scenario(folder: Path, scenario: Callable[[Fleet], Awaitable[None]]) -> None:
