--- a/hawthornshelf/gateway/continuation.py
+++ b/hawthornshelf/gateway/continuation.py
@@ -63,22 +63,14 @@
         """Return the runners at which a request may not run."""
         if not self._applies(context):
             return frozenset()
-        states = self._runners.in_service(context.service)
-        return frozenset(
-            state.runner.name
-            for state in states
-            if not self.accepts(context, state.runner)
-        )
+        runners = [s.runner for s in self._runners.in_service(context.service)]
+        builds = {runner.build for runner in runners}
+        accepted = {b for b in builds if self._accepts_build(context, b)}
+        return frozenset(r.name for r in runners if r.build not in accepted)
 
     def accepts(self, context: RequestContext, runner: Runner) -> bool:
         """Return whether a request may run at a runner."""
-        if not self._applies(context):
-            return True
-        if context.origin is not None:
-            return context.origin.build == runner.build
-        return self._origins is None or self._origins.may_begin(
-            runner.service, runner.build
-        )
+        return not self._applies(context) or self._accepts_build(context, runner.build)
 
     def begin(self, context: RequestContext, origin: Origin) -> None:
         """Remember what began a stream, just before its caller gets the first event."""
@@ -96,6 +88,12 @@
         if self._origins is not None and self._applies(context):
             self._origins.end(context.inbound.request_id)
 
+    def _accepts_build(self, context: RequestContext, build: str) -> bool:
+        """Return whether a stream may begin or go on at a build of its service."""
+        if context.origin is not None:
+            return context.origin.build == build
+        return self._origins is None or self._origins.may_begin(context.service, build)
+
     def _applies(self, context: RequestContext) -> bool:
         return context.route.retry_policy is RetryPolicy.STREAM
 
