End requests that get no further attempt in one place

The reason and the status of a request that is given up stood three times in the forwarder, the third time with the continuation of streams.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -323,7 +323,7 @@
                 await self._continuer.settle(context)
                 await self._try_runners(context)
         except StreamEnded as ended:
-            await self._refuse_continuation(context, ended)
+            await self._give_up(context, str(ended), ended.retry_after)
         except TimeoutError:
             if not self._has_ended:
                 self._record_timeout(context)
@@ -392,22 +392,24 @@
         if state is not None and context.may_retry(self._clock.monotonic()):
             await self._crashes.settle(state.runner)
 
-    async def _refuse_continuation(
-        self, context: RequestContext, ended: StreamEnded
+    async def _give_up(
+        self,
+        context: RequestContext,
+        reason: str,
+        retry_after: float,
+        outcome: str = "",
     ) -> None:
-        """End a stream that can't go on, so that its caller may begin anew."""
-        context.reason = "; ".join(filter(None, (context.reason, str(ended))))
+        """End a request that gets no further attempt, for one more reason."""
+        context.reason = "; ".join(filter(None, (context.reason, reason)))
         status = 502 if context.may_have_run else 503
-        await self._fail(context, status, ended.retry_after)
+        await self._fail(context, status, retry_after, outcome)
 
     async def _refuse_blocked(
         self, context: RequestContext, blocked: RequestBlocked
     ) -> None:
         """End a request that may not run because runners crashed under it."""
-        context.reason = "; ".join(filter(None, (context.reason, str(blocked))))
         self._recorder.record_blocked(context, blocked)
-        status = 502 if context.may_have_run else 503
-        await self._fail(context, status, blocked.retry_after, blocked.outcome)
+        await self._give_up(context, str(blocked), blocked.retry_after, blocked.outcome)
 
     async def _try_next(self, context: RequestContext) -> bool:
         """Send a request to one more runner; return whether the caller has a response.
@@ -513,11 +515,10 @@
     async def _reject(
         self, context: RequestContext, rejection: AdmissionRejected
     ) -> None:
-        context.reason = "; ".join(filter(None, (context.reason, rejection.reason)))
         now = self._clock.monotonic()
         pause = self._runners.seconds_paused(now, context.service)
         retry_after = rejection.retry_after or pause or RETRY_AFTER_SECONDS
-        await self._fail(context, 502 if context.may_have_run else 503, retry_after)
+        await self._give_up(context, rejection.reason, retry_after)
 
     def _may_retry(self, context: RequestContext) -> bool:
         """Return whether a request without a complete response may be sent again."""
