Show that the loss of one core machine at the first start stops the system for good

Cause: the control group is formed only once all three initial nodes have said hello, and only by the first of them by name; two of three are never enough, and a successor is not among the initial ones.

--- a/review/common/fleetkit.py
+++ b/review/common/fleetkit.py
@@ -540,6 +540,15 @@
         self.disturbed_at = time.monotonic()
         self.record.write("kill-all")
 
+    def lose(self, ip: str) -> None:
+        """Kill all processes of a machine at once."""
+        for role in self.roles(ip):
+            process = self.processes.pop((role, ip))
+            process.kill()
+            process.wait()
+        self.disturbed_at = time.monotonic()
+        self.record.write("lost", ip=ip)
+
     def start_all(self, bootstrap: bool = False) -> None:
         """Start all processes of the fleet."""
         for ip in self.ips:
