--- a/review/common/fleetkit.py
+++ b/review/common/fleetkit.py
@@ -28,10 +28,10 @@
 
 
 def free_ports(count: int, ips: tuple[str, ...]) -> list[int]:
-    """Return even ports that are free, with the next 15 ones, on all addresses."""
+    """Return even ports that are free on all addresses, with the odd one after."""
     ports: list[int] = []
     while len(ports) < count:
-        port = random.randrange(10_000, 31_000, 16)
+        port = random.randrange(10_000, 31_000, 2)
         if port in ports:
             continue
         try:
