Log when a node no longer hears of the control group

Change: control-lost and control-regained, a line each time, and the gauge control_word_age_seconds on entry nodes too.

--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -50,6 +50,8 @@
 """Time for the answers to requests that are still open as the process ends."""
 
 REACHABILITY_INTERVAL_SECONDS = 0.25
+MAX_AGE_SECONDS = 1e9
+"""Age that the metrics show of what was never known."""
 
 
 class StopTiming(NamedTuple):
@@ -127,7 +129,8 @@
 
     def gauges(self) -> dict[str, float]:
         """Return the current values for the metrics."""
-        counts = self._core.crashes.counts(self._clock.monotonic())
+        now = self._clock.monotonic()
+        counts = self._core.crashes.counts(now)
         return {
             "open_requests": float(self.forwarder.open_requests),
             "runner_crashes_known": float(len(self._core.crashes)),
@@ -140,6 +143,7 @@
             "leaving_runners": float(len(self._core.departures)),
             "routes_number": float(self._route_number),
             "lost_peers": float(self.count_lost_peers()),
+            "control_word_age_seconds": min(self._core.staleness(now), MAX_AGE_SECONDS),
             "streams_remembered": float(self.origins.stream_count),
         }
 
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -11,6 +11,7 @@
     SendToNode,
     resolve_addresses,
 )
+from hawthornshelf.controlcontact import ControlContact
 from hawthornshelf.crashgossip import CrashGossip
 from hawthornshelf.departures import DepartureTable
 from hawthornshelf.effects import (
@@ -155,6 +156,7 @@
         self._pull_retry_at = 0.0
         self._search_retry_at = 0.0
         self._effects: list[Effect | SendToNode] = []
+        self._control_contact = ControlContact()
         self._control_poll_due = 0.0
         self._periodic_due = 0.0
         self._operator_requests: set[str] = set()
@@ -406,6 +408,7 @@
         if self.control:
             self.lifecycle.record_staleness(now, self.control.staleness(now))
         self.members.staleness = self.staleness(now)
+        self._effects.extend(self._control_contact.observe(now, self.staleness(now)))
         self._update_own_member(now)
         self._spread_crashes(now)
         self._exchange(self._permits.tick(now))
