Put the calls between nodes behind a transport

Cause: a connection that goes silent could be tried with real sockets only, one pair of nodes at a time. Behaviour is the same.

--- a/hawthornshelf/errors.py
+++ b/hawthornshelf/errors.py
@@ -1,6 +1,7 @@
 """Define the errors of the package, each with the failed step and the peer."""
 
 __all__ = [
+    "CallFailed",
     "ControlUnavailable",
     "DeclarationError",
     "HawthornshelfError",
@@ -22,6 +23,14 @@
         self.reason = reason
 
 
+class CallFailed(HawthornshelfError):
+    """Report that a call to another node got no response, and if it timed out."""
+
+    def __init__(self, step: str, peer: str, reason: str, is_timeout: bool) -> None:
+        super().__init__(step, peer, reason)
+        self.is_timeout = is_timeout
+
+
 class MalformedMessage(HawthornshelfError):
     """Report bytes from a peer that do not decode to a known message type."""
 
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -26,6 +26,7 @@
 from hawthornshelf.node import NodeSettings
 from hawthornshelf.nodeshell import NodeShell, PeerSettings, keep_running
 from hawthornshelf.origins import BuildRow
+from hawthornshelf.peertransport import Transport
 from hawthornshelf.storage import DiskStorage
 
 __all__ = [
@@ -296,8 +297,17 @@
         clock: Clock,
         rng: random.Random,
         codec: RouteCodec,
+        transport: Transport | None = None,
     ) -> None:
-        super().__init__(settings, peer, storage, clock, rng, recovers_storage=True)
+        super().__init__(
+            settings,
+            peer,
+            storage,
+            clock,
+            rng,
+            recovers_storage=True,
+            transport=transport,
+        )
         self._codec = codec
 
     async def replace_routes(self, body: bytes) -> RoutesInForce | None:
--- a/hawthornshelf/nodeshell.py
+++ b/hawthornshelf/nodeshell.py
@@ -31,6 +31,7 @@
 from hawthornshelf.node import NodeCore, NodeSettings
 from hawthornshelf.operatorapi import ReplicaAnswer
 from hawthornshelf.peers import PeerClient, PeerServer
+from hawthornshelf.peertransport import GrpcTransport, Transport
 from hawthornshelf.storage import DiskStorage
 
 __all__ = ["FLUSH_TIMEOUT_SECONDS", "NodeShell", "PeerSettings", "keep_running"]
@@ -67,7 +68,8 @@
     """Run a node core and perform the effects that all kinds of node have.
 
     Subclasses perform the other effects. With `recovers_storage`, storage that fails
-    is recovered in the background; without it, a failure to load is raised.
+    is recovered in the background; without it, a failure to load is raised. Nodes speak
+    over gRPC unless another transport is given.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         clock: Clock,
         rng: random.Random,
         recovers_storage: bool = False,
+        transport: Transport | None = None,
     ) -> None:
         self.node_settings = settings
         self._peer = peer
@@ -95,10 +98,13 @@
         self._writer: DiskWriter | None = None
         recovered = self._load_storage()
         self._core = NodeCore(settings, recovered, rng, clock.monotonic())
+        transport = transport or GrpcTransport()
         self._peer_client = PeerClient(
-            peer.group, settings.node, peer.advertise, self._on_message
+            peer.group, settings.node, peer.advertise, self._on_message, transport
+        )
+        self._peer_server = PeerServer(
+            peer.group, self._on_message, self._peer_client, transport
         )
-        self._peer_server = PeerServer(peer.group, self._on_message, self._peer_client)
 
     def _load_storage(self) -> RecoveredState | None:
         """Return what the storage holds, or None if it is to be recovered later."""
--- a/hawthornshelf/peers.py
+++ b/hawthornshelf/peers.py
@@ -1,50 +1,22 @@
-"""Send and receive the messages between nodes, in envelopes over gRPC."""
+"""Send and receive the messages between nodes, in envelopes."""
 
 import asyncio
 import contextlib
 from collections import deque
 from collections.abc import Callable, Iterator
-from typing import Any
 
-import grpc
-
-from hawthornshelf.errors import MalformedMessage
+from hawthornshelf.errors import CallFailed, MalformedMessage
 from hawthornshelf.logs import write_log
 from hawthornshelf.messages import CODEC, Message
-from hawthornshelf.wire import MAX_MESSAGE_BYTES, Envelope
+from hawthornshelf.peertransport import Connection, Transport
+from hawthornshelf.wire import Envelope
 
 __all__ = ["PeerClient", "PeerServer"]
 
-METHOD = "/hawthornshelf.Peer/Deliver"
 CALL_TIMEOUT_SECONDS = 1.0
 MAX_QUEUED_MESSAGES = 1000
 MAX_BATCH_MESSAGES = 128
 IDLE_TIMEOUT_SECONDS = 60.0
-SERVER_IDLE_MILLISECONDS = 120_000
-"""Time after which a server closes an idle connection, whose end may never arrive.
-
-It is longer than that of clients, which close theirs first.
-"""
-
-_OPTIONS = (
-    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
-    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
-    ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1000),
-    ("grpc.enable_http_proxy", 0),
-    ("grpc.so_reuseport", 0),
-)
-
-_CLIENT_OPTIONS = (
-    *_OPTIONS,
-    # A new channel would else get the connection of the one that it replaces.
-    ("grpc.use_local_subchannel_pool", 1),
-)
-_SERVER_OPTIONS = (
-    *_OPTIONS,
-    ("grpc.max_connection_idle_ms", SERVER_IDLE_MILLISECONDS),
-)
 
 Deliver = Callable[[str, Message], None]
 
@@ -56,31 +28,33 @@
     returned in the response.
     """
 
-    def __init__(self, group: str, deliver: Deliver, client: "PeerClient") -> None:
+    def __init__(
+        self,
+        group: str,
+        deliver: Deliver,
+        client: "PeerClient",
+        transport: Transport,
+    ) -> None:
         self._group = group
         self._deliver = deliver
         self._client = client
-        self._server = grpc.aio.server(options=_SERVER_OPTIONS)
-        self._server.add_generic_rpc_handlers((_Handler(self._on_call),))
+        self._transport = transport
 
     async def start(self, address: str) -> None:
         """Listen on an address; raise RuntimeError if it can't be bound to."""
-        if self._server.add_insecure_port(address) == 0:
-            raise RuntimeError(f"can't listen on {address}")
-        await self._server.start()
+        await self._transport.listen(address, self._handle)
 
     async def stop(self) -> None:
         """Stop listening."""
-        await self._server.stop(0.2)
+        await self._transport.stop()
 
-    async def _on_call(self, data: bytes, context: Any) -> bytes:
+    async def _handle(self, data: bytes, peer: str) -> bytes:
         try:
-            envelope = CODEC.unpack(data, context.peer())
+            envelope = CODEC.unpack(data, peer)
         except MalformedMessage as error:
             write_log(
                 "message-refused", step=error.step, peer=error.peer, reason=error.reason
             )
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, error.reason)
             raise
         if envelope.group != self._group:
             return b""
@@ -91,24 +65,22 @@
             return queue.take_response()
 
 
-class _Handler(grpc.GenericRpcHandler):
-    def __init__(self, call: Any) -> None:
-        self._method = grpc.unary_unary_rpc_method_handler(call)
-
-    def service(self, handler_call_details: Any) -> Any:
-        if handler_call_details.method == METHOD:
-            return self._method
-        return None
-
-
 class PeerClient:
     """Send messages to each node in order and in batches; drop a failed batch."""
 
-    def __init__(self, group: str, node: str, address: str, deliver: Deliver) -> None:
+    def __init__(
+        self,
+        group: str,
+        node: str,
+        address: str,
+        deliver: Deliver,
+        transport: Transport,
+    ) -> None:
         self._group = group
         self._node = node
         self._address = address
         self._deliver = deliver
+        self._transport = transport
         self._queues: dict[str, _PeerQueue] = {}
 
     def send(self, address: str, message: Message) -> None:
@@ -129,7 +101,8 @@
     def _find_queue(self, address: str) -> "_PeerQueue":
         queue = self._queues.get(address)
         if queue is None or queue.is_closed:
-            queue = _PeerQueue(address, self._pack, self._receive)
+            connect = self._transport.connect
+            queue = _PeerQueue(address, connect, self._pack, self._receive)
             self._queues[address] = queue
         return queue
 
@@ -146,7 +119,7 @@
             await asyncio.sleep(0.01)
 
     async def stop(self) -> None:
-        """Drop the queued messages and close all channels."""
+        """Drop the queued messages and close all connections."""
         await asyncio.gather(*(queue.stop() for queue in self._queues.values()))
 
     def _pack(self, messages: tuple[Message, ...]) -> bytes:
@@ -164,7 +137,7 @@
 
 
 class _PeerQueue:
-    """Manage the message queue, the channel and the sending task of one address.
+    """Manage the message queue, the connection and the sending task of one address.
 
     The task ends after IDLE_TIMEOUT_SECONDS without messages.
     """
@@ -172,16 +145,18 @@
     def __init__(
         self,
         address: str,
+        connect: Callable[[str], Connection],
         pack: Callable[[tuple[Message, ...]], bytes],
         receive: Callable[[bytes, str], None],
     ) -> None:
         self._address = address
+        self._connect = connect
         self._pack = pack
         self._receive = receive
         self.hold_count = 0
         self._messages: deque[Message] = deque(maxlen=MAX_QUEUED_MESSAGES)
         self._ready = asyncio.Event()
-        self._open_channel()
+        self._connection = connect(address)
         self._is_sending = False
         self.is_closed = False
         self.failures = 0
@@ -208,17 +183,11 @@
         return self._pack(batch) if batch else b""
 
     async def stop(self) -> None:
-        """Cancel the sending task and close the channel."""
+        """Cancel the sending task and close the connection."""
         self._task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
-        await self._channel.close(None)
-
-    def _open_channel(self) -> None:
-        self._channel = grpc.aio.insecure_channel(
-            self._address, options=_CLIENT_OPTIONS
-        )
-        self._call = self._channel.unary_unary(METHOD)
+        await self._connection.close()
 
     async def _run(self) -> None:
         while True:
@@ -230,17 +199,18 @@
             while self._messages and not self.hold_count:
                 await self._send_batch()
         self.is_closed = True
-        await self._channel.close(None)
+        await self._connection.close()
 
     async def _send_batch(self) -> None:
         batch = self._take_batch()
         self._is_sending = True
         try:
-            response = await self._call(self._pack(batch), timeout=CALL_TIMEOUT_SECONDS)
-        except grpc.aio.AioRpcError as error:
+            data = self._pack(batch)
+            response = await self._connection.call(data, CALL_TIMEOUT_SECONDS)
+        except CallFailed as error:
             self._record_failure(error, len(batch))
-            if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
-                await self._replace_channel()
+            if error.is_timeout:
+                await self._replace_connection()
             return
         finally:
             self._is_sending = False
@@ -248,20 +218,20 @@
         if response:
             self._receive(response, self._address)
 
-    async def _replace_channel(self) -> None:
+    async def _replace_connection(self) -> None:
         """Connect anew: an open connection may have gone silent without an end."""
-        await self._channel.close(None)
-        self._open_channel()
+        await self._connection.close()
+        self._connection = self._connect(self._address)
 
-    def _record_failure(self, error: grpc.aio.AioRpcError, messages: int) -> None:
+    def _record_failure(self, error: CallFailed, messages: int) -> None:
         """Log the first of several failed calls: the others have the same cause."""
         self.failures += 1
         if self.failures == 1:
             write_log(
                 "peer-lost",
                 peer=self._address,
-                step="deliver",
-                reason=error.code().name,
+                step=error.step,
+                reason=error.reason,
                 dropped=messages,
             )
 
--- a/hawthornshelf/storage.py
+++ b/hawthornshelf/storage.py
@@ -154,8 +154,7 @@
 
     def _append(self, record: _Record) -> None:
         data = frame_record(msgspec.msgpack.encode(record))
-        if os.write(self._log_file, data) != len(data):
-            raise OSError("short write")
+        self._write_whole(self._log_file, data)
         self._sync(self._log_file)
 
     def _rewrite(self, snapshot: Snapshot, record: _Record) -> None:
@@ -169,15 +168,17 @@
         temporary = self._path(f"{name}.new")
         file = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
         try:
-            data = frame_record(payload)
-            if os.write(file, data) != len(data):
-                raise OSError("short write")
+            self._write_whole(file, frame_record(payload))
             self._sync(file)
         finally:
             os.close(file)
         os.replace(temporary, self._path(name))
         self._sync_folder()
 
+    def _write_whole(self, file: int, data: bytes) -> None:
+        if os.write(file, data) != len(data):
+            raise OSError("short write")
+
     def _sync(self, file: int) -> None:
         os.fsync(file)
 
--- a/tests/gateway/load.py
+++ b/tests/gateway/load.py
@@ -42,6 +42,8 @@
 TOKENS_PER_SECOND = 300_000.0
 TARGET_SECONDS, MIN_BUDGET_SECONDS, MAX_BUDGET_SECONDS = 0.2, 1.7, 2.0
 TRANSFER_SECONDS = 0.01
+WORK_SECONDS = 0.002
+"""Time that work takes which an executor would run, such as a write to a disk."""
 
 
 class VirtualClock(Clock):
@@ -78,6 +80,20 @@
     def time(self) -> float:
         return self._clock.seconds
 
+    def run_in_executor(self, executor, func, *args):  # type: ignore[no-untyped-def]
+        """Run the work of another thread in this one, and take some time for it."""
+        future = self.create_future()
+        self.call_later(WORK_SECONDS, self._run_work, future, func, args)
+        return future
+
+    def _run_work(self, future, func, args) -> None:  # type: ignore[no-untyped-def]
+        if future.done():
+            return
+        try:
+            future.set_result(func(*args))
+        except Exception as error:
+            future.set_exception(error)
+
 
 T = TypeVar("T")
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,7 +5,8 @@
 import grpc
 
 from hawthornshelf.messages import Message, PullView, Submit
-from hawthornshelf.peers import METHOD, PeerClient, PeerServer
+from hawthornshelf.peers import PeerClient, PeerServer
+from hawthornshelf.peertransport import METHOD, GrpcTransport
 from tests.fleet import free_port
 from tests.partitionproxy import PartitionProxy
 
@@ -20,8 +21,9 @@
         self.address = f"127.0.0.1:{free_port()}"
         self.received: list[tuple[str, Message]] = []
         self.others: dict[str, str] = {}
-        self.client = PeerClient(group, name, self.address, self.deliver)
-        self.server = PeerServer(group, self.deliver, self.client)
+        transport = GrpcTransport()
+        self.client = PeerClient(group, name, self.address, self.deliver, transport)
+        self.server = PeerServer(group, self.deliver, self.client, transport)
         self.calls = 0
 
     def deliver(self, sender: str, message: Message) -> None:
