Send a message once more where its connection has gone silent (CONFIG)

Callers saw requests handled by a document that had been replaced in time; it does not show on this code, and this is the one cause of its class that the look at each way of a document found. Cause (H1): a call without a response ends after 1 s and takes its messages with it, so that the first message on each connection that has gone silent is lost, one after the other. H2: that limit holds for any size.

--- a/hawthornshelf/peers.py
+++ b/hawthornshelf/peers.py
@@ -8,12 +8,12 @@
 from hawthornshelf.errors import CallFailed, MalformedMessage
 from hawthornshelf.logs import write_log
 from hawthornshelf.messages import CODEC, Message
+from hawthornshelf.peerlink import PeerLink
 from hawthornshelf.peertransport import Connection, Transport
 from hawthornshelf.wire import Envelope
 
 __all__ = ["PeerClient", "PeerServer"]
 
-CALL_TIMEOUT_SECONDS = 1.0
 MAX_QUEUED_MESSAGES = 1000
 MAX_BATCH_MESSAGES = 128
 IDLE_TIMEOUT_SECONDS = 60.0
@@ -119,7 +119,7 @@
             await asyncio.sleep(0.01)
 
     async def stop(self) -> None:
-        """Drop the queued messages and close all connections."""
+        """Drop the queued messages and close all links."""
         await asyncio.gather(*(queue.stop() for queue in self._queues.values()))
 
     def _pack(self, messages: tuple[Message, ...]) -> bytes:
@@ -137,7 +137,7 @@
 
 
 class _PeerQueue:
-    """Manage the message queue, the connection and the sending task of one address.
+    """Manage the message queue, the link and the sending task of one address.
 
     The task ends after IDLE_TIMEOUT_SECONDS without messages.
     """
@@ -150,13 +150,12 @@
         receive: Callable[[bytes, str], None],
     ) -> None:
         self._address = address
-        self._connect = connect
         self._pack = pack
         self._receive = receive
         self.hold_count = 0
         self._messages: deque[Message] = deque(maxlen=MAX_QUEUED_MESSAGES)
         self._ready = asyncio.Event()
-        self._connection = connect(address)
+        self._link = PeerLink(address, connect)
         self._is_sending = False
         self.is_closed = False
         self.failures = 0
@@ -183,11 +182,11 @@
         return self._pack(batch) if batch else b""
 
     async def stop(self) -> None:
-        """Cancel the sending task and close the connection."""
+        """Cancel the sending task and close the link."""
         self._task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
-        await self._connection.close()
+        await self._link.close()
 
     async def _run(self) -> None:
         while True:
@@ -199,18 +198,16 @@
             while self._messages and not self.hold_count:
                 await self._send_batch()
         self.is_closed = True
-        await self._connection.close()
+        await self._link.close()
 
     async def _send_batch(self) -> None:
         batch = self._take_batch()
+        data = self._pack(batch)
         self._is_sending = True
         try:
-            data = self._pack(batch)
-            response = await self._connection.call(data, CALL_TIMEOUT_SECONDS)
+            response = await self._link.call(data)
         except CallFailed as error:
-            self._record_failure(error, len(batch))
-            if error.is_timeout:
-                await self._replace_connection()
+            self._record_failure(error, len(batch), len(data))
             return
         finally:
             self._is_sending = False
@@ -218,12 +215,7 @@
         if response:
             self._receive(response, self._address)
 
-    async def _replace_connection(self) -> None:
-        """Connect anew: an open connection may have gone silent without an end."""
-        await self._connection.close()
-        self._connection = self._connect(self._address)
-
-    def _record_failure(self, error: CallFailed, messages: int) -> None:
+    def _record_failure(self, error: CallFailed, messages: int, size: int) -> None:
         """Log the first of several failed calls: the others have the same cause."""
         self.failures += 1
         if self.failures == 1:
@@ -233,6 +225,7 @@
                 step=error.step,
                 reason=error.reason,
                 dropped=messages,
+                bytes=size,
             )
 
     def _record_success(self) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -128,3 +128,20 @@
         await proxy.stop()
 
     run(scenario)
+
+
+def test_a_message_on_a_connection_that_has_gone_silent_is_not_lost() -> None:
+    async def scenario(one: Peer, other: Peer) -> None:
+        proxy = PartitionProxy(other.address)
+        address = await proxy.start()
+        one.client.send(address, PullView(1))
+        await other.wait_for_messages(1)
+        await one.client.drain(HANG_SECONDS)
+        proxy.silence()
+        one.client.send(address, PullView(2))
+        async with asyncio.timeout(HANG_SECONDS):
+            await other.wait_for_messages(2)
+        await proxy.stop()
+
+    _, other = run(scenario)
+    assert [message.revision for _, message in other.received] == [1, 2]
