--- a/tests/shellfleet.py
+++ b/tests/shellfleet.py
@@ -57,14 +57,17 @@
 
 
 class _NumberCodec(RouteCodec):
-    """Read documents that are just a number."""
+    """Read documents that are a number, and maybe some padding after a space."""
 
     def decode(self, body: bytes) -> RouteTable:
-        return RouteTable(int(body), ())
+        return RouteTable(int(body.partition(b" ")[0]), ())
 
 
 class Network:
-    """Connect addresses; open connections go silent, and addresses stand still."""
+    """Connect addresses; open connections go silent, and addresses stand still.
+
+    Connections from one address to another do not come up while that is `blocked`.
+    """
 
     def __init__(self, clock: VirtualClock) -> None:
         self.clock = clock
@@ -72,6 +75,8 @@
         self.open: set[_SimConnection] = set()
         self.cut: set[frozenset[str]] = set()
         self.frozen_until: dict[str, float] = {}
+        self.blocked: Callable[[str, str], bool] = lambda source, target: False
+        self.bytes_per_second: dict[str, float] = {}
         self.opened = 0
 
     def silence(self, share: float, rng: random.Random, names: Iterable[str]) -> None:
@@ -81,11 +86,20 @@
             if chosen & {connection.source, connection.target}:
                 connection.is_silent |= rng.random() < share
 
+    async def transfer(self, connection: "_SimConnection", data: bytes) -> None:
+        """Wait until data has passed the slower of the links of both ends."""
+        ends = (connection.source, connection.target)
+        rates = [self.bytes_per_second.get(end, float("inf")) for end in ends]
+        await asyncio.sleep(len(data) / min(rates))
+        await self.cross(connection)
+
     async def cross(self, connection: "_SimConnection") -> None:
         """Wait for one hop; hang on a silent connection, or behind a cut link."""
         await asyncio.sleep(HOP_SECONDS)
         ends = (connection.source, connection.target)
-        while connection.is_silent or frozenset(ends) in self.cut:
+        while (
+            connection.is_silent or frozenset(ends) in self.cut or self.blocked(*ends)
+        ):
             await asyncio.sleep(0.1)
         for end in ends:
             wait = self.frozen_until.get(end, 0.0) - self.clock.monotonic()
@@ -115,12 +129,12 @@
             await self._network.cross(self)
             self._network.open.add(self)
             self.is_open = True
-        await self._network.cross(self)
+        await self._network.transfer(self, data)
         handle = self._network.handlers.get(self.target)
         if handle is None:
             raise CallFailed("deliver", self.target, "UNAVAILABLE", False)
         response = await handle(data, self.source)
-        await self._network.cross(self)
+        await self._network.transfer(self, response)
         return response
 
     async def close(self) -> None:
@@ -171,6 +185,7 @@
     nodes: int = 5
     control: int = 3
     voters: int = 3
+    padding: bytes = b""
     changes: list[Change] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -249,7 +264,7 @@
         """Send the next document to control nodes in turn until it is acknowledged."""
         change = Change(next(self.numbers), self.clock.monotonic())
         self.changes.append(change)
-        body = b"%d" % change.number
+        body = b"%d %s" % (change.number, self.padding)
         while change.acked_at is None:
             control = self.controls[self.rng.choice(self.control_names)]
             try:
