Begin no stream at a build that was never admitted beside an admitted one (ORDER)

Callers saw a stream that a new build began go on at the old one. Cause: while the control group was lost a node let a listed build begin streams after 2 s, though it was never admitted. A node out of step, whose list was old, then asked the group what began the stream, before it had heard of the build: the only candidate was the old build. Class: a promise of the group that nodes give to themselves while they can't ask. Change: such a build waits as long as the list shows an admitted build of its service, if only one that leaves. Why it works: as long as an admitted build is listed no stream has another one's events that the group could not name; once none is, none is left to go on at. The stand-in for a node that is frozen or cut off from the list no longer reads it.

--- a/hawthornshelf/gateway/streamorigins.py
+++ b/hawthornshelf/gateway/streamorigins.py
@@ -42,7 +42,7 @@
 ADMIT_PATIENCE_SECONDS = 2.0
 """Time after which a build begins streams though the control group has not answered.
 
-While it can't, no other node learns of an origin either.
+That holds only while no admitted build of its service is listed.
 """
 
 RETIRE_SECONDS = 60.0
@@ -146,10 +146,22 @@
     def may_begin(self, service: str, build: str) -> bool:
         """Return whether a stream may begin at a build."""
         known = self._builds.get(Origin(service, build))
-        if known is None:
+        if known is None or known.is_admitted:
+            return known is not None
+        if self._lists_admitted(service):
             return False
-        waited = self._clock.monotonic() - known.changed_at
-        return known.is_admitted or waited > ADMIT_PATIENCE_SECONDS
+        return self._clock.monotonic() > known.changed_at + ADMIT_PATIENCE_SECONDS
+
+    def _lists_admitted(self, service: str) -> bool:
+        """Return whether an admitted build of a service is listed, if only to leave.
+
+        Another node may then take a stream up there: for a stream of a build that was
+        never admitted, the control group would name the admitted one.
+        """
+        return any(
+            origin.service == service and build.is_listed and build.is_admitted
+            for origin, build in self._builds.items()
+        )
 
     def has_settled(self) -> bool:
         """Return whether streams could begin at all listed services at some time.
--- a/tests/gateway/buildfleet.py
+++ b/tests/gateway/buildfleet.py
@@ -155,14 +155,18 @@
     async def _follow(self, stream: Stream) -> None:
         deadline = self.fleet.clock.monotonic() + BUDGET_SECONDS
         for _ in range(MAX_TRIES):
-            while not (entries := self._find_up()):
+            while (entry := self.choose(stream.events > 0)) is None:
                 await asyncio.sleep(MIN_RETRY_SECONDS)
-            entry = self.fleet.rng.choice(entries)
             caller = await self._try(stream, entry, deadline)
             if stream.is_whole or self.fleet.clock.monotonic() > deadline:
                 return
             await asyncio.sleep(max(caller.retry_after, MIN_RETRY_SECONDS))
 
+    def choose(self, is_take_up: bool) -> Entry | None:
+        """Return the node for the next try of a stream, or None if there is none."""
+        entries = self._find_up()
+        return self.fleet.rng.choice(entries) if entries else None
+
     def _find_up(self) -> list[Entry]:
         return [entry for entry in self.fleet.entries.values() if entry.is_up]
 
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -548,6 +548,7 @@
     def __init__(self, fleet: "CrashFleet", name: str) -> None:
         self.name = name
         self.is_up = True
+        self.reads_list = True
         self._frozen_until = 0.0
         self.disturbed_at = fleet.clock.monotonic()
         self._fleet = fleet
@@ -701,6 +702,9 @@
     async def _poll(self) -> None:
         while True:
             now = self._fleet.clock.monotonic()
+            if not self.is_up or not self.reads_list:
+                await asyncio.sleep(TICK_SECONDS)
+                continue
             entries = [runner.entry(now) for runner in self._fleet.runners]
             listed = tuple(entry for entry in entries if entry is not None)
             self.runners.load(RunnerList(listed, now))
--- a/tests/gateway/test_streamorigins.py
+++ b/tests/gateway/test_streamorigins.py
@@ -100,6 +100,22 @@
     run(scenario)
 
 
+def test_a_build_that_was_never_admitted_waits_while_an_admitted_one_is_listed() -> (
+    None
+):
+    async def scenario(control: Control) -> None:
+        control.is_lost = True
+        control.origins.load_builds([BuildRow(*OLD)])
+        control.origins.observe(list_builds(OLD, NEW))
+        await asyncio.sleep(5 * ADMIT_PATIENCE_SECONDS)
+        assert control.origins.may_begin(*OLD)
+        assert not control.origins.may_begin(*NEW)
+        control.origins.observe(list_builds(NEW))
+        assert control.origins.may_begin(*NEW)
+
+    run(scenario)
+
+
 def test_a_build_that_is_listed_again_is_not_retired() -> None:
     async def scenario(control: Control) -> None:
         control.origins.load_builds([BuildRow(*OLD), BuildRow(*NEW)])
