Forget the descriptor of a log that could not be opened again

Changes would be refused by a replica for good: after a log was written anew and could not be opened, its old descriptor stayed in use. The next recovery closed it a second time: that failed in each attempt, or closed a connection that had got the number. Class: state that outlives a step that failed halfway. Change: the descriptor is forgotten as it is closed, in one place. Evidence: test_a_log_that_could_not_be_opened_again_is_not_closed_twice, red before (another file was closed).

--- a/hawthornshelf/storage.py
+++ b/hawthornshelf/storage.py
@@ -133,9 +133,9 @@
 
     def close(self) -> None:
         """Close the log file."""
-        if self._log_file >= 0:
-            os.close(self._log_file)
-            self._log_file = -1
+        file, self._log_file = self._log_file, -1
+        if file >= 0:
+            os.close(file)
 
     def _write(self, batches: Sequence[Persist]) -> None:
         snapshot: Snapshot | None = None
@@ -160,7 +160,7 @@
     def _rewrite(self, snapshot: Snapshot, record: _Record) -> None:
         self._replace("snapshot", msgspec.msgpack.encode(snapshot))
         self._replace("log", msgspec.msgpack.encode(record))
-        os.close(self._log_file)
+        self.close()
         self._log_file = os.open(self._path("log"), os.O_WRONLY | os.O_APPEND)
 
     def _replace(self, name: str, payload: bytes) -> None:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -197,3 +197,28 @@
     storage.write([Persist(3, 4, "r1", entries(5, 5, term=4))])
     again = DiskStorage(tmp_path, "r1").load()
     assert again.entries == entries(1, 4) + entries(5, 5, term=4)
+
+
+def test_a_log_that_could_not_be_opened_again_is_not_closed_twice(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its descriptor may belong to a connection by then."""
+    storage = DiskStorage(tmp_path, "r1")
+    storage.load()
+    storage.write([Persist(1, 1, "", entries(1, 4))])
+    real_open = os.open
+
+    def fail(path: Path, flags: int, *args: int) -> int:
+        if flags == os.O_WRONLY | os.O_APPEND:
+            raise OSError(24, "too many open files")
+        return real_open(path, flags, *args)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "open", fail)
+        with pytest.raises(StorageFailed):
+            storage.write([Persist(2, 1, "", entries(3, 4), snapshot(2))])
+    other = real_open(tmp_path / "other", os.O_RDONLY | os.O_CREAT)
+    before = os.fstat(other)
+    assert storage.recover().entries == entries(3, 4)
+    assert os.fstat(other).st_ino == before.st_ino
+    os.close(other)
