Say that a node has a replica once its disk has been recovered

Cause: a control node that starts with a full disk has no replica yet and said so to all nodes, for as long as it ran. Where it had replaced a seed nobody asked it or sent it commands later. Change: its row says it when the replica starts.

--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -496,6 +496,7 @@
     def restart_control(self, now: float, recovered: RecoveredState) -> None:
         """Restart the control replica from what its storage holds."""
         self.control = self._make_control(recovered, self._rng, now)
+        self.members.update_own(now, self.members.own._replace(control=True))
 
     # Stop
 
