Go on recovering a disk after any error, and play disks that fill up in turn

Operators of systems like ours saw changes refused long after the last of several full disks had room again. Cause here: an error that a recovery did not expect ended its task without a line, and the process ran on without its replica. Change: any error is logged and the next attempt follows.

--- a/hawthornshelf/nodeshell.py
+++ b/hawthornshelf/nodeshell.py
@@ -260,6 +260,9 @@
                 recovered = await loop.run_in_executor(None, self._storage.recover)
             except (OSError, StorageFailed, StorageCorrupt) as error:
                 write_log("storage-still-lost", level="debug", reason=str(error))
+            except Exception as error:
+                # An end of the attempts would leave a process without its replica.
+                write_log("storage-still-lost", level="error", reason=repr(error))
             else:
                 break
         if self._writer is not None:
--- a/tests/shellfleet.py
+++ b/tests/shellfleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -11,6 +11,7 @@
 from hawthornshelf.gateway import node as gateway
 from hawthornshelf.gateway.contract import RouteCodec
 from hawthornshelf.gateway.routes import RouteTable
+from hawthornshelf.log import RecoveredState
 from hawthornshelf.node import NodeSettings
 from hawthornshelf.nodeshell import NodeShell, PeerSettings
 from hawthornshelf.peertransport import Connection, Handler, Transport
@@ -35,10 +36,18 @@
 class SimDisk(DiskStorage):
     """Store in a folder without waiting for syncs, and fill up on demand.
 
-    `room` is the number of bytes that it still takes, None for any number.
+    `room` is the number of bytes that it still takes, None for any number. `errors` are
+    raised by the next recoveries.
     """
 
     room: int | None = None
+    errors: Sequence[Exception] = ()
+
+    def recover(self) -> RecoveredState:
+        if self.errors:
+            error, *self.errors = self.errors
+            raise error
+        return super().recover()
 
     def _write_whole(self, file: int, data: bytes) -> None:
         if self.room is None:
@@ -186,6 +195,7 @@
     control: int = 3
     voters: int = 3
     padding: bytes = b""
+    compact_entries: int = 200
     changes: list[Change] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -193,6 +203,7 @@
         self.rng = random.Random(self.seed)
         self.network = Network(self.clock)
         self.control_names = [f"c{n}" for n in range(self.control)]
+        self.seeds = self.control_names[:3]
         self.entry_names = [f"e{n}" for n in range(self.nodes)]
         self.controls: dict[str, gateway.ControlNode] = {}
         self.entries: dict[str, EntryShell] = {}
@@ -215,7 +226,7 @@
 
     async def start_control(self, name: str) -> None:
         if name not in self.disks:
-            self.disks[name] = SimDisk(self.folder / name, f"{name}-replica")
+            self.make_disk(name)
         shell = gateway.ControlNode(
             self._settings(name, is_entry=False),
             PeerSettings("sim", name, name),
@@ -228,6 +239,25 @@
         self.controls[name] = shell
         await shell.start_peers()
 
+    def make_disk(self, name: str) -> SimDisk:
+        """Return an empty disk for a control node."""
+        self.disks[name] = SimDisk(self.folder / name, f"{name}-replica")
+        return self.disks[name]
+
+    async def stop_control(self, name: str) -> None:
+        """Lose a control node with its disk."""
+        self.control_names.remove(name)
+        del self.disks[name]
+        await self.controls.pop(name).stop_peers()
+
+    def leader(self) -> str:
+        """Return a control node that leads, or an empty string."""
+        for name, shell in self.controls.items():
+            control = shell.core.control
+            if control and not control.stopped and control.raft.is_ready:
+                return name
+        return ""
+
     async def start_entry(self, name: str) -> None:
         shell = EntryShell(
             self._settings(name, is_entry=True),
@@ -242,7 +272,7 @@
         await shell.start_peers()
 
     def _settings(self, name: str, is_entry: bool) -> NodeSettings:
-        seeds = self.control_names[:3]
+        seeds = self.seeds
         return NodeSettings(
             node=name,
             incarnation=f"{name}-{self.clock.monotonic()}",
@@ -253,7 +283,7 @@
             control={seed: seed for seed in seeds},
             timing=TIMING,
             started_ms=1 + int(self.clock.monotonic() * 1000),
-            compact_entries=200,
+            compact_entries=self.compact_entries,
             bootstrap=name in seeds,
             voters=self.voters,
             gateway=is_entry,
