--- a/hawthornshelf/commands.py
+++ b/hawthornshelf/commands.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from hawthornshelf.configuration import Configuration
+from hawthornshelf.crashrecords import CrashRow
 from hawthornshelf.origins import Origin, OriginRow
 
 __all__ = [
@@ -31,6 +32,7 @@
     "FindOrigin",
     "FinishOrder",
     "JoinNode",
+    "LiftQuarantine",
     "NotFound",
     "OpenClaim",
     "OpenTrial",
@@ -41,6 +43,7 @@
     "ReadRoutes",
     "RecordAnswer",
     "RecordOrigins",
+    "RecordQuarantine",
     "ReleaseClaim",
     "ReleaseUpstream",
     "RemoveNode",
@@ -256,8 +259,28 @@
     listed: tuple[Origin, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RecordQuarantine:
+    """Keep what blocks requests, by the crashes that they are suspects of.
+
+    It is kept for `kept_seconds`.
+    """
+
+    crashes: tuple[CrashRow, ...]
+    kept_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class LiftQuarantine:
+    """Forget that digests are blocked, as they completed or did not crash runners."""
+
+    digests: tuple[bytes, ...]
+
+
 Command = (
-    AdmitBuild
+    RecordQuarantine
+    | LiftQuarantine
+    | AdmitBuild
     | RetireBuild
     | RecordOrigins
     | FindOrigin
--- a/hawthornshelf/crashgossip.py
+++ b/hawthornshelf/crashgossip.py
@@ -1,11 +1,12 @@
 """Spread the table of crashes among nodes: push what is new, pull what is missing."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from hawthornshelf.crashrecords import CrashRow
 from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.effects import LogLine, log
 from hawthornshelf.messages import CrashNews, PullCrashes
+from hawthornshelf.quarantinerecorder import QuarantineRecorder
 
 __all__ = ["CrashGossip"]
 
@@ -18,8 +19,9 @@
 class CrashGossip:
     """Decide which crashes to tell and to ask for; the node sends the messages."""
 
-    def __init__(self) -> None:
+    def __init__(self, rank: Callable[[bytes], int]) -> None:
         self.table = CrashTable()
+        self.recorder = QuarantineRecorder(self.table, rank)
         self._news_due = 0.0
         self._pull_due = 0.0
 
@@ -71,7 +73,9 @@
         """Forget old crashes; return a line for each quarantine that begins or ends."""
         self.table.expire(now)
         lines = []
-        for digest, begins, standing, until in self.table.take_transitions():
+        transitions = self.table.take_transitions()
+        self.recorder.note(now, transitions)
+        for digest, begins, standing, until in transitions:
             seconds_left = until - now if begins else 0.0
             age = now - standing.last_at if standing.crashes else 0.0
             lines.append(
--- a/hawthornshelf/crashtable.py
+++ b/hawthornshelf/crashtable.py
@@ -283,6 +283,10 @@
         """Return the checksum of each row."""
         return tuple(RowSummary(*item) for item in self._checksums.items())
 
+    def rows(self, now: float, crashes: Iterable[str]) -> tuple[CrashRow, ...]:
+        """Return the rows of some crashes, as far as they are known."""
+        return tuple(self._make_row(now, c) for c in crashes if c in self._crashes)
+
     def rows_unlike(
         self, now: float, summaries: Iterable[RowSummary]
     ) -> tuple[CrashRow, ...]:
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -67,6 +67,7 @@
     ViewUpdate,
 )
 from hawthornshelf.permitexchange import Outgoing, PermitExchange
+from hawthornshelf.permits import order_issuers
 from hawthornshelf.raft import Timing
 from hawthornshelf.raftmessages import RaftMessage
 from hawthornshelf.state import SharedView
@@ -76,6 +77,7 @@
 
 PERIODIC_INTERVAL_SECONDS = 0.04
 OPERATOR_TIMEOUT_SECONDS = 10.0
+RECORD_TIMEOUT_SECONDS = 10.0
 VIEW_FANOUT = 3
 CRASH_NEWS_FANOUT = 3
 DEPARTURE_NEWS_FANOUT = 3
@@ -134,7 +136,7 @@
         self.control: ControlCore | None = None
         self.entry: EntryCore | None = None
         self.view = SharedView()
-        self._crash_gossip = CrashGossip()
+        self._crash_gossip = CrashGossip(self._rank_self)
         self.crashes = self._crash_gossip.table
         self._permits = PermitExchange(self.members)
         self.rate_limits = self._permits.limits
@@ -151,6 +153,7 @@
             )
         self.is_serving = False
         self.reaches_runners = True
+        self._wall = 0.0
         self._pulled_revision = 0
         self._pull_retry_at = 0.0
         self._search_retry_at = 0.0
@@ -162,6 +165,7 @@
 
     def step(self, now: float, wall: float, events: Sequence[Event]) -> list[Effect]:
         """Process events, run the work that is due and return the effects."""
+        self._wall = wall
         for event in events:
             self._handle(now, wall, event)
         self._run_immediate(now, wall)
@@ -312,6 +316,8 @@
         if view.revision <= self.view.revision:
             return
         self.view = view
+        recorder = self._crash_gossip.recorder
+        self._effects.extend(recorder.load(now, self._wall, view.quarantines))
         self.members.revision = view.revision
         if self.entry:
             self.entry.load_view(view)
@@ -356,6 +362,12 @@
 
     # Crashes of runners
 
+    def _rank_self(self, digest: bytes) -> int:
+        """Return this node's place in the order of the nodes for a digest."""
+        dead = MemberStatus.DEAD
+        nodes = [row.node for row in self.members.rows() if row.status is not dead]
+        return order_issuers(digest.hex(), nodes).index(self.settings.node)
+
     def _pull_crashes(self, now: float, sender: str, checksum: int) -> None:
         request = self._crash_gossip.request_missing(now, checksum)
         if request is not None:
@@ -364,6 +376,10 @@
     def _spread_crashes(self, now: float) -> None:
         self._effects.extend(self._crash_gossip.expire(now))
         self.members.crashes = self.crashes.checksum
+        recorder = self._crash_gossip.recorder
+        for command in recorder.take_due(now):
+            self.submitter.submit(now, command, now + RECORD_TIMEOUT_SECONDS)
+        self._effects.extend(recorder.take_lines())
         news = self._crash_gossip.take_news(now)
         if news is not None:
             for member in self.members.sample(CRASH_NEWS_FANOUT):
--- a/hawthornshelf/state.py
+++ b/hawthornshelf/state.py
@@ -21,6 +21,7 @@
     FindOrigin,
     FinishOrder,
     JoinNode,
+    LiftQuarantine,
     NotFound,
     OpenClaim,
     OpenTrial,
@@ -31,6 +32,7 @@
     ReadRoutes,
     RecordAnswer,
     RecordOrigins,
+    RecordQuarantine,
     ReleaseClaim,
     ReleaseUpstream,
     RemoveNode,
@@ -42,6 +44,7 @@
 )
 from hawthornshelf.configuration import Configuration
 from hawthornshelf.origins import BuildRow, OriginRow, OriginTable
+from hawthornshelf.quarantines import QuarantineRow, QuarantineTable
 from hawthornshelf.suspects import SuspectRow, SuspectTable, TrialRow
 
 __all__ = [
@@ -122,6 +125,7 @@
     suspects: tuple[SuspectRow, ...] = ()
     routes: RoutesInForce = NO_ROUTES
     builds: tuple[BuildRow, ...] = ()
+    quarantines: tuple[QuarantineRow, ...] = ()
 
 
 class _StateSnapshot(NamedTuple):
@@ -142,6 +146,7 @@
     routes: RoutesInForce = NO_ROUTES
     builds: tuple[BuildRow, ...] = ()
     origins: tuple[OriginRow, ...] = ()
+    quarantines: tuple[QuarantineRow, ...] = ()
 
 
 class SharedState:
@@ -161,6 +166,7 @@
         self.suspects = SuspectTable()
         self.routes = NO_ROUTES
         self.origins = OriginTable()
+        self.quarantines = QuarantineTable()
 
     def apply(
         self, term: int, index: int, timestamp: float, command: Command
@@ -190,6 +196,8 @@
                 return self.routes
             case AdmitBuild() | RetireBuild() | RecordOrigins() | FindOrigin():
                 return self._apply_origins(index, command)
+            case RecordQuarantine() | LiftQuarantine():
+                return self._apply_quarantine(index, command)
             case JoinNode():
                 self.nodes[command.node] = NodeRow(command.node, command.incarnation)
                 return Done(index)
@@ -208,6 +216,7 @@
             self.suspects.rows(),
             self.routes,
             self.origins.builds(),
+            self.quarantines.rows(),
         )
 
     def find_drain(self, upstream: str, reason: DrainReason) -> DrainRow | None:
@@ -239,6 +248,7 @@
             self.routes,
             self.origins.builds(),
             self.origins.origins(),
+            self.quarantines.rows(),
         )
         return msgspec.msgpack.encode(snapshot)
 
@@ -262,6 +272,7 @@
         state.suspects = SuspectTable(snapshot.suspects, snapshot.trials)
         state.routes = snapshot.routes
         state.origins = OriginTable(snapshot.builds, snapshot.origins)
+        state.quarantines = QuarantineTable(snapshot.quarantines)
         return state
 
     def _apply_shared(self, index: int, command: Command) -> Result:
@@ -306,6 +317,18 @@
             self.revision = index
         return Done(index)
 
+    def _apply_quarantine(
+        self, index: int, command: RecordQuarantine | LiftQuarantine
+    ) -> Result:
+        match command:
+            case RecordQuarantine(crashes, seconds):
+                is_new = self.quarantines.record(self.timestamp, crashes, seconds)
+            case LiftQuarantine(digests):
+                is_new = self.quarantines.lift(self.timestamp, digests)
+        if is_new:
+            self.revision = index
+        return Done(index)
+
     def _propose(self, index: int, command: ProposeConfiguration) -> Result:
         digest = _digest_proposal(command)
         if command.change_id not in self.outcomes:
--- a/tests/test_crashgossip.py
+++ b/tests/test_crashgossip.py
@@ -10,7 +10,7 @@
 
 
 def make_gossip(*crashes: str) -> CrashGossip:
-    gossip = CrashGossip()
+    gossip = CrashGossip(lambda digest: 0)
     for crash in crashes:
         gossip.table.report(0.0, crash, 0.0, Evidence.REFUSED, (POISON,))
     return gossip
@@ -53,7 +53,7 @@
 
 
 def test_the_begin_of_a_quarantine_is_logged_with_its_crashes() -> None:
-    gossip = CrashGossip()
+    gossip = CrashGossip(lambda digest: 0)
     for crash in ("a/1", "b/1", "c/1"):
         gossip.table.report(0.0, crash, 0.0, Evidence.GONE, (POISON,))
     lines = gossip.expire(1.0)
