Move the order of nodes for a key out of the permits

Cause: quarantines are proposed in the same order, by a function named after permits. Change: rendezvous.order_nodes; order_issuers calls it. Behaviour is the same.

--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -67,9 +67,9 @@
     ViewUpdate,
 )
 from hawthornshelf.permitexchange import Outgoing, PermitExchange
-from hawthornshelf.permits import order_issuers
 from hawthornshelf.raft import Timing
 from hawthornshelf.raftmessages import RaftMessage
+from hawthornshelf.rendezvous import order_nodes
 from hawthornshelf.state import SharedView
 from hawthornshelf.submission import Submitter
 
@@ -366,7 +366,7 @@
         """Return this node's place in the order of the nodes for a digest."""
         dead = MemberStatus.DEAD
         nodes = [row.node for row in self.members.rows() if row.status is not dead]
-        return order_issuers(digest.hex(), nodes).index(self.settings.node)
+        return order_nodes(digest.hex(), nodes).index(self.settings.node)
 
     def _pull_crashes(self, now: float, sender: str, checksum: int) -> None:
         request = self._crash_gossip.request_missing(now, checksum)
--- a/hawthornshelf/permits.py
+++ b/hawthornshelf/permits.py
@@ -1,11 +1,11 @@
 """Issue permits for requests to rate-limited runners, one node for each runner."""
 
-import hashlib
 import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from hawthornshelf.limitrecords import Permit
+from hawthornshelf.rendezvous import order_nodes
 
 __all__ = ["MIN_RATE", "IssuerStanding", "PermitIssuer", "order_issuers"]
 
@@ -119,9 +119,4 @@
     The order is by rendezvous hashing: a node that leaves changes it for those runners
     only whose permits it issued.
     """
-    return sorted(nodes, key=lambda node: _distance(runner, node))
-
-
-def _distance(runner: str, node: str) -> int:
-    key = f"{runner}/{node}".encode()
-    return int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "big")
+    return order_nodes(runner, nodes)
