--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -11,7 +11,7 @@
     SendToNode,
     resolve_addresses,
 )
-from hawthornshelf.controlcontact import POLL_SECONDS, ControlContact
+from hawthornshelf.controlcontact import ControlContact
 from hawthornshelf.crashgossip import CrashGossip
 from hawthornshelf.departures import DepartureTable
 from hawthornshelf.effects import (
@@ -75,6 +75,7 @@
 
 __all__ = ["NodeCore", "NodeSettings"]
 
+CONTROL_POLL_SECONDS = 1.0
 PERIODIC_INTERVAL_SECONDS = 0.04
 OPERATOR_TIMEOUT_SECONDS = 10.0
 RECORD_TIMEOUT_SECONDS = 10.0
@@ -158,7 +159,8 @@
         self._pull_retry_at = 0.0
         self._search_retry_at = 0.0
         self._effects: list[Effect | SendToNode] = []
-        self._control_contact = ControlContact(rng)
+        self._control_contact = ControlContact()
+        self._control_poll_due = 0.0
         self._periodic_due = 0.0
         self._operator_requests: set[str] = set()
         self._replica_changes: dict[str, tuple[ChangeReplica, float, float]] = {}
@@ -292,7 +294,6 @@
 
     def _on_freshness_report(self, now: float, message: ControlWord) -> None:
         self.lifecycle.record_staleness(now, message.age)
-        self._control_contact.record_answer(message.age)
         if self.lifecycle.on_freshness_report(message, self.view.revision):
             incarnation = self.settings.incarnation
             self._effects.append(log("struck-off", incarnation=incarnation))
@@ -430,12 +431,11 @@
         self._spread_departures(now)
         for outgoing in self.members.tick(now):
             self._gossip(outgoing)
-        control_nodes = self.control_nodes()
-        self.submitter.update_control(control_nodes)
+        self.submitter.update_control(self.control_nodes())
         if self.entry:
             self._tick_entry(now)
         if self.entry or self.settings.gateway:
-            self._poll_control(now, control_nodes)
+            self._poll_control(now)
         self._tick_submissions(now)
         self._tick_replica_changes(now)
         self._tick_stop(now)
@@ -446,12 +446,13 @@
         self._effects.extend(self.entry.tick(now))
         self.lifecycle.tick(now)
 
-    def _poll_control(self, now: float, control_nodes: Sequence[str]) -> None:
-        has_view = self.settings.gateway and self.view.revision > 0
-        is_settled = self.lifecycle.joined or has_view
-        wait = POLL_SECONDS if is_settled else POLL_SECONDS / 4
-        target = self._control_contact.choose(now, control_nodes, wait)
-        if target:
+    def _poll_control(self, now: float) -> None:
+        if now >= self._control_poll_due:
+            has_view = self.settings.gateway and self.view.revision > 0
+            is_settled = self.lifecycle.joined or has_view
+            wait = CONTROL_POLL_SECONDS if is_settled else CONTROL_POLL_SECONDS / 4
+            self._control_poll_due = now + wait
+            target = self._rng.choice(self.control_nodes())
             ask = AskControl(self.view.revision, self.settings.incarnation)
             self._send(target, ask)
 
