--- a/tests/shellfleet.py
+++ b/tests/shellfleet.py
@@ -73,7 +73,7 @@
 
 
 class Network:
-    """Connect addresses; open connections go silent, and addresses stand still.
+    """Connect addresses; open connections go silent, and links are cut.
 
     Connections from one address to another do not come up while that is `blocked`.
     """
@@ -83,7 +83,6 @@
         self.handlers: dict[str, Handler] = {}
         self.open: set[_SimConnection] = set()
         self.cut: set[frozenset[str]] = set()
-        self.frozen_until: dict[str, float] = {}
         self.blocked: Callable[[str, str], bool] = lambda source, target: False
         self.bytes_per_second: dict[str, float] = {}
         self.opened = 0
@@ -110,9 +109,6 @@
             connection.is_silent or frozenset(ends) in self.cut or self.blocked(*ends)
         ):
             await asyncio.sleep(0.1)
-        for end in ends:
-            wait = self.frozen_until.get(end, 0.0) - self.clock.monotonic()
-            await asyncio.sleep(max(0.0, wait))
 
 
 class _SimConnection(Connection):
@@ -169,7 +165,6 @@
     """Follow the route document as an entry node does, and note when it came."""
 
     in_force_at: dict[int, float]
-    is_up = True
 
     def on_step(self) -> None:
         number = self.core.view.routes.number
@@ -272,7 +267,6 @@
         await shell.start_peers()
 
     def _settings(self, name: str, is_entry: bool) -> NodeSettings:
-        seeds = self.seeds
         return NodeSettings(
             node=name,
             incarnation=f"{name}-{self.clock.monotonic()}",
@@ -280,11 +274,11 @@
             peer_address=name,
             caller_address=name,
             entry=False,
-            control={seed: seed for seed in seeds},
+            control={seed: seed for seed in self.seeds},
             timing=TIMING,
             started_ms=1 + int(self.clock.monotonic() * 1000),
             compact_entries=self.compact_entries,
-            bootstrap=name in seeds,
+            bootstrap=name in self.seeds,
             voters=self.voters,
             gateway=is_entry,
             named_by_address=True,
