--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 PYTHONDONTWRITEBYTECODE=1 python3 - <<'CHECK'
 import sys
 
-sys.path.insert(0, "review/common")
+sys.path.insert(0, "review")
 import fleetkit
 
 assert fleetkit.ROOT.joinpath("platform/serve.py").is_file()
--- a/review/common/fleetkit.py
+++ b/review/fleetkit.py
@@ -11,6 +11,7 @@
 import os
 import random
 import secrets
+import signal
 import socket
 import subprocess
 import sys
@@ -20,10 +21,15 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = "ficu95.example"
 PLAIN, ENGINE = "huvo11a", "wuno96b"
 CONTACT_SECONDS = 3.0
+CATCH_UP_SECONDS = 4.0
+RECOVERY_SECONDS = 12.0
+LIMIT_SECONDS = 110.0
+"""Longest time of a script; its end takes some more."""
+
 LIST_LAG_SECONDS = 0.8
 
 
@@ -647,13 +653,17 @@
 
 
 async def _run(case: Case, trouble: bool, record: Record, folder: Path) -> str:
-    """Run a case, then end all that it left running in this process."""
+    """Run a case within its time, then end all that it left running in this process."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
-        return await case(trouble, record, folder)
+        async with asyncio.timeout(LIMIT_SECONDS):
+            return await case(trouble, record, folder)
     finally:
-        tasks = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in tasks:
-            task.cancel()
+        tasks = asyncio.all_tasks() - {task}
+        for other in tasks:
+            other.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await asyncio.sleep(0.1)
 
@@ -673,9 +683,10 @@
     with tempfile.TemporaryDirectory() as temporary:
         try:
             verdict = asyncio.run(_run(case, trouble, record, Path(temporary)))
-        except (CannotRun, OSError) as error:
-            print(f"could not run: {error}")
-            record.write("could-not-run", reason=error)
+        except (Exception, asyncio.CancelledError) as error:
+            # Whatever else went wrong, it does not show that the rule was broken.
+            print(f"could not run: {error!r}")
+            record.write("could-not-run", reason=repr(error))
             return 2
     record.write("verdict", text=verdict or "the rule held")
     print(verdict or "the rule held")
