Log on what ground a request is sent once more, and what another node answered

Cause: the hypotheses on the streams that ran twice differ in whether a request may have run when it was sent again, in what the other node's status was taken for, and in whether a copy was used; no line told any of it. Change: request-resent (new), relay-answered (new), the ground on request-relayed, the response on relay-failed.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -598,6 +598,7 @@
         self._recorder.record_standing(context, state, self._quarantine.check(context))
         if context.sends:
             self._budget.spend(self._clock.monotonic(), context.service)
+            self._recorder.record_resend(context, state)
         context.tried.add(state.runner.name)
         context.last_runner = state.runner.name
         context.sends += 1
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -167,6 +167,7 @@
         response: RunnerResponse | None = None
         try:
             response = await self._ask(context, peer)
+            self._recorder.record_relay_response(context, peer.node, response)
             if response.not_run:
                 context.may_have_run = may_have_run
             context.response = response
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -3,7 +3,7 @@
 from hawthornshelf.clock import Clock
 from hawthornshelf.crashrecords import Standing
 from hawthornshelf.gateway.context import RequestContext
-from hawthornshelf.gateway.exchange import AttemptFailed
+from hawthornshelf.gateway.exchange import AttemptFailed, RunnerResponse
 from hawthornshelf.gateway.quarantine import RequestBlocked
 from hawthornshelf.gateway.runners import RunnerState, RunnerTable
 from hawthornshelf.logs import write_log
@@ -104,16 +104,43 @@
             list_age=self._list_age(),
         )
 
+    def record_resend(self, context: RequestContext, state: RunnerState) -> None:
+        """Record that a request goes to one more runner, and on what ground."""
+        write_log(
+            "request-resent",
+            request=context.inbound.request_id,
+            runner=state.runner.name,
+            attempt=context.sends,
+            **_describe_ground(context),
+            reason=context.reason,
+        )
+
     def record_relay(self, context: RequestContext, peer: str) -> None:
-        """Record that a request goes to another node, as this one reaches no runner."""
+        """Record that a request goes to another node, and on what ground."""
         write_log(
             "request-relayed",
             request=context.inbound.request_id,
             peer=peer,
-            runs=context.runs,
             attempt=context.sends,
             number=len(context.peers),
+            unreached=context.unreached,
+            last_resort=context.is_relayed,
+            **_describe_ground(context),
             routes=context.route_number,
+            reason=context.reason,
+        )
+
+    def record_relay_response(
+        self, context: RequestContext, peer: str, response: RunnerResponse
+    ) -> None:
+        """Record what another node answered, and whether that means not run."""
+        write_log(
+            "relay-answered",
+            request=context.inbound.request_id,
+            peer=peer,
+            status=response.status,
+            not_run=response.not_run,
+            stream=response.is_stream,
         )
 
     def record_relay_failure(
@@ -128,6 +155,7 @@
             step=error.step,
             reason=error.reason,
             sent=error.sent,
+            **_describe_response(context),
         )
 
     def record_continuation(
@@ -290,6 +318,18 @@
     }
 
 
+def _describe_ground(context: RequestContext) -> dict[str, str | int]:
+    """Return what decides whether a request may be sent once more."""
+    return {
+        "runs": context.runs,
+        "may_have_run": context.may_have_run,
+        "repeatable": context.is_repeatable,
+        "backup": context.backup.runner.name if context.backup else "",
+        "copy": context.source.address if context.source else "",
+        "after": context.last_event_id[:MAX_LOGGED_ID],
+    }
+
+
 def _name_parts(context: RequestContext) -> str:
     """Return the digests of the prompt's shared segments, the first ones of many."""
     prompt = context.inbound.prompt
