--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -7,6 +7,7 @@
     KvCacheHandle,
     ResponseWriter,
     RunnerResponse,
+    SecondRunRefused,
 )
 from hawthornshelf.gateway.identity import (
     RequestDigests,
@@ -30,7 +31,8 @@
     `route_number` is the number of the route document that applies to the request
     until it ends. `target_at` is when the first byte or token is due. `sends` counts
     attempts, `runs` those that may have been executed. `source` is a KV cache to
-    continue from; `backup` is the engine that keeps a copy of the run's KV cache.
+    continue from; `backup` is the engine that keeps a copy of the KV cache of the last
+    run, None if that has none.
     `is_suspect` tells whether the request was in flight when a runner crashed; `trial`
     names the suspects that it may run with, once, although they may be to blame.
     `response` is that of the last attempt, `unfinished_bytes` the number of bytes after
@@ -123,6 +125,19 @@
             return self.route.resumable
         return self.route.retry_policy is RetryPolicy.SAFE
 
+    def begin_run(self, peer: str, *, continues: bool = False) -> bool:
+        """Note that the request goes out to a peer; return whether it may have run.
+
+        Raise SecondRunRefused if it may have run and may not run again; with
+        `continues` it goes on from the copy of its run.
+        """
+        may_have_run = self.may_have_run
+        if may_have_run and not continues and not self.is_repeatable:
+            raise SecondRunRefused(peer)
+        self.may_have_run = True
+        self.backup = None
+        return may_have_run
+
     def may_retry(self, now: float) -> bool:
         """Return whether a request without a complete response may be sent again."""
         if self.deadline - now < MIN_SECONDS_LEFT:
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -32,6 +32,7 @@
     "RunnerReplaced",
     "RunnerResponse",
     "RunnerSilent",
+    "SecondRunRefused",
 ]
 
 
@@ -171,6 +172,13 @@
         self.number = number
 
 
+class SecondRunRefused(HawthornshelfError):
+    """Signal a request that was about to run twice, though it may run only once."""
+
+    def __init__(self, peer: str) -> None:
+        super().__init__("send", peer, "the request may have run already")
+
+
 class PrefillRefused(HawthornshelfError):
     """Signal that an engine refused to prefill a prompt, with its HTTP status."""
 
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -444,7 +444,7 @@
         context.source = KvCacheHandle(backup.runner.address, request)
         backup.in_flight += 1
         try:
-            return await self._send(context, backup, None)
+            return await self._send(context, backup, None, continues=True)
         finally:
             context.source = None
             backup.in_flight -= 1
@@ -474,9 +474,6 @@
         context.priority = engine_priority(
             prompt, context.route.priority, reservation.is_late
         )
-        context.backup = (
-            reservation.placement.backup if self._needs_backup(context) else None
-        )
         try:
             if context.source is None:
                 context.source = await self._prefill(context, reservation)
@@ -502,15 +499,19 @@
             self._clock.monotonic(), state
         ) and self._continuer.accepts(context, state.runner)
 
-    def _needs_backup(self, context: RequestContext) -> bool:
-        """Return whether a copy of the run's KV cache is worth the memory.
+    def _choose_backup(
+        self, context: RequestContext, reservation: Reservation | None
+    ) -> RunnerState | None:
+        """Return the engine that is to keep a copy of the run's KV cache, if any.
 
-        A stream that may not run again needs one: it can continue only from the copy.
+        Only a stream that may not run again is worth the memory: it can continue only
+        from the copy.
         """
-        return (
-            context.route.retry_policy is RetryPolicy.STREAM
-            and not context.route.resumable
-        )
+        route = context.route
+        if reservation is None or context.is_repeatable:
+            return None
+        is_stream = route.retry_policy is RetryPolicy.STREAM
+        return reservation.placement.backup if is_stream else None
 
     async def _reject(
         self, context: RequestContext, rejection: AdmissionRejected
@@ -576,7 +577,12 @@
             reservation.end_prefill()
         return None
 
-    def _make_attempt(self, context: RequestContext, state: RunnerState) -> Attempt:
+    def _make_attempt(
+        self,
+        context: RequestContext,
+        state: RunnerState,
+        backup: RunnerState | None = None,
+    ) -> Attempt:
         seconds_left = context.deadline - self._clock.monotonic()
         return Attempt(
             context.inbound,
@@ -585,7 +591,7 @@
             context.priority,
             context.last_event_id or context.inbound.resume_after,
             context.source,
-            context.backup.runner.address if context.backup else "",
+            backup.runner.address if backup else "",
         )
 
     async def _send(
@@ -593,8 +599,13 @@
         context: RequestContext,
         state: RunnerState,
         reservation: Reservation | None,
+        *,
+        continues: bool = False,
     ) -> bool:
-        """Send one attempt; return whether the caller has a response."""
+        """Send one attempt; return whether the caller has a response.
+
+        With `continues` it goes on from the copy of the run before.
+        """
         self._recorder.record_standing(context, state, self._quarantine.check(context))
         if context.sends:
             self._budget.spend(self._clock.monotonic(), context.service)
@@ -604,12 +615,13 @@
         context.sends += 1
         context.response, context.unfinished_bytes = None, 0
         response: RunnerResponse | None = None
-        may_have_run = context.may_have_run
-        context.may_have_run = True
+        may_have_run = context.begin_run(state.runner.name, continues=continues)
+        backup = self._choose_backup(context, reservation)
         try:
             with self._crashes.watch(context, state.runner) as flight:
                 with self._reachability.watch():
-                    response = await self._await_headers(context, state)
+                    attempt = self._make_attempt(context, state, backup)
+                    response = await self._await_headers(context, attempt)
                 self._reachability.record_answer()
                 if response.not_run:
                     context.may_have_run = may_have_run
@@ -618,6 +630,7 @@
                 context.runs += 1
                 context.source = None
                 context.response = response
+                context.backup = backup
                 relayed = await self._relay_response(
                     context, state, response, reservation, flight
                 )
@@ -639,14 +652,14 @@
                 response.close()
 
     async def _await_headers(
-        self, context: RequestContext, state: RunnerState
+        self, context: RequestContext, attempt: Attempt
     ) -> RunnerResponse:
         """Send an attempt and return the response once its headers are there.
 
         A silent runner is abandoned while there is time for another one, if the
         request is repeatable, has attempts left and is not late.
         """
-        sending = self._client.send(self._make_attempt(context, state))
+        sending = self._client.send(attempt)
         is_last = context.runs + 1 >= context.route.max_attempts
         if not context.is_repeatable or context.trial or is_last or context.is_late:
             return await sending
@@ -659,7 +672,7 @@
                 with self._reachability.end_early(limit):
                     return await sending
         except TimeoutError as error:
-            raise RunnerSilent(state.runner.name) from error
+            raise RunnerSilent(attempt.runner.name) from error
 
     def _record_unreached(
         self, context: RequestContext, error: AttemptFailed, state: RunnerState
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -163,7 +163,7 @@
         context.peers.add(peer.node)
         context.last_runner = peer.node
         self._recorder.record_relay(context, peer.node)
-        may_have_run, context.may_have_run = context.may_have_run, True
+        may_have_run = context.begin_run(peer.node)
         response: RunnerResponse | None = None
         try:
             response = await self._ask(context, peer)
