--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -20,6 +20,7 @@
     "InboundRequest",
     "KvCacheHandle",
     "LeavingNotice",
+    "NOT_RUN_STATUSES",
     "PauseNotice",
     "PrefillRefused",
     "Prompt",
@@ -36,6 +37,10 @@
 ]
 
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request has not run and never will."""
+
+
 class Header(NamedTuple):
     """Represent one header with its name and value as received."""
 
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -19,6 +19,7 @@
 )
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
 from hawthornshelf.gateway.exchange import (
+    NOT_RUN_STATUSES,
     Attempt,
     AttemptFailed,
     ConnectionRefused,
@@ -452,6 +453,7 @@
         self.begun = asyncio.Event()
         self.pieces: asyncio.Queue[bytes | None] = asyncio.Queue()
         self.is_stream = False
+        self.is_refused = False
 
     async def begin(self, status: int, headers: tuple[Header, ...]) -> None:
         await super().begin(status, headers)
@@ -480,6 +482,7 @@
         self, status: int, reason: str, retry_after: float, route_number: int = 0
     ) -> None:
         await super().refuse(status, reason, retry_after, route_number)
+        self.is_refused = status in NOT_RUN_STATUSES
         self.begun.set()
 
 
@@ -490,7 +493,7 @@
         self.headers = caller.headers
         self.is_stream = caller.is_stream
         self.origin = caller.origin
-        self.not_run = caller.status in (408, 421, 429, 503)
+        self.not_run = caller.is_refused
 
     async def chunks(self) -> AsyncIterator[bytes]:
         while (piece := await self._caller.pieces.get()) is not None:
