Tell no caller that a request has not run for its runner's status alone (REFUSED)

Callers saw: 503 for a booking that was made; by the promise of that status they may send it again. Cause: a runner's answer went on unchanged, also where its status is one that promises that the request has not run and the runner had not said so. Change: a request that may run once gets 502 without the receipt in place of a runner's 408, 429 or 503 that lacks the word; repeatable requests get the runner's answer as before. New line response-withheld. Evidence: 6 cases without a hop and 6 over one, red before (status 408, 429, 503); all pass. Why it works: the status is judged where it is passed on, by what the runner has said.

--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -138,6 +138,14 @@
         self.backup = None
         return may_have_run
 
+    def may_pass_on(self, response: RunnerResponse) -> bool:
+        """Return whether the caller may get a response as it is.
+
+        One that promises "not run" would let the caller send a request again that has
+        run and may run only once.
+        """
+        return self.is_repeatable or not response.is_unproven_refusal
+
     def may_retry(self, now: float) -> bool:
         """Return whether a request without a complete response may be sent again."""
         if self.deadline - now < MIN_SECONDS_LEFT:
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -223,6 +223,11 @@
     connection_end: str = ""
     origin: Origin | None = None
 
+    @property
+    def is_unproven_refusal(self) -> bool:
+        """Return whether the status promises "not run", but the runner doesn't."""
+        return self.status in NOT_RUN_STATUSES and not self.not_run
+
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raise AttemptFailed if it breaks off."""
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -705,6 +705,9 @@
             )
             self._continuer.end(context)
         else:
+            if not context.may_pass_on(response):
+                self._recorder.record_withheld(context, state.runner.name, response)
+                return False
             body = await response.read()
             if response.status >= 500 and context.is_repeatable:
                 context.reason = f"runner answered {response.status}"
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -233,6 +233,9 @@
         if context.writer.headers_sent and not (response.is_stream and is_success):
             reason = f"status {response.status}"
             raise AttemptFailed("resume", peer.node, reason, sent=True)
+        if not context.may_pass_on(response):
+            self._recorder.record_withheld(context, peer.node, response)
+            return False
         if response.not_run and (context.may_have_run or self.applies(context)):
             context.reason = f"{peer.node} refused with {response.status}"
             return False
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -80,6 +80,19 @@
             attempt=context.sends,
         )
 
+    def record_withheld(
+        self, context: RequestContext, peer: str, response: RunnerResponse
+    ) -> None:
+        """Record a status that the caller doesn't get, as the request may have run."""
+        context.reason = f"status {response.status} without a word that it has not run"
+        write_log(
+            "response-withheld",
+            request=context.inbound.request_id,
+            peer=peer,
+            status=response.status,
+            attempt=context.sends,
+        )
+
     def record_failure(
         self, context: RequestContext, state: RunnerState, error: AttemptFailed
     ) -> None:
--- a/tests/southernveil/test_false_refusals.py
+++ b/tests/southernveil/test_false_refusals.py
@@ -66,7 +66,21 @@
     async def check() -> None:
         runner = make_runner(status)
         caller = await ask_over_a_hop(route, runner)
-        assert len(runner.heads) == 1 and caller.status == int(status[:3])
+        assert len(runner.heads) == 1 and caller.status == 502
+
+    run(check())
+
+
+@pytest.mark.parametrize("status", STATUSES)
+@pytest.mark.parametrize("route", [PLAIN_ONCE_ROUTE, ONCE_ROUTE])
+def test_no_caller_is_told_that_a_request_has_not_run_for_its_runners_status(
+    route: Route, status: str
+) -> None:
+    async def check() -> None:
+        runner = make_runner(status)
+        caller, _ = await test_framing.ask(route, runner)
+        assert len(runner.heads) == 1 and caller.status == 502
+        assert not [h for h in caller.headers if h.name == "X-Answer-Stamp"]
 
     run(check())
 
@@ -94,7 +108,7 @@
     async def check() -> None:
         header = NOT_RUN_HEADER.encode() + b": 1"
         runner = make_runner("503 Busy", header)
-        await ask_over_a_hop(PLAIN_ONCE_ROUTE, runner)
-        assert len(runner.heads) == 1
+        caller = await ask_over_a_hop(PLAIN_ONCE_ROUTE, runner)
+        assert len(runner.heads) == 1 and caller.status == 502
 
     run(check())
