--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -20,6 +20,7 @@
     "InboundRequest",
     "KvCacheHandle",
     "LeavingNotice",
+    "NOT_RUN_STATUSES",
     "PauseNotice",
     "PrefillRefused",
     "Prompt",
@@ -32,9 +33,14 @@
     "RunnerReplaced",
     "RunnerResponse",
     "RunnerSilent",
+    "SecondRunRefused",
 ]
 
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request has not run and never will."""
+
+
 class Header(NamedTuple):
     """Represent one header with its name and value as received."""
 
@@ -171,6 +177,13 @@
         self.number = number
 
 
+class SecondRunRefused(HawthornshelfError):
+    """Signal a request that was about to run twice, though it may run only once."""
+
+    def __init__(self, peer: str) -> None:
+        super().__init__("send", peer, "the request may have run already")
+
+
 class PrefillRefused(HawthornshelfError):
     """Signal that an engine refused to prefill a prompt, with its HTTP status."""
 
@@ -210,6 +223,11 @@
     connection_end: str = ""
     origin: Origin | None = None
 
+    @property
+    def is_unproven_refusal(self) -> bool:
+        """Return whether the status promises "not run", but the runner doesn't."""
+        return self.status in NOT_RUN_STATUSES and not self.not_run
+
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raise AttemptFailed if it breaks off."""
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -163,10 +163,11 @@
         context.peers.add(peer.node)
         context.last_runner = peer.node
         self._recorder.record_relay(context, peer.node)
-        may_have_run, context.may_have_run = context.may_have_run, True
+        may_have_run = context.begin_run(peer.node)
         response: RunnerResponse | None = None
         try:
             response = await self._ask(context, peer)
+            self._recorder.record_relay_response(context, peer.node, response)
             if response.not_run:
                 context.may_have_run = may_have_run
             context.response = response
@@ -232,6 +233,9 @@
         if context.writer.headers_sent and not (response.is_stream and is_success):
             reason = f"status {response.status}"
             raise AttemptFailed("resume", peer.node, reason, sent=True)
+        if not context.may_pass_on(response):
+            self._recorder.record_withheld(context, peer.node, response)
+            return False
         if response.not_run and (context.may_have_run or self.applies(context)):
             context.reason = f"{peer.node} refused with {response.status}"
             return False
