--- a/scripts/demo_platform.py
+++ b/scripts/demo_platform.py
@@ -14,11 +14,11 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "platform")]
 
+from tests.ports import free_ports  # noqa: E402
 from tests.southernveil.fakes import (  # noqa: E402
     ENGINE_SERVICE,
     FakeRunner,
     FakeRunnerList,
-    free_ports,
     make_manifest,
     make_settings,
 )
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,4 +1,4 @@
-"""Run the tests; ignore and print the failures that KNOWN-RED.txt lists."""
+"""Run the tests side by side; ignore and print the failures in KNOWN-RED.txt."""
 
 import sys
 from pathlib import Path
@@ -7,6 +7,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_FAILURES_FILE = ROOT / "KNOWN-RED.txt"
+WORKERS = 4
+"""Test processes; each runs whole files, as tests of one may share a fleet."""
 
 
 class FailureCollector:
@@ -32,7 +34,8 @@
 def main() -> int:
     """Run pytest; return 0 if all failed tests are known, else its exit status."""
     collector = FailureCollector()
-    status = pytest.main(["--color=no", *sys.argv[1:]], plugins=[collector])
+    options = ["--color=no", f"--numprocesses={WORKERS}", "--dist=loadfile"]
+    status = pytest.main([*options, *sys.argv[1:]], plugins=[collector])
     known = read_known_failures()
     for test in sorted(collector.failed & known):
         print(f"known red: {test}")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -25,6 +24,7 @@
     Runner,
 )
 from hawthornshelf.errors import HawthornshelfError
+from tests.ports import free_port
 
 __all__ = ["Fleet", "NodeSpec", "wait_until"]
 
@@ -40,13 +40,6 @@
     data_centre: str
 
 
-def free_port(host: str = "127.0.0.1") -> int:
-    """Return a port that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
-
-
 async def wait_until(
     condition: Callable[[], object],
     seconds: float,
--- a/tests/southernveil/fakes.py
+++ b/tests/southernveil/fakes.py
@@ -1,10 +1,7 @@
 """Fake the platform: its list of runners, its runners, settings and manifests."""
 
 import asyncio
-import contextlib
 import json
-import random
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -12,6 +9,8 @@
 from aiohttp import web
 from southernveil.settings import PlatformSettings, read_settings
 
+from tests.ports import free_ports
+
 __all__ = [
     "CrashingRunner",
     "FakeRunner",
@@ -21,24 +20,6 @@
 ]
 
 PLAIN_SERVICE, ENGINE_SERVICE = "huvo11a", "wuno96b"
-LISTEN_PORTS = range(10_000, 32_000, 2)
-"""Even ports below the range from which Linux takes those of outgoing connections."""
-
-
-def free_ports(count: int) -> list[int]:
-    """Return even ports that are free at the moment of the call.
-
-    The odd port after each is left free as well: an entry node listens on the port
-    after the first peer port.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.choice(LISTEN_PORTS)
-        with contextlib.suppress(OSError), socket.socket() as probe:
-            probe.bind(("127.0.0.1", port))
-            if port not in ports:
-                ports.append(port)
-    return ports
 
 
 def make_settings(
--- a/tests/southernveil/test_crashes.py
+++ b/tests/southernveil/test_crashes.py
@@ -12,11 +12,11 @@
 import msgspec
 import pytest
 
+from tests.ports import free_ports
 from tests.southernveil.fakes import (
     ENGINE_SERVICE,
     CrashingRunner,
     FakeRunnerList,
-    free_ports,
     make_manifest,
     make_settings,
 )
--- a/tests/southernveil/test_path.py
+++ b/tests/southernveil/test_path.py
@@ -16,11 +16,11 @@
 from hawthornshelf.gateway.exchange import AttemptFailed, EngineLoad
 from hawthornshelf.gateway.node import StopTiming
 from hawthornshelf.gateway.runners import Runner
+from tests.ports import free_ports
 from tests.southernveil.fakes import (
     ENGINE_SERVICE,
     FakeRunner,
     FakeRunnerList,
-    free_ports,
     make_manifest,
     make_settings,
 )
--- a/tests/southernveil/test_relay.py
+++ b/tests/southernveil/test_relay.py
@@ -19,7 +19,7 @@
 from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteTable
 from hawthornshelf.origins import Origin
 from tests.gateway.fakes import CLOCK, Caller
-from tests.southernveil.fakes import free_ports
+from tests.ports import free_ports
 from tests.southernveil.test_framing import (
     ONCE_ROUTE,
     SECONDS,
--- a/tests/southernveil/test_servers.py
+++ b/tests/southernveil/test_servers.py
@@ -8,7 +8,7 @@
 from southernveil.servers import CallerResponseWriter, start_server
 
 from hawthornshelf.gateway.exchange import Header
-from tests.southernveil.fakes import free_ports
+from tests.ports import free_ports
 
 REQUESTS = {
     "1.1": b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
--- a/tests/southernveil/test_strictness.py
+++ b/tests/southernveil/test_strictness.py
@@ -23,7 +23,7 @@
     InboundRequest,
 )
 from hawthornshelf.gateway.runners import Runner
-from tests.southernveil.fakes import free_ports
+from tests.ports import free_ports
 
 HEAD = b"POST /a/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\n"
 SMUGGLED = b"POST /b/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: 2\r\n\r\n"
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -11,7 +11,7 @@
 from hawthornshelf.callers import CallerServer, make_app
 from hawthornshelf.commands import Answer
 from hawthornshelf.effects import Finish, Outcome, Refuse, SendChunk
-from tests.fleet import free_port
+from tests.ports import free_port
 
 Call = Callable[[aiohttp.ClientSession, str, "FakeBackend"], Awaitable[None]]
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,8 +7,8 @@
 from hawthornshelf.messages import Message, PullView, Submit
 from hawthornshelf.peers import PeerClient, PeerServer
 from hawthornshelf.peertransport import METHOD, GrpcTransport
-from tests.fleet import free_port
 from tests.partitionproxy import PartitionProxy
+from tests.ports import free_port
 
 HANG_SECONDS = 30.0
 """Time after which a test that waits for a message has failed."""
