--- a/hawthornshelf/gateway/streamrelay.py
+++ b/hawthornshelf/gateway/streamrelay.py
@@ -1,5 +1,6 @@
 """Relay a runner's stream to the caller by whole events, and tell if it broke off."""
 
+import re
 from collections.abc import Callable
 
 from hawthornshelf.gateway.context import RequestContext
@@ -10,6 +11,8 @@
 
 __all__ = ["StreamRelay"]
 
+_NUMBER = re.compile(r"[0-9]{1,30}")
+
 
 class StreamRelay:
     """Relay whole events only, so that another runner can resume a broken stream."""
@@ -26,12 +29,15 @@
     ) -> None:
         """Relay a stream to its end; raise AttemptFailed if it broke off.
 
+        It counts as broken off before an event that the caller has from another run.
         `on_first_event` is called before the first event of the whole response.
         """
         splitter = EventSplitter()
+        joined_after = context.last_event_id
         writer = context.writer
         async for chunk in response.chunks():
             for event in _split(splitter, chunk, flight):
+                _check_join(joined_after, event, flight)
                 if not writer.headers_sent:
                     on_first_event()
                     await writer.begin(response.status, response.headers)
@@ -58,6 +64,17 @@
         raise _make_failure(flight, str(error)) from error
 
 
+def _check_join(joined_after: str, event: StreamEvent, flight: Flight) -> None:
+    """Raise AttemptFailed if an event is not later than those of the run before.
+
+    Ids increase; those that are no numbers tell nothing.
+    """
+    ids = (joined_after, event.event_id)
+    if all(map(_NUMBER.fullmatch, ids)) and int(event.event_id) <= int(joined_after):
+        reason = f"event {event.event_id} came after {joined_after}"
+        raise _make_failure(flight, reason)
+
+
 def _check_end(
     context: RequestContext,
     flight: Flight,
--- a/tests/southernveil/test_not_run.py
+++ b/tests/southernveil/test_not_run.py
@@ -30,6 +30,7 @@
 from tests.southernveil.test_framing import (
     CLOCK,
     ONCE_ROUTE,
+    STREAM_ROUTE,
     RawRunner,
     Script,
     make_event,
@@ -645,3 +646,26 @@
         assert len(heads_of(runners)) == 1
 
     run(check())
+
+
+def test_a_copy_that_lags_brings_no_event_again_that_the_caller_has() -> None:
+    async def check() -> None:
+        runners = make_pair(lambda after: Script(make_stream(b"\n", 2)))
+        caller = await ask_engines(*runners)
+        assert caller.data.count(make_event(2, b"\n")) == 1
+        assert caller.aborted or caller.data == make_stream(b"\n")
+
+    run(check())
+
+
+def test_a_resumed_stream_that_begins_anew_is_not_joined_to_what_the_caller_has() -> (
+    None
+):
+    async def check() -> None:
+        runners = make_pair(lambda after: Script(make_stream(b"\n")))
+        async with start_forwarder(STREAM_ROUTE, *runners) as forwarder:
+            caller = await serve(forwarder)
+        assert caller.aborted and caller.data == TWO_EVENTS
+        assert len(heads_of(runners)) == 2
+
+    run(check())
