Break the streams of test_not_run once their caller has the events before

Callers saw: nothing. Cause: the stand-ins broke off right behind their events, and the library may drop what is unread then, so that a busy machine could have turned a continuation into a failure. Change: the break waits for the caller; the engine that runs first is given, and asserts name each engine.

--- a/tests/southernveil/test_not_run.py
+++ b/tests/southernveil/test_not_run.py
@@ -559,66 +559,102 @@
 
 
 def break_off(after: bytes) -> Script:
-    return Script(BEFORE_BREAK, "chunks", "reset-early")
+    return Script(BEFORE_BREAK, "chunks", "closed-early")
 
 
-async def ask_engines(first: RawRunner, second: RawRunner) -> Caller:
-    """Ask a node with two engines for a stream that may run once."""
-    async with start_forwarder(ONCE_ROUTE, first, second) as forwarder:
-        return await serve(forwarder, prompt=PROMPT)
+@dataclass
+class SeeingCaller(Caller):
+    """Tell when the second event has come."""
 
+    seen: asyncio.Event = field(default_factory=asyncio.Event)
 
-def make_pair(continuation: Callable[[bytes], Script]) -> list[RecordingRunner]:
-    """Return two engines: the first to run breaks off, the other one continues."""
-    scripts: list[Callable[[bytes], Script]] = [break_off, continuation]
-    return [RecordingRunner(name, scripts) for name in "ab"]
+    async def write(self, data: bytes) -> None:
+        await super().write(data)
+        if data == make_event(2, b"\n"):
+            self.seen.set()
 
 
-def heads_of(runners: list[RecordingRunner]) -> list[bytes]:
-    return [head for runner in runners for head in runner.heads]
+@dataclass
+class BreakingRunner(RecordingRunner):
+    """Break a stream off once its caller has the events before the break."""
+
+    seen: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def _respond(
+        self, writer: asyncio.StreamWriter, script: Script, head: bytes
+    ) -> None:
+        await super()._respond(writer, script, head)
+        if not script.is_reached:
+            await self.seen.wait()
+
+
+async def ask_engines(
+    caller: Caller, *engines: RawRunner, route: Route = ONCE_ROUTE
+) -> None:
+    """Ask a node with two engines for a stream; the first one runs it first."""
+    async with start_forwarder(route, *engines) as forwarder:
+        await forwarder.serve(make_request(prompt=PROMPT), caller)
+
+
+def make_pair(
+    continuation: Callable[[bytes], Script],
+) -> tuple[SeeingCaller, list[BreakingRunner]]:
+    """Return a caller and two engines, of which the first breaks its run off."""
+    caller = SeeingCaller()
+    first = BreakingRunner("a", [break_off], seen=caller.seen)
+    return caller, [first, BreakingRunner("b", [continuation], seen=caller.seen)]
+
+
+def count_heads(runners: list[BreakingRunner]) -> list[int]:
+    return [len(runner.heads) for runner in runners]
 
 
 def test_a_continuation_names_the_copy_and_the_last_event_that_the_caller_has() -> None:
     async def check() -> None:
-        runners = make_pair(resume(b"\n"))
-        caller = await ask_engines(*runners)
+        caller, runners = make_pair(resume(b"\n"))
+        await ask_engines(caller, *runners)
         assert (caller.data, caller.ended) == (make_stream(b"\n"), True)
-        assert [len(runner.heads) for runner in runners] == [1, 1]
-        first, second = sorted(heads_of(runners), key=lambda h: b"X-Kv-Source" in h)
+        assert count_heads(runners) == [1, 1]
+        first, second = runners[0].heads[0], runners[1].heads[0]
         assert b"X-Kv-Backup" in first and b"X-Kv-Source" not in first
-        assert b"/r1\r\n" in second and b"Last-Event-Id: 2\r\n" in second
+        source = re.search(rb"X-Kv-Source: (\S+)/r1\r\n", second)
+        assert source is not None and b"X-Kv-Backup: " + source[1] in first
+        assert b"Last-Event-Id: 2\r\n" in second
 
     run(check())
 
 
 def test_a_broken_run_whose_copy_is_gone_is_cut_and_runs_nowhere_again() -> None:
     async def check() -> None:
-        runners = make_pair(lambda after: REFUSAL)
-        caller = await ask_engines(*runners)
+        caller, runners = make_pair(lambda after: REFUSAL)
+        await ask_engines(caller, *runners)
         assert caller.aborted and caller.data == TWO_EVENTS
-        assert len(heads_of(runners)) == 2
+        assert count_heads(runners) == [1, 1]
 
     run(check())
 
 
 def test_a_continuation_that_breaks_is_not_continued_again() -> None:
     async def check() -> None:
-        runners = make_pair(lambda after: Script(make_event(3, b"\n")[:9], "chunks"))
-        caller = await ask_engines(*runners)
+        cut = Script(make_event(3, b"\n")[:9], "chunks")
+        caller, runners = make_pair(lambda after: cut)
+        await ask_engines(caller, *runners)
         assert caller.aborted and caller.data == TWO_EVENTS
-        assert len(heads_of(runners)) == 2
+        assert count_heads(runners) == [1, 1]
 
     run(check())
 
 
 def test_a_run_whose_copy_is_at_a_stopped_engine_is_cut_and_never_complete() -> None:
     async def check() -> None:
-        first, stopped = RecordingRunner("a", [break_off]), StoppedRunner("b", [])
+        caller, (first, _) = make_pair(break_off)
+        stopped = StoppedRunner("b", [])
         async with start_forwarder(ONCE_ROUTE, first, stopped) as forwarder:
-            asked = asyncio.create_task(serve(forwarder, prompt=PROMPT))
+            inbound = make_request(prompt=PROMPT)
+            asked = asyncio.create_task(forwarder.serve(inbound, caller))
             await stopped.arrived.wait()
             forwarder.end_requests()
-            caller = await asked
+            await asked
             stopped.woken.set()
             await stopped.looked.wait()
         assert caller.aborted and caller.data == TWO_EVENTS
@@ -627,33 +663,35 @@
     run(check())
 
 
-class LeavingCaller(Caller):
+class LeavingCaller(SeeingCaller):
     """Leave once the second event is written, before that is noted."""
 
     async def write(self, data: bytes) -> None:
         await super().write(data)
-        if data == make_event(2, b"\n"):
+        if self.seen.is_set():
             raise ConnectionResetError
 
 
 def test_a_run_that_breaks_as_its_caller_leaves_is_not_continued() -> None:
     async def check() -> None:
-        runners = make_pair(resume(b"\n"))
-        async with start_forwarder(ONCE_ROUTE, *runners) as forwarder:
-            with pytest.raises(ConnectionResetError):
-                inbound = make_request(prompt=PROMPT)
-                await forwarder.serve(inbound, LeavingCaller())
-        assert len(heads_of(runners)) == 1
+        caller = LeavingCaller()
+        runners = [
+            BreakingRunner(name, [break_off, resume(b"\n")], seen=caller.seen)
+            for name in "ab"
+        ]
+        with pytest.raises(ConnectionResetError):
+            await ask_engines(caller, *runners)
+        assert count_heads(runners) == [1, 0]
 
     run(check())
 
 
 def test_a_copy_that_lags_brings_no_event_again_that_the_caller_has() -> None:
     async def check() -> None:
-        runners = make_pair(lambda after: Script(make_stream(b"\n", 2)))
-        caller = await ask_engines(*runners)
-        assert caller.data.count(make_event(2, b"\n")) == 1
-        assert caller.aborted or caller.data == make_stream(b"\n")
+        caller, runners = make_pair(lambda after: Script(make_stream(b"\n", 2)))
+        await ask_engines(caller, *runners)
+        assert caller.aborted and caller.data == TWO_EVENTS
+        assert count_heads(runners) == [1, 1]
 
     run(check())
 
@@ -662,10 +700,9 @@
     None
 ):
     async def check() -> None:
-        runners = make_pair(lambda after: Script(make_stream(b"\n")))
-        async with start_forwarder(STREAM_ROUTE, *runners) as forwarder:
-            caller = await serve(forwarder)
+        caller, runners = make_pair(lambda after: Script(make_stream(b"\n")))
+        await ask_engines(caller, *runners, route=STREAM_ROUTE)
         assert caller.aborted and caller.data == TWO_EVENTS
-        assert len(heads_of(runners)) == 2
+        assert count_heads(runners) == [1, 1]
 
     run(check())
