Fail a body at once when its framing turns to garbage

Callers saw: a stream that stood still until the deadline and was then cut, or a 504 at the deadline; a copy of the run was not asked for. Cause: when bytes of a body are no HTTP the library closes the connection and notes the error for the next response, but not for whoever reads the body. Change: BoundedConnection fails the body that was being read. A body that was whole before stays whole. Why it works: the error reaches the reader at the moment at which the connection is closed, as it does for a reset.

--- a/hawthornshelf/httplimits.py
+++ b/hawthornshelf/httplimits.py
@@ -77,7 +77,10 @@
         self._response_bytes += len(data)
         if not self._has_head:
             self._head_bytes += len(data)
+        is_sound, body = self._exception is None, self._payload
         super().data_received(data)
+        if is_sound and self._exception is not None and body is not None:
+            _break_off(body, self._exception)
         if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
             self._abort(f"no final response within {MAX_HEAD_BYTES} bytes")
         elif self._response_bytes > MAX_RESPONSE_BYTES:
@@ -97,6 +100,15 @@
             self.transport.abort()
 
 
+def _break_off(body: aiohttp.StreamReader, error: BaseException) -> None:
+    """Fail a body that goes on with bytes that are no HTTP.
+
+    The library closes the connection, but leaves whoever reads the body waiting.
+    """
+    if not body.is_eof() and body.exception() is None:
+        body.set_exception(aiohttp.ClientPayloadError(repr(error)), error)
+
+
 def limit_connections(
     connector: aiohttp.TCPConnector,
     connection: type[BoundedConnection] = BoundedConnection,
--- a/tests/southernveil/test_not_run.py
+++ b/tests/southernveil/test_not_run.py
@@ -645,6 +645,68 @@
     run(check())
 
 
+@dataclass
+class OngoingRunner(BreakingRunner):
+    """Garble the framing, and go on writing until the connection is closed."""
+
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def _respond(
+        self, writer: asyncio.StreamWriter, script: Script, head: bytes
+    ) -> None:
+        await super()._respond(writer, script, head)
+        writer.write(b"no length\r\n")
+        event = make_event(3, b"\n")
+        try:
+            while True:
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                await writer.drain()
+        except OSError:
+            self.closed.set()
+            raise
+
+
+def test_a_body_that_goes_on_as_garbage_is_not_waited_for_until_the_time_is_over() -> (
+    None
+):
+    async def check() -> None:
+        script = plain(b"half", framing="chunks", end="early")
+        runner = OngoingRunner("a", [lambda after: script])
+        runner.seen.set()
+        async with start_forwarder(PLAIN_ONCE_ROUTE, runner) as forwarder:
+            caller = await serve(forwarder)
+        assert caller.status == 502
+
+    run(check())
+
+
+@dataclass
+class WaitingRunner(RecordingRunner):
+    """Respond once an event has come."""
+
+    awaited: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def _respond(
+        self, writer: asyncio.StreamWriter, script: Script, head: bytes
+    ) -> None:
+        await self.awaited.wait()
+        await super()._respond(writer, script, head)
+
+
+def test_a_run_that_still_writes_is_closed_and_reaches_no_caller_beside_its_copy() -> (
+    None
+):
+    async def check() -> None:
+        script, caller = Script(TWO_EVENTS, "chunks", "early"), SeeingCaller()
+        old = OngoingRunner("a", [lambda after: script], seen=caller.seen)
+        new = WaitingRunner("b", [resume(b"\n")], awaited=old.closed)
+        await ask_engines(caller, old, new)
+        assert (caller.data, caller.ended) == (make_stream(b"\n"), True)
+        assert (len(old.heads), len(new.heads)) == (1, 1)
+
+    run(check())
+
+
 def test_a_run_whose_copy_is_at_a_stopped_engine_is_cut_and_never_complete() -> None:
     async def check() -> None:
         caller, (first, _) = make_pair(break_off)
