--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -282,7 +282,7 @@
             writer,
             deadline,
             target_at,
-            runs=inbound.relayed_runs or 0,
+            runs=_count_lost_attempts(inbound, route),
             owes_event=route.is_generation and not inbound.resume_after,
         )
 
@@ -780,3 +780,14 @@
         boot = await self._client.probe(runner, path)
         self._reachability.record_answer()
         return boot
+
+
+def _count_lost_attempts(inbound: InboundRequest, route: Route) -> int:
+    """Return the attempts of a route that this node may not make for a request.
+
+    One that another node relayed gets one attempt here, also where the route has more
+    by this node's document than by the one that the other node goes by.
+    """
+    if inbound.relayed_runs is None:
+        return 0
+    return max(inbound.relayed_runs, route.max_attempts - 1)
--- a/tests/southernveil/test_not_run.py
+++ b/tests/southernveil/test_not_run.py
@@ -23,7 +23,7 @@
 )
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.peerrelay import Peer
-from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteTable
+from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteTable, ServiceSpec
 from hawthornshelf.gateway.runners import Runner, RunnerList
 from tests.gateway.fakes import Caller
 from tests.southernveil import test_framing
@@ -521,6 +521,27 @@
     run(check())
 
 
+@pytest.mark.parametrize("asked", [PLAIN_ONCE_ROUTE, ONCE_ROUTE, SAFE_ROUTE])
+def test_a_node_with_a_newer_document_makes_one_attempt_whatever_that_allows(
+    asked: Route,
+) -> None:
+    async def check() -> None:
+        single = asked._replace(max_attempts=1)
+        runners = [make_ending(name, "closed") for name in "abc"]
+        async with (
+            start_forwarder(single, *runners) as other,
+            serve_callers(other) as peer,
+            start_cut_node(single, peer) as forwarder,
+        ):
+            newer = SAFE_ROUTE._replace(max_attempts=3)
+            other.load(RouteTable(7, (newer,), (ServiceSpec("app", "/healthz"),)))
+            caller = await serve(forwarder)
+        assert caller.status == 502
+        assert sum(len(runner.heads) for runner in runners) == 1
+
+    run(check())
+
+
 def test_a_refusal_for_the_document_without_the_nodes_word_is_not_asked_again() -> None:
     async def check() -> None:
         status = f"503 Busy\r\n{ROUTES_HEADER}: 7".encode()
