--- a/tests/southernveil/test_not_run.py
+++ b/tests/southernveil/test_not_run.py
@@ -13,9 +13,16 @@
 import pytest
 from aiohttp import client_exceptions
 from southernveil.headers import NOT_RUN_HEADER, ROUTES_HEADER
-from southernveil.runnerclient import NOT_SENT_ERRORS, make_session
+from southernveil.runnerclient import (
+    NOT_SENT_ERRORS,
+    HttpRunnerClient,
+    make_session,
+)
 
 from hawthornshelf.gateway.exchange import (
+    NOT_RUN_STATUSES,
+    Attempt,
+    AttemptFailed,
     Header,
     InboundRequest,
     Prompt,
@@ -316,6 +323,41 @@
     assert {e for e in errors if issubclass(e, NOT_SENT_ERRORS)} == NOT_SENT
 
 
+SENT = (
+    aiohttp.ServerDisconnectedError(),
+    aiohttp.ClientOSError(104, "reset"),
+    client_exceptions.ClientConnectionResetError("closing"),
+    aiohttp.ClientConnectionError("connector is closed"),
+    aiohttp.ClientResponseError(None, (), status=400),
+    aiohttp.ClientPayloadError("cut"),
+    aiohttp.SocketTimeoutError(),
+    aiohttp.NonHttpUrlClientError("ftp://h"),
+    ConnectionResetError(),
+    TimeoutError(),
+    ValueError("a header with a line break"),
+)
+
+
+@pytest.mark.parametrize("error", SENT, ids=lambda error: type(error).__name__)
+def test_an_error_after_which_bytes_may_have_left_counts_as_sent(
+    error: Exception,
+) -> None:
+    """The library raises most of these on real sockets in the tests above."""
+
+    class FailingSession:
+        async def request(self, *args: object, **kwargs: object) -> None:
+            raise error
+
+    async def check() -> None:
+        runner = Runner("a", "app", "127.0.0.1:1", "dc", 6)
+        client = HttpRunnerClient(FailingSession())
+        with pytest.raises(AttemptFailed) as failure:
+            await client.send(Attempt(make_request(), runner, 1.0, 0))
+        assert failure.value.sent
+
+    run(check())
+
+
 def test_a_late_answer_to_an_earlier_request_is_none_to_the_next_one() -> None:
     async def check() -> None:
         runners = [LateRunner(name, []) for name in "ab"]
@@ -572,6 +614,42 @@
     run(check())
 
 
+UNREADABLE = {
+    "no HTTP": b"\x16\x03\x01 hello\r\n\r\n",
+    "header too long": b"POST /r/x HTTP/1.1\r\nA: " + b"x" * 70_000 + b"\r\n\r\n",
+    "bad length": b"POST /r/x HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+    "two lengths": b"POST /r/x HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2"
+    b"\r\n\r\n",
+    "bad chunk": b"POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\nno length\r\n",
+    "body too long": b"POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+    b"Content-Length: 9000000\r\n\r\n" + b"x" * 9_000_000,
+}
+
+
+@pytest.mark.parametrize("sent", UNREADABLE.values(), ids=UNREADABLE.keys())
+def test_the_http_library_gives_no_promise_for_what_it_can_not_read(
+    sent: bytes,
+) -> None:
+    async def check() -> None:
+        runner = make_runner()
+        async with (
+            start_forwarder(PLAIN_ONCE_ROUTE, runner) as forwarder,
+            serve_callers(forwarder) as node,
+        ):
+            host, _, port = node.address.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(sent)
+            with contextlib.suppress(ConnectionError):
+                found = re.match(rb"HTTP/1.\d (\d+)", await reader.readline())
+                assert found is not None
+                assert int(found[1]) not in NOT_RUN_STATUSES
+            writer.close()
+        assert runner.heads == []
+
+    run(check())
+
+
 # From the copy of a KV cache
 
 
