--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -63,6 +63,7 @@
     "TABLE",
     "CrashFleet",
     "Entry",
+    "SimClient",
     "SimRunner",
 ]
 
@@ -285,7 +286,7 @@
         """Do nothing: there is no connection to release."""
 
 
-class _Client(RunnerClient):
+class SimClient(RunnerClient):
     """Carry one node's attempts to the runners; `reset` breaks answers on the way.
 
     With `refuses`, links to the named runners refuse every connection, as some cut
@@ -487,8 +488,9 @@
 
 
 class _RelayedResponse(RunnerResponse):
-    def __init__(self, caller: RelayedCaller) -> None:
+    def __init__(self, caller: RelayedCaller, breaks: Callable[[], bool]) -> None:
         self._caller = caller
+        self._breaks = breaks
         self.status = caller.status
         self.headers = caller.headers
         self.is_stream = caller.is_stream
@@ -497,8 +499,10 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         while (piece := await self._caller.pieces.get()) is not None:
+            if self._breaks():
+                break
             yield piece
-        if self._caller.aborted:
+        if piece is not None or self._caller.aborted:
             raise AttemptFailed("read answer", "peer", "reset", sent=True)
 
     async def read(self) -> bytes:
@@ -542,7 +546,7 @@
             raise
         if caller.route_number:
             raise RoutesDiffer(entry.name, caller.route_number)
-        return _RelayedResponse(caller)
+        return _RelayedResponse(caller, self._fleet.breaks_hop)
 
 
 class Entry:
@@ -577,7 +581,7 @@
         self.core.is_serving = True
         self._asks: dict[str, asyncio.Future[Permit]] = {}
         self._commands: dict[str, asyncio.Future[Result | None]] = {}
-        self.client = _Client(fleet, name)
+        self.client = fleet.make_client(name)
         self.runners = RunnerTable("dc", rng, self.core.departures)
         self.forwarder = self._make_forwarder(rng)
         fleet.load_first_routes(self.forwarder)
@@ -720,7 +724,8 @@
 class CrashFleet:
     """Simulate entry nodes, engines and plain runners, without a control group.
 
-    `cut` names pairs of nodes that don't reach each other. A request of which
+    `cut` names pairs of nodes that don't reach each other; `breaks_hop` tells whether a
+    relayed stream breaks between its nodes, before each piece. A request of which
     `is_poison` is true crashes its runner `poison_run_seconds` after its run begins, or
     after `poison_events` of its stream (at that event only, if that is negative), until
     `is_poison_mended`. Runners are back `down_seconds` after a crash.
@@ -738,6 +743,7 @@
 
     def __post_init__(self) -> None:
         self.is_poison: Callable[[InboundRequest], bool] = _has_poison_body
+        self.breaks_hop: Callable[[], bool] = lambda: False
         self.clock = VirtualClock()
         self.rng = random.Random(self.seed)
         self.numbers = itertools.count()
@@ -792,6 +798,10 @@
         if target in self.entries:
             self.entries[target].receive(sender, message)
 
+    def make_client(self, node: str) -> SimClient:
+        """Return what carries a node's attempts to the runners."""
+        return SimClient(self, node)
+
     def load_first_routes(self, forwarder: Forwarder) -> None:
         """Load the routes that a node has from its start."""
         forwarder.load(TABLE)
