Test each place that can begin a run for a second one (TWICE)

Change: a test for the first send, a send after one that did not run, a placement anew after a prefill, a continuation from a copy and a copy that can't be used, a relay by either ground, the second ask under newer routes, and the node that was asked. The route has 9 attempts, so that nothing else stops a second run.

--- a/tests/gateway/test_repeated_runs.py
+++ b/tests/gateway/test_repeated_runs.py
@@ -3,11 +3,19 @@
 import asyncio
 import random
 from collections.abc import Callable, Set
+from dataclasses import replace
 
 import pytest
 
 from hawthornshelf.gateway.budget import RetryBudget
-from hawthornshelf.gateway.exchange import AttemptFailed, Prompt, PromptSegment
+from hawthornshelf.gateway.exchange import (
+    Attempt,
+    AttemptFailed,
+    KvCacheHandle,
+    Prompt,
+    PromptSegment,
+    RoutesDiffer,
+)
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.peerrelay import Peer, RelayClient, RelayedRequest
 from hawthornshelf.gateway.runners import Runner, RunnerList, Stage
@@ -22,13 +30,17 @@
     broken,
     event,
     grant_permit,
+    make_inbound,
+    not_run,
 )
 
 ENGINES = 6
+MANY_ATTEMPTS = 9
 SENDS_BEFORE_BUDGET_IS_SPENT = 3
 SHORT = Prompt(200, 50, (PromptSegment("x", 100), PromptSegment("own", 100)))
 WHOLE_STREAM = b"".join(event(number) for number in (1, 2, 3))
 
+Reply = Callable[[Attempt], FakeResponse | AttemptFailed]
 PeerReply = Callable[[RelayedRequest], FakeResponse | AttemptFailed]
 
 
@@ -44,6 +56,20 @@
     return response
 
 
+def break_run(attempt: Attempt) -> FakeResponse:
+    """Break off after the first event that is due; only a copy goes on later."""
+    first = int(attempt.resume_after or 0) + 1 if attempt.source else 1
+    return FakeResponse(chunks=(event(first),), breaks=True, stream=True)
+
+
+def lose_answer(request: RelayedRequest) -> AttemptFailed:
+    return AttemptFailed("relay", request.peer.node, "reset", sent=True)
+
+
+def hold_newer_routes(request: RelayedRequest) -> AttemptFailed:
+    return RoutesDiffer(request.peer.node, request.route_number + 1)
+
+
 class Peers(RelayClient):
     """Reply for other nodes, one reply a relayed request."""
 
@@ -77,16 +103,18 @@
         return sends < SENDS_BEFORE_BUDGET_IS_SPENT or bool(self._peers.asked)
 
 
-def make_fleet(peers: Peers, *, runs_out: bool) -> Fleet:
-    """Return a node that reaches no engine, with more engines than it may try.
+def make_fleet(peers: Peers, *replies: Reply, runs_out: bool = False) -> Fleet:
+    """Return a node with more engines than it may try, which reaches none by default.
 
     With `runs_out` its retry budget stops it before it knows that it reaches none.
     """
-    fleet = Fleet([broken(sent=False)])
+    fleet = Fleet([*replies] or [broken(sent=False)])
     engines = tuple(
         Runner(f"e{n}", "llm", f"h:2{n}", "dc", 48, stage=Stage.DECODE, build="v1")
         for n in range(ENGINES)
     )
+    prefiller = Runner("p0", "llm", "h:30", "dc", 48, stage=Stage.PREFILL, build="v1")
+    fleet.listed = engines = (*engines, prefiller)
     fleet.runners.load(RunnerList(engines, CLOCK.monotonic()))
     fleet.states = [s for e in engines if (s := fleet.runners.find(e.name))]
     budget = LateBudget(fleet, peers) if runs_out else RetryBudget(fleet.limits)
@@ -105,7 +133,8 @@
         peers,
         peers.choose,
     )
-    fleet.forwarder.load(TABLE)
+    routes = tuple(r._replace(max_attempts=MANY_ATTEMPTS) for r in TABLE.routes)
+    fleet.forwarder.load(TABLE._replace(routes=routes))
     return fleet
 
 
@@ -129,3 +158,103 @@
     peers = Peers(run_whole)
     caller = ask(make_fleet(peers, runs_out=True))
     assert caller.ended and caller.data == WHOLE_STREAM and len(peers.asked) == 1
+
+
+def count_runs(fleet: Fleet) -> int:
+    """Return how many attempts began a run; a copy's continuation begins none."""
+    return sum(attempt.source is None for attempt in fleet.sent)
+
+
+def test_a_first_send_that_may_have_run_is_followed_by_none() -> None:
+    peers = Peers(run_whole)
+    fleet = make_fleet(peers, broken(sent=True))
+    assert ask(fleet).status == 502
+    assert len(fleet.sent) == 1 and peers.asked == []
+
+
+def test_a_resend_that_may_have_run_is_followed_by_none() -> None:
+    peers = Peers(run_whole)
+    fleet = make_fleet(peers, broken(False), not_run, broken(False), broken(True))
+    assert ask(fleet).status == 502
+    assert len(fleet.sent) == 4 and peers.asked == []
+
+
+def test_a_run_placed_anew_after_its_prefill_is_the_only_one() -> None:
+    """The engine that was to run it leaves during the prefill."""
+    peers = Peers(run_whole)
+    fleet = make_fleet(peers, broken(sent=True))
+    left: list[str] = []
+
+    def prefill(attempt: Attempt) -> KvCacheHandle:
+        if not left:
+            busy = [s for s in fleet.states if s.in_flight and s.runner.name != "p0"]
+            left.extend(state.runner.name for state in busy)
+            kept = tuple(r for r in fleet.listed if r.name not in left)
+            fleet.runners.load(RunnerList(kept, CLOCK.monotonic()))
+        return KvCacheHandle("h:30", "abc")
+
+    fleet.prefill_reply = prefill
+    for number in range(30):
+        segments = (PromptSegment(f"part{number}", 6000), PromptSegment("own", 3000))
+        caller = fleet.ask("/read/x", prompt=Prompt(9000, 5, segments))
+        if left:
+            break
+        fleet.sent.clear()
+    assert left and caller.status == 502
+    assert len(fleet.sent) == 1 and fleet.sent[0].runner.name not in left
+
+
+def test_a_continuation_from_a_copy_that_breaks_off_is_followed_by_no_run() -> None:
+    peers = Peers(run_whole)
+    fleet = make_fleet(peers, break_run)
+    caller = ask(fleet)
+    assert caller.aborted and caller.data == event(1) + event(2)
+    assert count_runs(fleet) == 1 and len(fleet.sent) == 2 and peers.asked == []
+
+
+@pytest.mark.parametrize("reply", [not_run, broken(sent=False)])
+def test_a_copy_that_can_not_be_used_is_followed_by_no_run(reply: Reply) -> None:
+    peers = Peers(run_whole)
+    fleet = make_fleet(peers, break_run, reply)
+    caller = ask(fleet)
+    assert caller.aborted and caller.data == event(1)
+    assert count_runs(fleet) == 1 and peers.asked == []
+
+
+@pytest.mark.parametrize("runs_out", [True, False], ids=["last-resort", "cut-off"])
+def test_a_relay_without_an_answer_is_followed_by_none(runs_out: bool) -> None:
+    peers = Peers(lose_answer, run_whole)
+    fleet = make_fleet(peers, runs_out=runs_out)
+    sends = SENDS_BEFORE_BUDGET_IS_SPENT if runs_out else 4
+    assert ask(fleet).status == 502
+    assert len(peers.asked) == 1 and len(fleet.sent) == sends
+
+
+@pytest.mark.parametrize("reply", [lose_answer, break_off])
+def test_a_second_ask_under_newer_routes_is_followed_by_none(reply: PeerReply) -> None:
+    peers = Peers(hold_newer_routes, reply, run_whole)
+    caller = ask(make_fleet(peers))
+    assert caller.status == 502 or caller.aborted
+    assert [request.peer.node for request in peers.asked] == ["n0", "n0"]
+
+
+def serve_relayed(fleet: Fleet) -> Caller:
+    """Serve a request that another node relayed, which has attempts left."""
+    inbound = replace(make_inbound("/read/x", prompt=SHORT), relayed_runs=0)
+    caller = Caller()
+    asyncio.run(fleet.forwarder.serve(inbound, caller))
+    return caller
+
+
+def test_a_relayed_request_that_may_have_run_is_sent_nowhere_again() -> None:
+    peers = Peers(run_whole)
+    fleet = make_fleet(peers, broken(sent=False), not_run, broken(sent=True))
+    assert serve_relayed(fleet).status == 502
+    assert len(fleet.sent) == 3 and peers.asked == []
+
+
+def test_a_relayed_request_that_reached_no_engine_is_not_relayed_on() -> None:
+    peers = Peers(run_whole)
+    fleet = make_fleet(peers, runs_out=True)
+    assert serve_relayed(fleet).status == 503
+    assert len(fleet.sent) == SENDS_BEFORE_BUDGET_IS_SPENT and peers.asked == []
