--- a/tests/southernveil/test_not_run.py
+++ b/tests/southernveil/test_not_run.py
@@ -6,6 +6,7 @@
 import re
 import socket
 import struct
+import types
 from collections.abc import AsyncIterator, Callable, Iterator
 from dataclasses import dataclass, field, replace
 
@@ -18,6 +19,7 @@
     HttpRunnerClient,
     make_session,
 )
+from southernveil.servers import CallerServer, start_server
 
 from hawthornshelf.gateway.exchange import (
     NOT_RUN_STATUSES,
@@ -34,6 +36,7 @@
 from hawthornshelf.gateway.runners import Runner, RunnerList
 from tests.gateway.fakes import Caller
 from tests.southernveil import test_framing
+from tests.southernveil.fakes import free_ports
 from tests.southernveil.test_framing import (
     CLOCK,
     ONCE_ROUTE,
@@ -614,6 +617,36 @@
     run(check())
 
 
+@pytest.mark.parametrize("route", ONCE_ROUTES)
+def test_a_node_that_closes_answers_what_it_has_read_on_a_kept_connection(
+    route: Route,
+) -> None:
+    """The close finds the request read, and its handler not yet awake."""
+
+    async def check() -> None:
+        runner = make_runner()
+        async with start_forwarder(route, runner) as forwarder:
+            node = types.SimpleNamespace(forwarder=forwarder, is_leaving=False)
+            address = f"127.0.0.1:{free_ports(1)[0]}"
+            server = await start_server(CallerServer(node, CLOCK).handle, address)
+            host, _, port = address.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            head = b"POST /r/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r%d\r\n\r\n"
+            writer.write(head % 1)
+            await reader.readuntil(b"whole")
+            (connection,) = server._protocol.connections
+            while connection._waiter is None:
+                await asyncio.sleep(0)
+            server.close()
+            connection.data_received(head % 2)
+            answer = await reader.read()
+            writer.close()
+        assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"whole")
+        assert len(runner.heads) == 2
+
+    run(check())
+
+
 UNREADABLE = {
     "no HTTP": b"\x16\x03\x01 hello\r\n\r\n",
     "header too long": b"POST /r/x HTTP/1.1\r\nA: " + b"x" * 70_000 + b"\r\n\r\n",
