Move the probes of runners out of the forwarder

Change: RunnerProber, with what the forwarder had; behaviour unchanged, tests call it under its new name.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -24,7 +24,6 @@
     Prompt,
     ResponseWriter,
     RunnerClient,
-    RunnerReplaced,
     RunnerResponse,
     RunnerSilent,
 )
@@ -38,6 +37,7 @@
     choose_no_peer,
 )
 from hawthornshelf.gateway.placement import Placer
+from hawthornshelf.gateway.prober import RunnerProber
 from hawthornshelf.gateway.quarantine import Quarantine, RequestBlocked
 from hawthornshelf.gateway.ratelimiter import AskPermit, RateLimiter
 from hawthornshelf.gateway.reachability import RunnerReachability
@@ -74,10 +74,6 @@
 RESPONSE_TIMEOUT_SHARE = 0.4
 """Share of the remaining time that a repeatable request waits for response headers."""
 
-REACHABILITY_TIMEOUT_SECONDS = 0.3
-PROBE_PERMIT_WAIT_SECONDS = 0.1
-"""Longest wait for a permit to probe a lost runner that names a rate."""
-
 
 class Forwarder:
     """Forward open requests, with retries, by the routes and runners given to it."""
@@ -129,8 +125,21 @@
         placer = Placer(runners, rng, count_interactive_requests)
         probe = LoadProbe(client, rng, self._limiter.is_limited)
         self._scheduler = EngineScheduler(placer, probe, clock)
+        self._prober = RunnerProber(
+            client,
+            runners,
+            self._limiter,
+            self._reachability,
+            clock,
+            rng,
+            lambda service: self._index.health_path(service),
+        )
         self._crashes = CrashDetector(
-            crashes, runners, self._probe, clock, lambda: self._reachability.is_cut
+            crashes,
+            runners,
+            self._prober.probe,
+            clock,
+            lambda: self._reachability.is_cut,
         )
         self._quarantine = Quarantine(
             crashes, runners, self._crashes.suspects_at, clock, rng, count_nodes
@@ -166,28 +175,7 @@
 
     async def check_reachability(self) -> None:
         """Probe some runners if it is unclear whether this node reaches any."""
-        count = self._reachability.count_probes()
-        if not count:
-            return
-        now = self._clock.monotonic()
-        open_runners = [
-            runner
-            for runner in self._runners.staying()
-            if not self._limiter.is_limited(runner)
-            and not self._runners.is_paused(now, runner)
-        ]
-        probed = self._rng.sample(open_runners, min(count, len(open_runners)))
-        await asyncio.gather(*map(self._probe_reachability, probed))
-
-    async def _probe_reachability(self, runner: Runner) -> None:
-        """Probe a runner; another one that answers at its address is in reach too."""
-        try:
-            async with asyncio.timeout(REACHABILITY_TIMEOUT_SECONDS):
-                await self._probe(runner)
-        except RunnerReplaced:
-            self._reachability.record_answer()
-        except (AttemptFailed, TimeoutError):
-            self._reachability.record_failure(runner, len(self._runners.keys()))
+        await self._prober.check_reachability()
 
     def begin_stop(self, ends_at: float) -> None:
         """Refuse requests that may not end by a time, in monotonic seconds."""
@@ -770,17 +758,6 @@
         outcome = outcome or ("refused" if status == 503 else "failed")
         self._recorder.record_end(context, outcome, status)
 
-    async def _probe(self, runner: Runner) -> int:
-        """Return the boot of a runner that responds; raise AttemptFailed."""
-        if self._runners.is_paused(self._clock.monotonic(), runner):
-            raise AttemptFailed("probe", runner.name, "paused", sent=False)
-        if not await self._limiter.acquire(runner, PROBE_PERMIT_WAIT_SECONDS):
-            raise AttemptFailed("probe", runner.name, "rate limit", sent=False)
-        path = self._index.health_path(runner.service)
-        boot = await self._client.probe(runner, path)
-        self._reachability.record_answer()
-        return boot
-
 
 def _count_lost_attempts(inbound: InboundRequest, route: Route) -> int:
     """Return the attempts of a route that this node may not make for a request.
--- a/tests/southernveil/test_false_refusals.py
+++ b/tests/southernveil/test_false_refusals.py
@@ -49,7 +49,7 @@
             (Peer(n, peer.address) for n in PEERS if n not in tried), None
         )
         for listed in forwarder._runners.staying():
-            await forwarder._probe_reachability(listed)
+            await forwarder._prober.probe_reachability(listed)
         assert not forwarder.reaches_runners
         caller = Caller()
         inbound = make_inbound()
--- a/tests/southernveil/test_not_run.py
+++ b/tests/southernveil/test_not_run.py
@@ -146,7 +146,7 @@
         (peer for peer in peers if peer.node not in tried), None
     )
     for listed in forwarder._runners.staying():
-        await forwarder._probe_reachability(listed)
+        await forwarder._prober.probe_reachability(listed)
     assert not forwarder.reaches_runners
 
 
--- a/tests/southernveil/test_relay.py
+++ b/tests/southernveil/test_relay.py
@@ -89,7 +89,7 @@
         start_forwarder(route, *lost, peer=peer) as forwarder,
     ):
         for listed in forwarder._runners.staying():
-            await forwarder._probe_reachability(listed)
+            await forwarder._prober.probe_reachability(listed)
         assert not forwarder.reaches_runners
         caller = Caller()
         inbound = make_inbound()
@@ -165,7 +165,7 @@
             start_forwarder(SAFE_ROUTE, *lost, peer=peer) as forwarder,
         ):
             for listed in forwarder._runners.staying():
-                await forwarder._probe_reachability(listed)
+                await forwarder._prober.probe_reachability(listed)
             caller = Caller()
             await forwarder.serve(replace(make_inbound(), relayed_runs=0), caller)
             assert caller.status in (502, 503)
@@ -213,7 +213,7 @@
         ):
             other.load(RouteTable(7, (SAFE_ROUTE,)))
             for listed in forwarder._runners.staying():
-                await forwarder._probe_reachability(listed)
+                await forwarder._prober.probe_reachability(listed)
             caller = Caller()
             inbound = make_inbound()
             head = (Header("Host", "h"), *inbound.headers)
@@ -273,7 +273,7 @@
         ):
             forwarder._relay._client = ForgetfulRelay(session)
             for listed in forwarder._runners.staying():
-                await forwarder._probe_reachability(listed)
+                await forwarder._prober.probe_reachability(listed)
             caller = Caller()
             inbound = make_inbound()
             head = (Header("Host", "h"), *inbound.headers)
