--- a/hawthornshelf/upstreamclient.py
+++ b/hawthornshelf/upstreamclient.py
@@ -159,7 +159,10 @@
         body = self._send_before(msgspec.json.encode(fields), effect.not_after, sent)
         url = f"http://{effect.address}/v1/completions"
         async with self._engines.post(
-            url, data=body, headers={"content-type": "application/json"}
+            url,
+            data=body,
+            headers={"content-type": "application/json"},
+            allow_redirects=False,
         ) as response:
             if response.status in NOT_RUN_STATUSES:
                 reason = f"upstream refused with {response.status}"
@@ -194,7 +197,11 @@
         body = self._send_before(outbound.body, effect.not_after, sent)
         url = f"http://{effect.address}{outbound.path}"
         async with self._services.request(
-            outbound.method, url, data=body, headers=outbound.headers
+            outbound.method,
+            url,
+            data=body,
+            headers=outbound.headers,
+            allow_redirects=False,
         ) as response:
             answer = await _read_response(response)
         refused = response.headers.get("x-outcome") == "not-run"
@@ -262,7 +269,9 @@
             total=ORDER_TIMEOUT_SECONDS, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
         try:
-            async with self._orders.post(url, data=body, timeout=timeout) as response:
+            async with self._orders.post(
+                url, data=body, timeout=timeout, allow_redirects=False
+            ) as response:
                 answered, reason = True, f"status {response.status}"
         except _SendDeadlineExceeded:
             answered, reason = True, "the lease expired before the order was sent"
--- a/tests/gateway/test_repeated_runs.py
+++ b/tests/gateway/test_repeated_runs.py
@@ -17,7 +17,12 @@
     RoutesDiffer,
 )
 from hawthornshelf.gateway.forwarder import Forwarder
-from hawthornshelf.gateway.peerrelay import Peer, RelayClient, RelayedRequest
+from hawthornshelf.gateway.peerrelay import (
+    MAX_PEERS,
+    Peer,
+    RelayClient,
+    RelayedRequest,
+)
 from hawthornshelf.gateway.runners import Runner, RunnerList, Stage
 from hawthornshelf.origins import Origin
 from hawthornshelf.ratelimits import RateLimitTable
@@ -258,3 +263,52 @@
     fleet = make_fleet(peers, runs_out=True)
     assert serve_relayed(fleet).status == 503
     assert len(fleet.sent) == SENDS_BEFORE_BUDGET_IS_SPENT and peers.asked == []
+
+
+def test_a_relayed_request_that_did_not_run_is_resent_under_fewer_attempts() -> None:
+    """The node that relayed it goes by a document with more attempts than this one."""
+    peers = Peers(run_whole)
+    fleet = make_fleet(peers, not_run, lambda attempt: FakeResponse(stream=True))
+    routes = tuple(r._replace(max_attempts=1) for r in TABLE.routes)
+    fleet.forwarder.load(TABLE._replace(routes=routes))
+    inbound = replace(make_inbound("/read/x", prompt=SHORT), relayed_runs=2)
+    caller = Caller()
+    asyncio.run(fleet.forwarder.serve(inbound, caller))
+    assert caller.status == 200 and len(fleet.sent) == 2
+
+
+def test_a_relayed_stream_of_a_route_with_one_attempt_brings_no_event_again() -> None:
+    """The users' record: no attempts to spare, and a second run from the first event."""
+    peers = Peers(break_off, run_whole)
+    fleet = make_fleet(peers, runs_out=True)
+    routes = tuple(r._replace(max_attempts=1) for r in TABLE.routes)
+    fleet.forwarder.load(TABLE._replace(routes=routes))
+    caller = ask(fleet)
+    assert caller.aborted and caller.data == event(1) + event(2)
+    assert len(peers.asked) == 1
+
+
+class ManyPeers(Peers):
+    """Offer more nodes than one request may be relayed to, none of them in reach."""
+
+    def __init__(self) -> None:
+        super().__init__(*[refuse_connection] * 9)
+
+    def choose(self, tried: Set[str]) -> Peer | None:
+        names = [f"n{n}" for n in range(9) if f"n{n}" not in tried]
+        return Peer(names[0], f"{names[0]}:1") if names else None
+
+
+def refuse_connection(request: RelayedRequest) -> AttemptFailed:
+    return AttemptFailed("connect", request.peer.node, "refused", sent=False)
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/talk/x"])
+@pytest.mark.parametrize("runs_out", [True, False], ids=["last-resort", "cut-off"])
+def test_a_request_is_relayed_to_no_more_nodes_than_allowed(
+    path: str, runs_out: bool
+) -> None:
+    peers = ManyPeers()
+    caller = make_fleet(peers, runs_out=runs_out).ask(path, prompt=SHORT)
+    assert caller.status == 503
+    assert len(peers.asked) == MAX_PEERS
--- a/tests/test_upstreamclient.py
+++ b/tests/test_upstreamclient.py
@@ -11,6 +11,7 @@
 from hawthornshelf.events import (
     AttemptBroken,
     AttemptCompleted,
+    AttemptRefused,
     EngineStateRead,
     Event,
     LoadReported,
@@ -104,3 +105,36 @@
     assert isinstance(event, AttemptCompleted)
     assert event.answer is not None
     assert event.answer.body == b"half a body"
+
+
+MADE = b"HTTP/1.1 303 See Other\r\nLocation: /bookings/1\r\nContent-Length: 0\r\n\r\n"
+BUSY = b"HTTP/1.1 503 Busy\r\nX-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+
+
+def test_an_answer_to_another_call_does_not_tell_that_this_one_has_not_run() -> None:
+    """The service makes the booking, and has no room to show it."""
+    lines: list[bytes] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines.append(head.partition(b"\r\n")[0])
+        writer.write(MADE if head.startswith(b"POST") else BUSY)
+        await writer.drain()
+        writer.close()
+
+    async def run() -> Event:
+        events: asyncio.Queue[Event] = asyncio.Queue()
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = UpstreamClient(SystemClock(), events.put_nowait)
+        outbound = OutboundRequest(False, "POST", "/bookings", {}, b"a booking")
+        client.dispatch(Dispatch("r", "a", "s", address, 0, 1e12, False), outbound)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            event = await events.get()
+        await client.close()
+        server.close()
+        return event
+
+    event = asyncio.run(run())
+    assert not isinstance(event, AttemptRefused)
+    assert lines == [b"POST /bookings HTTP/1.1"]
