Relay a request to no more nodes than allowed after the last resort (BUDGET)

Callers saw: nothing but time. Cause: once a request had gone to another node as a last resort, is_relayed sent it to further ones without asking again: neither the limit of nodes nor the retry budget was. Change: relay asks what allows it each time; the draws of nodes stay as they were. Found by the review. Why it works: the flag only says where a request goes, not whether it may.

--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -136,15 +136,19 @@
 
     def _may_relay(self, context: RequestContext) -> bool:
         """Return whether another node may and can serve a request."""
+        if not self._allows_relay(context):
+            return False
+        return self._choose_peer(context.peers) is not None
+
+    def _allows_relay(self, context: RequestContext) -> bool:
+        """Return whether a request may go to one more node."""
         if context.inbound.relayed_runs is not None:
             return False
         if context.is_recoverable or not context.may_retry(self._clock.monotonic()):
             return False
         if self._client is None or len(context.peers) >= MAX_PEERS:
             return False
-        if context.runs and not self._may_spend(context):
-            return False
-        return self._choose_peer(context.peers) is not None
+        return not context.runs or self._may_spend(context)
 
     def _may_spend(self, context: RequestContext) -> bool:
         """Return whether the retry budget allows one more attempt."""
@@ -153,17 +157,18 @@
 
     async def relay(self, context: RequestContext) -> bool:
         """Relay a request for one attempt; return whether the caller has a response."""
-        peer = self._choose_peer(context.peers)
+        is_allowed = self._allows_relay(context)
+        peer = self._choose_peer(context.peers) if is_allowed else None
         if peer is None:
             context.is_relayed = False
             return False
+        may_have_run = context.begin_run(peer.node)
         if context.runs:
             self._budget.spend(self._clock.monotonic(), context.service)
         self.relayed += 1
         context.peers.add(peer.node)
         context.last_runner = peer.node
         self._recorder.record_relay(context, peer.node)
-        may_have_run = context.begin_run(peer.node)
         response: RunnerResponse | None = None
         try:
             response = await self._ask(context, peer)
