Resend a relayed request that has not run also under fewer attempts

Callers saw: a true refusal though a runner was free. Cause: a node counted the attempts that another one keeps back by its own document; where that has more, none was left here, not even for a resend of what had not run. Change: a relayed request has one attempt by the document that is applied to it, and no other count. Why it works: one attempt is what every node asks for.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -270,7 +270,7 @@
             writer,
             deadline,
             target_at,
-            runs=_count_lost_attempts(inbound, route),
+            runs=_count_missing_attempts(inbound, route),
             owes_event=route.is_generation and not inbound.resume_after,
         )
 
@@ -759,12 +759,10 @@
         self._recorder.record_end(context, outcome, status)
 
 
-def _count_lost_attempts(inbound: InboundRequest, route: Route) -> int:
-    """Return the attempts of a route that this node may not make for a request.
+def _count_missing_attempts(inbound: InboundRequest, route: Route) -> int:
+    """Return how many of a route's attempts this node may not make for a request.
 
-    One that another node relayed gets one attempt here, also where the route has more
-    by this node's document than by the one that the other node goes by.
+    One that another node relayed gets one attempt here, whatever its route allows by
+    either node's document.
     """
-    if inbound.relayed_runs is None:
-        return 0
-    return max(inbound.relayed_runs, route.max_attempts - 1)
+    return 0 if inbound.relayed_runs is None else route.max_attempts - 1
--- a/tests/gateway/test_repeated_runs.py
+++ b/tests/gateway/test_repeated_runs.py
@@ -265,6 +265,19 @@
     assert len(fleet.sent) == SENDS_BEFORE_BUDGET_IS_SPENT and peers.asked == []
 
 
+def test_a_relayed_request_that_did_not_run_is_resent_under_fewer_attempts() -> None:
+    """The node that relayed it goes by a document with more attempts than this one."""
+    peers = Peers(run_whole)
+    whole = FakeResponse(chunks=(WHOLE_STREAM,), stream=True)
+    fleet = make_fleet(peers, not_run, lambda attempt: whole)
+    routes = tuple(r._replace(max_attempts=1) for r in TABLE.routes)
+    fleet.forwarder.load(TABLE._replace(routes=routes))
+    inbound = replace(make_inbound("/read/x", prompt=SHORT), relayed_runs=2)
+    caller = Caller()
+    asyncio.run(fleet.forwarder.serve(inbound, caller))
+    assert caller.status == 200 and len(fleet.sent) == 2
+
+
 def test_a_relayed_stream_of_a_route_with_one_attempt_brings_no_event_again() -> None:
     """As in the users' record, which has a second run from the first event on."""
     peers = Peers(break_off, run_whole)
