--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -125,13 +125,14 @@
             return self.route.resumable
         return self.route.retry_policy is RetryPolicy.SAFE
 
-    def begin_run(self, peer: str, *, continues: bool = False) -> bool:
-        """Note that the request goes out to a peer; return whether it may have run.
+    def begin_run(self, peer: str, copy: RunnerState | None = None) -> bool:
+        """Note that the request goes out to a peer; return if it may have run before.
 
-        Raise SecondRunRefused if it may have run and may not run again; with
-        `continues` it goes on from the copy of its run.
+        `copy` is the engine from whose copy it goes on. Raise SecondRunRefused if it
+        may have run, may not run again, and its last run has no copy there.
         """
         may_have_run = self.may_have_run
+        continues = copy is not None and copy is self.backup
         if may_have_run and not continues and not self.is_repeatable:
             raise SecondRunRefused(peer)
         self.may_have_run = True
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -426,13 +426,12 @@
         self, context: RequestContext, backup: RunnerState
     ) -> bool:
         """Continue a broken run at the engine that has a copy of its KV cache."""
-        context.backup = None
         await self._chooser.await_permit(context, [backup])
         request = context.inbound.request_id
         context.source = KvCacheHandle(backup.runner.address, request)
         backup.in_flight += 1
         try:
-            return await self._send(context, backup, None, continues=True)
+            return await self._send(context, backup, None, copy=backup)
         finally:
             context.source = None
             backup.in_flight -= 1
@@ -588,22 +587,23 @@
         state: RunnerState,
         reservation: Reservation | None,
         *,
-        continues: bool = False,
+        copy: RunnerState | None = None,
     ) -> bool:
         """Send one attempt; return whether the caller has a response.
 
-        With `continues` it goes on from the copy of the run before.
+        `copy` is the engine from whose copy of the last run it goes on, if any.
         """
         self._recorder.record_standing(context, state, self._quarantine.check(context))
         if context.sends:
-            self._budget.spend(self._clock.monotonic(), context.service)
             self._recorder.record_resend(context, state)
+        may_have_run = context.begin_run(state.runner.name, copy)
+        if context.sends:
+            self._budget.spend(self._clock.monotonic(), context.service)
         context.tried.add(state.runner.name)
         context.last_runner = state.runner.name
         context.sends += 1
         context.response, context.unfinished_bytes = None, 0
         response: RunnerResponse | None = None
-        may_have_run = context.begin_run(state.runner.name, continues=continues)
         backup = self._choose_backup(context, reservation)
         try:
             with self._crashes.watch(context, state.runner) as flight:
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -162,13 +162,13 @@
         if peer is None:
             context.is_relayed = False
             return False
+        context.peers.add(peer.node)
+        context.last_runner = peer.node
+        self._recorder.record_relay(context, peer.node)
         may_have_run = context.begin_run(peer.node)
         if context.runs:
             self._budget.spend(self._clock.monotonic(), context.service)
         self.relayed += 1
-        context.peers.add(peer.node)
-        context.last_runner = peer.node
-        self._recorder.record_relay(context, peer.node)
         response: RunnerResponse | None = None
         try:
             response = await self._ask(context, peer)
--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -60,7 +60,20 @@
 def test_a_run_from_the_copy_of_the_run_before_is_no_second_run() -> None:
     context = make_context(*STREAM_ONCE)
     context.begin_run("a")
-    assert context.begin_run("b", continues=True)
+    context.backup = copy = Fleet([]).states[0]
+    assert context.begin_run("b", copy)
+
+
+def test_a_run_from_a_copy_that_is_not_of_the_run_before_is_refused() -> None:
+    context = make_context(*STREAM_ONCE)
+    copy, other = Fleet([]).states[:2]
+    context.backup = copy
+    context.begin_run("a")
+    with pytest.raises(SecondRunRefused):
+        context.begin_run("b", copy)
+    context.backup = copy
+    with pytest.raises(SecondRunRefused):
+        context.begin_run("b", other)
 
 
 def test_the_copy_of_an_earlier_run_is_none_of_the_next_one() -> None:
