--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -36,7 +36,8 @@
     `is_suspect` tells whether the request was in flight when a runner crashed; `trial`
     names the suspects that it may run with, once, although they may be to blame.
     `response` is that of the last attempt, `unfinished_bytes` the number of bytes after
-    its last whole event; `events` counts those that the caller has received.
+    its last whole event; `events` counts those that the caller has received, and
+    `last_number` is the highest number among their ids, -1 without any.
     `permits` counts those granted for requests to rate-limited runners,
     `permit_seconds` is the time spent on asking and waiting for them.
     `unreached` counts attempts that no runner can have received; `peers` names the
@@ -61,6 +62,7 @@
     runs: int = 0
     may_have_run: bool = False
     last_event_id: str = ""
+    last_number: int = -1
     last_runner: str = ""
     reserved_at: float = 0.0
     priority: int = 0
--- a/hawthornshelf/gateway/streamrelay.py
+++ b/hawthornshelf/gateway/streamrelay.py
@@ -10,9 +10,17 @@
 
 __all__ = ["StreamRelay"]
 
+MAX_NUMBER_DIGITS = 100
+"""Longest event id that is compared as a number; parsing a longer one takes time."""
+
 
 class StreamRelay:
-    """Relay whole events only, so that another runner can resume a broken stream."""
+    """Relay whole events only, so that another runner can resume a broken stream.
+
+    Event ids are numbers that increase. An event whose number is not above that of the
+    last one that the caller has is not relayed, whatever let it come. What the caller
+    says it has counts where streams may be resumed; elsewhere runs begin anew.
+    """
 
     def __init__(self, recorder: Recorder) -> None:
         self._recorder = recorder
@@ -30,8 +38,12 @@
         """
         splitter = EventSplitter()
         writer = context.writer
+        if context.route.resumable:
+            resumed_at = _parse_number(context.inbound.resume_after)
+            context.last_number = max(context.last_number, resumed_at)
         async for chunk in response.chunks():
             for event in _split(splitter, chunk, flight):
+                _check_number(context, flight, event)
                 if not writer.headers_sent:
                     on_first_event()
                     await writer.begin(response.status, response.headers)
@@ -58,6 +70,26 @@
         raise _make_failure(flight, str(error)) from error
 
 
+def _check_number(context: RequestContext, flight: Flight, event: StreamEvent) -> None:
+    """Raise AttemptFailed for an event that the caller has, or that comes too late.
+
+    The copy of such a run is not used, as the events before may be those of another.
+    """
+    number = _parse_number(event.event_id)
+    if number < 0:
+        return
+    if number <= context.last_number:
+        context.backup = None
+        raise _make_failure(flight, f"event {number} after {context.last_number}")
+    context.last_number = number
+
+
+def _parse_number(event_id: str) -> int:
+    """Return the number that an event id is, -1 for any other id."""
+    is_number = event_id.isascii() and event_id.isdecimal()
+    return int(event_id) if is_number and len(event_id) <= MAX_NUMBER_DIGITS else -1
+
+
 def _check_end(
     context: RequestContext,
     flight: Flight,
