--- a/hawthornshelf/gateway/streamrelay.py
+++ b/hawthornshelf/gateway/streamrelay.py
@@ -1,6 +1,5 @@
 """Relay a runner's stream to the caller by whole events, and tell if it broke off."""
 
-import re
 from collections.abc import Callable
 
 from hawthornshelf.gateway.context import RequestContext
@@ -8,14 +7,21 @@
 from hawthornshelf.gateway.exchange import AttemptFailed, Framing, RunnerResponse
 from hawthornshelf.gateway.flight import Flight
 from hawthornshelf.gateway.recorder import Recorder
+from hawthornshelf.gateway.routes import RetryPolicy
 
 __all__ = ["StreamRelay"]
 
-_NUMBER = re.compile(r"[0-9]{1,30}")
+MAX_NUMBER_DIGITS = 100
+"""Longest event id that is compared as a number; parsing a longer one takes time."""
 
 
 class StreamRelay:
-    """Relay whole events only, so that another runner can resume a broken stream."""
+    """Relay whole events only, so that another runner can resume a broken stream.
+
+    Event ids are numbers that increase. An event whose number is not above that of the
+    last one that the caller has is not relayed, whatever let it come. What the caller
+    says it has counts where streams may be resumed; elsewhere runs begin anew.
+    """
 
     def __init__(self, recorder: Recorder) -> None:
         self._recorder = recorder
@@ -29,15 +35,16 @@
     ) -> None:
         """Relay a stream to its end; raise AttemptFailed if it broke off.
 
-        It counts as broken off before an event that the caller has from another run.
         `on_first_event` is called before the first event of the whole response.
         """
         splitter = EventSplitter()
-        joined_after = context.last_event_id
         writer = context.writer
+        if context.route.resumable:
+            resumed_at = _parse_number(context.inbound.resume_after)
+            context.last_number = max(context.last_number, resumed_at)
         async for chunk in response.chunks():
             for event in _split(splitter, chunk, flight):
-                _check_join(joined_after, event, flight)
+                _check_number(context, flight, event)
                 if not writer.headers_sent:
                     on_first_event()
                     await writer.begin(response.status, response.headers)
@@ -64,15 +71,24 @@
         raise _make_failure(flight, str(error)) from error
 
 
-def _check_join(joined_after: str, event: StreamEvent, flight: Flight) -> None:
-    """Raise AttemptFailed if an event is not later than those of the run before.
+def _check_number(context: RequestContext, flight: Flight, event: StreamEvent) -> None:
+    """Raise AttemptFailed for an event that the caller has, or that comes too late.
 
-    Ids increase; those that are no numbers tell nothing.
+    The copy of such a run is not used, as the events before may be those of another.
     """
-    ids = (joined_after, event.event_id)
-    if all(map(_NUMBER.fullmatch, ids)) and int(event.event_id) <= int(joined_after):
-        reason = f"event {event.event_id} came after {joined_after}"
-        raise _make_failure(flight, reason)
+    number = _parse_number(event.event_id)
+    if number < 0 or context.route.retry_policy is not RetryPolicy.STREAM:
+        return
+    if number <= context.last_number:
+        context.backup = None
+        raise _make_failure(flight, f"event {number} after {context.last_number}")
+    context.last_number = number
+
+
+def _parse_number(event_id: str) -> int:
+    """Return the number that an event id is, -1 for any other id."""
+    is_number = event_id.isascii() and event_id.isdecimal()
+    return int(event_id) if is_number and len(event_id) <= MAX_NUMBER_DIGITS else -1
 
 
 def _check_end(
