--- a/hawthornshelf/storage.py
+++ b/hawthornshelf/storage.py
@@ -50,8 +50,8 @@
 class MemoryStorage(Storage):
     """Store the state in memory; tests decide what survives a crash."""
 
-    def __init__(self, replica: str) -> None:
-        self._recovered = RecoveredState(replica)
+    def __init__(self, replica: str, founding: Snapshot = Snapshot()) -> None:
+        self._recovered = RecoveredState(replica, founding.term, "", founding)
 
     def load(self) -> RecoveredState:
         """Return the state last written."""
@@ -72,11 +72,18 @@
 
 
 class DiskStorage(Storage):
-    """Store the state in a data folder; each write appends one synced record."""
+    """Store the state in a data folder; each write appends one synced record.
 
-    def __init__(self, folder: Path, new_replica: str) -> None:
+    An empty folder gets the id `new_replica` and the snapshot `founding`, if that
+    holds members. A folder with an id keeps its own.
+    """
+
+    def __init__(
+        self, folder: Path, new_replica: str, founding: Snapshot = Snapshot()
+    ) -> None:
         self._folder = folder
         self._new_replica = new_replica
+        self._founding = founding
         self._log_file = -1
         self._failed = False
         folder.mkdir(parents=True, exist_ok=True)
@@ -95,6 +102,8 @@
             term, voted_for = record.term, record.voted_for
             _replace_tail(entries, record.entries)
         entries = [entry for entry in entries if entry.index > snapshot.index]
+        if term < snapshot.term:
+            term, voted_for = snapshot.term, ""
         self._check_contiguous(snapshot, entries)
         self._log_file = os.open(
             self._path("log"), os.O_WRONLY | os.O_APPEND | os.O_CREAT
@@ -196,9 +205,22 @@
                 raise self._corrupt(
                     "replica-id", "a log exists but the replica id is missing"
                 )
-            self._replace("replica-id", self._new_replica.encode())
+            self._write_identity()
         return self._read_record_file("replica-id").decode()
 
+    def _write_identity(self) -> None:
+        """Write the founding snapshot, if any, and then the replica id.
+
+        Only the id puts the snapshot in force, so one without an id is what a process
+        left that was killed in between, and is removed.
+        """
+        if self._path("snapshot").exists():
+            os.unlink(self._path("snapshot"))
+            self._sync_folder()
+        if self._founding.membership.members:
+            self._replace("snapshot", msgspec.msgpack.encode(self._founding))
+        self._replace("replica-id", self._new_replica.encode())
+
     def _load_snapshot(self) -> Snapshot:
         if not self._path("snapshot").exists():
             return Snapshot()
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+from hawthornshelf.bootstrap import make_founding_snapshot, make_replica_id
 from hawthornshelf.commands import (
     Command,
     ConfigurationAccepted,
@@ -47,7 +48,7 @@
     RequestArrived,
     StopRequested,
 )
-from hawthornshelf.log import Persist, RecoveredState
+from hawthornshelf.log import Persist, RecoveredState, Snapshot
 from hawthornshelf.messages import CODEC
 from hawthornshelf.node import NodeCore, NodeSettings
 from hawthornshelf.storage import MemoryStorage
@@ -159,9 +160,15 @@
         node.epoch += 1
         node.frozen, node.backlog, node.stopped = False, [], False
         recovered: RecoveredState | None = None
+        is_first = bool(self.voters) and name in self.control and node.epoch == 1
         if node.control:
             if node.disk is None:
-                node.disk = MemoryStorage(f"{name}-{self.rng.randrange(10**9)}")
+                founding = Snapshot()
+                if is_first:
+                    founding = make_founding_snapshot(name, sorted(self.control))
+                random_id = f"{name}-{self.rng.randrange(10**9)}"
+                replica = make_replica_id(founding, name, random_id)
+                node.disk = MemoryStorage(replica, founding)
             recovered = node.disk.load()
         settings = NodeSettings(
             node=name,
@@ -175,7 +182,7 @@
             uses_platform=self.uses_platform,
             started_ms=int(self.now * 1000),
             compact_entries=self.compact_entries,
-            bootstrap=not self.voters or (name in self.control and node.epoch == 1),
+            bootstrap=not self.voters or is_first,
             voters=self.voters,
             named_by_address=self.voters > 0,
         )
