Give no founder's place twice from one process, and sync the folder's own name

Callers would have seen: two groups. Cause: a process keeps the settings with which it started, so one whose folder is emptied while it runs would have written the same id anew as it recovers its storage, and voted twice; and the name of the data folder was never synced, so that a loss of power could leave a founder's disk looking empty. Change: a replica id that was there and is gone is damage (StorageCorrupt) until the process starts again; a new folder's parent is synced. Evidence: the test of the emptied folder failed before (DID NOT RAISE); the one of the sync had nothing to watch; both pass. Why it works: the id is the vote, and is now written once a process and durable before it counts.

--- a/hawthornshelf/storage.py
+++ b/hawthornshelf/storage.py
@@ -86,7 +86,11 @@
         self._founding = founding
         self._log_file = -1
         self._failed = False
+        self._has_identity = False
+        is_new = not folder.exists()
         folder.mkdir(parents=True, exist_ok=True)
+        if is_new:
+            self._sync_path(folder.parent)
 
     def load(self) -> RecoveredState:
         """Return the state last synced, after truncating a torn record at the end.
@@ -192,7 +196,10 @@
         os.fsync(file)
 
     def _sync_folder(self) -> None:
-        folder = os.open(self._folder, os.O_RDONLY)
+        self._sync_path(self._folder)
+
+    def _sync_path(self, path: Path) -> None:
+        folder = os.open(path, os.O_RDONLY)
         try:
             os.fsync(folder)
         finally:
@@ -205,8 +212,12 @@
                 raise self._corrupt(
                     "replica-id", "a log exists but the replica id is missing"
                 )
+            if self._has_identity:
+                raise self._corrupt("replica-id", "lost while the process ran")
             self._write_identity()
-        return self._read_record_file("replica-id").decode()
+        replica = self._read_record_file("replica-id").decode()
+        self._has_identity = True
+        return replica
 
     def _write_identity(self) -> None:
         """Write the founding snapshot, if any, and then the replica id.
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -10,6 +10,7 @@
 
 from hawthornshelf.bootstrap import make_founding_snapshot, make_replica_id
 from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
+from hawthornshelf.errors import StorageCorrupt
 from hawthornshelf.log import Member, Membership, Persist, Snapshot
 from hawthornshelf.storage import DiskStorage
 from tests.simulation import Simulation
@@ -278,6 +279,29 @@
         assert later.snapshot == Snapshot()
 
 
+def test_a_disk_lost_under_a_running_process_is_founded_a_second_time(
+    tmp_path: Path,
+) -> None:
+    """The process still holds the settings of the first start."""
+    storage = open_disk(tmp_path, is_first=True)
+    storage.load()
+    for path in tmp_path.iterdir():
+        path.unlink()
+    with pytest.raises(StorageCorrupt):
+        storage.recover()
+    assert open_disk(tmp_path, is_first=False).load().replica == "random"
+
+
+def test_the_folder_of_a_founder_is_lost_with_the_power(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A folder whose name isn't synced may be gone; the disk then looks empty."""
+    synced: list[Path] = []
+    monkeypatch.setattr(DiskStorage, "_sync_path", lambda _, path: synced.append(path))
+    open_disk(tmp_path / "control", is_first=True).load()
+    assert synced[0] == tmp_path
+
+
 def test_a_folder_of_an_earlier_build_becomes_a_founder_in_a_second_group(
     tmp_path: Path,
 ) -> None:
