--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -54,6 +54,10 @@
 FRESHNESS_REPORT_INTERVAL_SECONDS = 1.0
 COMPACT_ENTRIES = 1000
 COMPACT_BYTES = 4 * 1024 * 1024
+AWAITED_AFTER_SECONDS = 2.5
+"""A replica that has known no leader for longer logs which nodes it waits for."""
+
+AWAITED_INTERVAL_SECONDS = 5.0
 MAX_PENDING_REPLIES = 20_000
 PLATFORM_LIST_VALID_SECONDS = 5.0
 NEVER = float("inf")
@@ -132,6 +136,8 @@
         self._relayed_from: dict[str, str] = {}
         self._effects: list[Effect | SendToNode] = []
         self._hello_due = 0.0
+        self._heard_at: dict[str, float] = {}
+        self._awaited_due = now + AWAITED_AFTER_SECONDS
         self._reconcile_due = 0.0
         self._was_leader = False
         self._logged_membership = Membership()
@@ -148,6 +154,8 @@
         self._now, self._wall = now, wall
         if self.stopped:
             return
+        if isinstance(message, Hello | RaftMessage):
+            self._heard_at[sender] = now
         match message:
             case Hello():
                 self._on_hello(message)
@@ -192,6 +200,7 @@
         self._run_raft(now)
         self._handle_leadership_change(now)
         self._log_membership_change()
+        self._log_awaited(now)
         if self.raft.is_ready and now >= self._reconcile_due:
             self._reconcile_due = now + RECONCILE_INTERVAL_SECONDS
             self._reconcile(now)
@@ -432,6 +441,27 @@
             leads=self.raft.is_leader,
         )
 
+    def _log_awaited(self, now: float) -> None:
+        """Log the nodes that this replica hears nothing of while it knows no leader."""
+        if self.raft.leader != "":
+            self._awaited_due = now + AWAITED_AFTER_SECONDS
+        if now < self._awaited_due:
+            return
+        self._awaited_due = now + AWAITED_INTERVAL_SECONDS
+        voters = [m.node for m in self.raft.membership.members if m.voter]
+        known = (*self._settings.initial_nodes, *self._control_nodes())
+        expected = set(voters or known)
+        heard_after = now - AWAITED_AFTER_SECONDS
+        heard = {n for n, at in self._heard_at.items() if at > heard_after}
+        own_member = self.raft.membership.find(self.raft.replica)
+        self._log(
+            "leader-awaited",
+            voter=own_member is not None and own_member.voter,
+            voters=",".join(voters),
+            awaited=",".join(sorted(expected - heard - {self._settings.node})),
+            heard=",".join(sorted(heard)),
+        )
+
     def _reconcile(self, now: float) -> None:
         self._replicas.tick(now)
         self._apply_platform_list(now)
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -10,6 +10,7 @@
 
 from hawthornshelf.bootstrap import make_founding_snapshot, make_replica_id
 from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
+from hawthornshelf.control import AWAITED_AFTER_SECONDS
 from hawthornshelf.errors import StorageCorrupt
 from hawthornshelf.log import Member, Membership, Persist, Snapshot
 from hawthornshelf.storage import DiskStorage
@@ -28,6 +29,7 @@
 """Moments of a disturbance, in seconds after the first start."""
 
 SUCCESSOR_SECONDS = 2.0
+AWAITED = "leader-awaited"
 
 Disturb = Callable[[Simulation, str], None]
 
@@ -218,6 +220,33 @@
     assert commits.conflicts == []
 
 
+def test_nodes_that_wait_for_a_group_are_silent_about_what_they_wait_for() -> None:
+    simulation = Simulation(1, control=3, entries=0, voters=3)
+    simulation.start("c1")
+    simulation.add_control_node("c9")
+    simulation.run(AWAITED_AFTER_SECONDS + 1.0)
+    lines = {
+        name: [
+            dict(x.fields)
+            for x in simulation.nodes[name].log_lines
+            if x.event == AWAITED
+        ]
+        for name in ("c1", "c9")
+    }
+    assert lines["c1"][0]["awaited"] == "c0,c2"
+    assert lines["c1"][0]["voter"] is True
+    assert lines["c9"][0]["voter"] is False
+    assert "c0" in str(lines["c9"][0]["awaited"])
+
+
+def test_a_group_that_has_formed_says_that_it_waits() -> None:
+    simulation = Simulation(1, control=3, entries=0, voters=3)
+    simulation.start_all()
+    simulation.run(20.0)
+    lines = [x for node in simulation.nodes.values() for x in node.log_lines]
+    assert AWAITED not in [x.event for x in lines]
+
+
 # What a disk holds
 
 NODES = ("a", "b", "c")
