Write a founder's place before the slow imports

Callers would have seen: no group, where all control processes are killed in the first second and their next start reads `Bootstrap = false`: a disk without a place then looks wiped. Cause: the place was written once the whole program had been imported, 1.4 s after the start of a process on a busy machine. Why it works: it narrows the time, it can't end it. A kill of most nodes before they have written anything, and then `false`, leaves what looks like wiped disks only; to found from these could make a second group.

--- a/hawthornshelf/bootstrap.py
+++ b/hawthornshelf/bootstrap.py
@@ -1,41 +1,14 @@
-"""Form a control group once.
-
-Either the initial nodes are its voters from the first start, and any majority of them
-elects a leader; or replicas that all start blank form it once all have said hello. The
-former needs a flag that tells a first start from a start with a wiped disk.
-"""
+"""Form a control group once, from replicas that all start blank."""
 
 from collections.abc import Iterable, Sequence
 
 from hawthornshelf.log import Member, Membership, Snapshot
 from hawthornshelf.messages import Hello
 
-__all__ = ["GroupBootstrap", "make_founding_snapshot", "make_replica_id"]
+__all__ = ["GroupBootstrap"]
 
 BOOTSTRAP_TERM = 1
 BOOTSTRAP_INDEX = 1
-FOUNDER_PREFIX = "founder-"
-
-
-def make_founding_snapshot(node: str, initial: Sequence[str]) -> Snapshot:
-    """Return the snapshot with which a node's replica starts on an empty disk.
-
-    All initial nodes start with the same one: each of them is a voter under an id that
-    follows from its name, so that none has to be heard of first. Call it at the first
-    start only. A second empty disk with the same id would vote twice. The snapshot is
-    empty for a node that is not an initial one.
-    """
-    if node not in initial:
-        return Snapshot()
-    members = [Member(FOUNDER_PREFIX + n, n, voter=True) for n in initial]
-    membership = Membership(tuple(sorted(members)))
-    return Snapshot(BOOTSTRAP_TERM, BOOTSTRAP_INDEX, membership)
-
-
-def make_replica_id(founding: Snapshot, node: str, random_id: str) -> str:
-    """Return the id for a replica on an empty disk: a founder's, or the random one."""
-    founders = founding.membership.on_node(node)
-    return founders[0].replica if founders else random_id
 
 
 class GroupBootstrap:
--- a/tests/foundingexplorer.py
+++ b/tests/foundingexplorer.py
@@ -25,11 +25,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple, TypeVar
 
-from hawthornshelf.bootstrap import (
-    GroupBootstrap,
-    make_founding_snapshot,
-    make_replica_id,
-)
+from hawthornshelf.bootstrap import GroupBootstrap
+from hawthornshelf.founding import make_founding_snapshot, make_replica_id
 from hawthornshelf.log import Persist, Snapshot
 from hawthornshelf.messages import Hello
 from hawthornshelf.progress import ProgressTable
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from hawthornshelf.bootstrap import make_founding_snapshot, make_replica_id
 from hawthornshelf.commands import (
     Command,
     ConfigurationAccepted,
@@ -48,6 +47,7 @@
     RequestArrived,
     StopRequested,
 )
+from hawthornshelf.founding import make_founding_snapshot, make_replica_id
 from hawthornshelf.log import Persist, RecoveredState, Snapshot
 from hawthornshelf.messages import CODEC
 from hawthornshelf.node import NodeCore, NodeSettings
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from hawthornshelf.bootstrap import make_founding_snapshot, make_replica_id
 from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
 from hawthornshelf.control import AWAITED_AFTER_SECONDS
 from hawthornshelf.errors import StorageCorrupt
+from hawthornshelf.founding import make_founding_snapshot, make_replica_id
 from hawthornshelf.log import Member, Membership, Persist, Snapshot
 from hawthornshelf.storage import DiskStorage
 from tests.simulation import Simulation
