Name a voter that lost its disk among those awaited

Operators saw: awaited="" where two of three nodes answered under new ids that have no vote (a trial on real processes, all killed before they had written anything). Cause: leader-awaited counted nodes, and the votes belong to replicas. Change: it counts replica ids. Evidence: the new test failed before ('c0', 'c0,c2' expected); passes. Why it works: hellos and Raft messages name the replica that sent them.

--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -136,7 +136,7 @@
         self._relayed_from: dict[str, str] = {}
         self._effects: list[Effect | SendToNode] = []
         self._hello_due = 0.0
-        self._heard_at: dict[str, float] = {}
+        self._heard: dict[str, tuple[str, float]] = {}
         self._awaited_due = now + AWAITED_AFTER_SECONDS
         self._reconcile_due = 0.0
         self._was_leader = False
@@ -154,10 +154,9 @@
         self._now, self._wall = now, wall
         if self.stopped:
             return
-        if isinstance(message, Hello | RaftMessage):
-            self._heard_at[sender] = now
         match message:
             case Hello():
+                self._heard[message.replica] = sender, now
                 self._on_hello(message)
             case Submit():
                 self._on_submit(sender, message)
@@ -167,6 +166,7 @@
                 self._on_ask_control(now, sender, message)
             case _ if isinstance(message, RaftMessage):
                 self._replica_nodes[message.sender] = sender
+                self._heard[message.sender] = sender, now
                 self.raft.step(now, message)
 
     def handle(
@@ -448,18 +448,20 @@
         if now < self._awaited_due:
             return
         self._awaited_due = now + AWAITED_INTERVAL_SECONDS
-        voters = [m.node for m in self.raft.membership.members if m.voter]
-        known = (*self._settings.initial_nodes, *self._control_nodes())
-        expected = set(voters or known)
         heard_after = now - AWAITED_AFTER_SECONDS
-        heard = {n for n, at in self._heard_at.items() if at > heard_after}
-        own_member = self.raft.membership.find(self.raft.replica)
+        heard = {r: node for r, (node, at) in self._heard.items() if at > heard_after}
+        heard[self.raft.replica] = self._settings.node
+        voters = [m for m in self.raft.membership.members if m.voter]
+        awaited = {m.node for m in voters if m.replica not in heard}
+        if not voters:
+            known = {*self._settings.initial_nodes, *self._control_nodes()}
+            awaited = known - set(heard.values())
         self._log(
             "leader-awaited",
-            voter=own_member is not None and own_member.voter,
-            voters=",".join(voters),
-            awaited=",".join(sorted(expected - heard - {self._settings.node})),
-            heard=",".join(sorted(heard)),
+            voter=self.raft.replica in self.raft.membership.voters(),
+            voters=",".join(member.node for member in voters),
+            awaited=",".join(sorted(awaited)),
+            heard=",".join(sorted({*heard.values()} - {self._settings.node})),
         )
 
     def _reconcile(self, now: float) -> None:
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -239,6 +239,19 @@
     assert "c0" in str(lines["c9"][0]["awaited"])
 
 
+def test_a_voter_without_its_disk_is_taken_for_one_that_is_there() -> None:
+    """It answers under a new id, which has no vote."""
+    simulation = Simulation(1, control=3, entries=0, voters=3)
+    simulation.start("c1")
+    simulation.nodes["c2"].epoch = 1
+    simulation.start("c2")
+    simulation.run(AWAITED_AFTER_SECONDS + 1.0)
+    log_lines = simulation.nodes["c1"].log_lines
+    line = next(dict(x.fields) for x in log_lines if x.event == AWAITED)
+    assert line["awaited"] == "c0,c2"
+    assert line["heard"] == "c2"
+
+
 def test_a_group_that_has_formed_says_that_it_waits() -> None:
     simulation = Simulation(1, control=3, entries=0, voters=3)
     simulation.start_all()
