Sync the name of a data folder where a failure is answered

Callers would have seen: a control process that ends at its start, again and again, while its disk refuses a sync. Change: `load` syncs it, before it writes the id. Evidence: the new test needs `load` to raise and `recover` to succeed; passes. Also tested now: the early write of a founder's place, and nodes that an earlier build left without a group, which form one once all have said hello.

--- a/hawthornshelf/storage.py
+++ b/hawthornshelf/storage.py
@@ -87,10 +87,7 @@
         self._log_file = -1
         self._failed = False
         self._has_identity = False
-        is_new = not folder.exists()
         folder.mkdir(parents=True, exist_ok=True)
-        if is_new:
-            self._sync_path(folder.parent)
 
     def load(self) -> RecoveredState:
         """Return the state last synced, after truncating a torn record at the end.
@@ -225,6 +222,7 @@
         Only the id puts the snapshot in force, so one without an id is what a process
         left that was killed in between, and is removed.
         """
+        self._sync_path(self._folder.parent)
         if self._path("snapshot").exists():
             os.unlink(self._path("snapshot"))
             self._sync_folder()
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -13,7 +13,7 @@
 from hawthornshelf.errors import StorageCorrupt
 from hawthornshelf.founding import make_founding_snapshot, make_replica_id
 from hawthornshelf.log import Member, Membership, Persist, Snapshot
-from hawthornshelf.storage import DiskStorage
+from hawthornshelf.storage import DiskStorage, MemoryStorage
 from tests.simulation import Simulation
 
 ACK_SECONDS = 4.0
@@ -183,6 +183,17 @@
     assert_acknowledged(simulation, 1)
 
 
+def test_nodes_that_an_earlier_build_left_without_a_group_never_form_one() -> None:
+    """They hold random ids, which have no vote; all of them have to say hello."""
+    simulation = Simulation(5, control=3, entries=1, voters=3)
+    for name in simulation.control:
+        simulation.nodes[name].disk = MemoryStorage(f"old-{name}")
+    simulation.start_all()
+    simulation.run(STABLE_SECONDS)
+    assert_acknowledged(simulation, 1)
+    assert voting_replicas(simulation) == {f"old-{name}" for name in simulation.control}
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_a_wiped_founder_and_a_thawed_one_form_a_second_group(seed: int) -> None:
     """The group forms without one node; then a founder loses its disk, another is cut.
@@ -339,11 +350,28 @@
 ) -> None:
     """A folder whose name isn't synced may be gone; the disk then looks empty."""
     synced: list[Path] = []
+    storage = open_disk(tmp_path / "control", is_first=True)
     monkeypatch.setattr(DiskStorage, "_sync_path", lambda _, path: synced.append(path))
-    open_disk(tmp_path / "control", is_first=True).load()
+    storage.load()
     assert synced[0] == tmp_path
 
 
+def test_a_disk_that_refuses_a_sync_ends_the_process_at_its_start(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Only what `load` raises is answered by writing the storage anew later."""
+
+    def refuse(*_: object) -> None:
+        raise OSError("no sync")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(DiskStorage, "_sync_path", refuse)
+        storage = open_disk(tmp_path / "control", is_first=True)
+        with pytest.raises(OSError, match="no sync"):
+            storage.load()
+    assert storage.recover().replica == "founder-a"
+
+
 def test_a_folder_of_an_earlier_build_becomes_a_founder_in_a_second_group(
     tmp_path: Path,
 ) -> None:
