--- a/tests/southernveil/processes.py
+++ b/tests/southernveil/processes.py
@@ -11,14 +11,14 @@
 
 
 async def start_process(
-    role: str, settings: Path, log: Path
+    role: str, settings: Path, log: Path, serve: Path = SERVE
 ) -> asyncio.subprocess.Process:
     """Start a process of one role as the platform starts it."""
     environment = {**os.environ, "HAWTHORNSHELF_BOOT": str(settings)}
     with log.open("ab") as output:
         return await asyncio.create_subprocess_exec(
             sys.executable,
-            str(SERVE),
+            str(serve),
             role,
             env=environment,
             stdout=output,
