--- a/scripts/trial_runs.py
+++ b/scripts/trial_runs.py
@@ -40,26 +40,29 @@
 )
 from tests.southernveil.processes import start_process  # noqa: E402
 
-HOST = "ficu95.example"
+GROUPS = 3
+"""Groups of nodes: the first one reaches engines directly, others by their proxies."""
+
 START_SECONDS = 90.0
 POLL_SECONDS = 0.2
+HOLD_POLL_SECONDS = 0.02
 QUIET_SECONDS = 4.0
 """Time after the last fault in which a request that was given up may still run."""
 
-ABANDON_SECONDS = 4.0
-"""Longest gap that a caller accepts, four times the target of the routes."""
+FAULT_SECONDS = (1.0, 3.3)
+"""Shortest and longest fault, stopped engines among them."""
 
-STOP_SECONDS = (1.0, 3.3)
-"""Shortest and longest silence of a stopped engine."""
+DELAY_SECONDS = (0.05, 0.5)
+PATIENCE_SECONDS = (4.0, 9.0)
+"""Longest gaps that callers accept: four times the target of the routes, and more."""
 
 MOVE_ON_SECONDS = 0.4
 """Time for which a run may overlap with its continuation elsewhere."""
 
 LONG_PROMPT_SHARE = 0.15
 RESET_SHARE = 0.5
-ANSWERS_NOT_RUN = frozenset({408, 421, 429, 503})
-LINES_SHOWN = 60
-"""Most log lines printed for one broken rule."""
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+HARMS = ("hold answers", "hold requests", "stall", "delay", "refuse", "refuse")
 
 
 class Kind(NamedTuple):
@@ -85,7 +88,7 @@
     """Represent one request and what its caller got; status 0 without an answer."""
 
     id: str
-    kind: str
+    kind: Kind
     node: str
     total: int
     sent_at: float
@@ -94,50 +97,39 @@
     outcome: str = "cut"
 
 
-class Breach(NamedTuple):
-    """Represent a broken rule and the request that shows it."""
-
-    rule: str
-    request: str
-    text: str
-
-
 class FaultProxy(PartitionProxy):
-    """Forward to an engine; delay, hold back, reset or refuse on demand.
-
-    A direction that is held back passes nothing on until it is released.
-    """
+    """Forward to an engine; delay, hold back, reset or refuse on demand."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, rng: random.Random) -> None:
         super().__init__(target)
-        self.delay_seconds = 0.0
-        self.held = {True: False, False: False}
-        self._released = asyncio.Condition()
-
-    async def hold(self, is_answer: bool, value: bool) -> None:
-        """Hold one direction back, or release it."""
-        async with self._released:
-            self.held[is_answer] = value
-            self._released.notify_all()
-
-    def reset(self, rng: random.Random, share: float) -> None:
+        self.address = f"127.0.0.1:{free_ports(1)[0]}"
+        self.harms: Counter[str] = Counter()
+        self._rng = rng
+
+    async def listen(self) -> None:
+        """Accept connections."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def harm(self, what: str, change: int) -> None:
+        """Begin to do a harm, or end it; open connections survive a refusal."""
+        self.harms[what] += change
+        if what == "refuse" and self.harms[what] == (change > 0):
+            assert self._server is not None
+            self._server.close()
+            if change < 0:
+                await self.listen()
+
+    def reset(self) -> None:
         """Reset a share of the open connections, on the nodes' side."""
         for writer in sorted(self._writers, key=id):
-            sock = writer.get_extra_info("socket")
-            if self._is_answer(writer) and rng.random() < share:
+            if self._is_answer(writer) and self._rng.random() < RESET_SHARE:
                 linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+                sock = writer.get_extra_info("socket")
                 with contextlib.suppress(OSError):
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                 writer.transport.abort()
 
-    async def refuse(self, value: bool) -> None:
-        """Refuse new connections, or accept them again."""
-        assert self._server is not None
-        self._server.close()
-        if not value:
-            port = int(self.address.rpartition(":")[2])
-            self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-
     def _is_answer(self, writer: asyncio.StreamWriter) -> bool:
         own = writer.get_extra_info("sockname")
         return own is not None and self.address.endswith(f":{own[1]}")
@@ -145,12 +137,13 @@
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        is_answer = self._is_answer(writer)
+        hold = "hold answers" if self._is_answer(writer) else "hold requests"
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
-                await asyncio.sleep(self.delay_seconds)
-                async with self._released:
-                    await self._released.wait_for(lambda: not self.held[is_answer])
+                while self.harms[hold] or self.harms["stall"]:
+                    await asyncio.sleep(HOLD_POLL_SECONDS)
+                if self.harms["delay"]:
+                    await asyncio.sleep(self._rng.uniform(*DELAY_SECONDS))
                 writer.write(data)
                 await writer.drain()
         writer.transport.abort()
@@ -167,11 +160,11 @@
 
 @dataclass
 class Engine:
-    """Hold an engine's process, its proxy if any, and how many stops are in force."""
+    """Hold an engine's process, its proxies, and how many stops are in force."""
 
     name: str
     process: asyncio.subprocess.Process
-    proxy: FaultProxy | None
+    proxies: list[FaultProxy]
     stops: int = 0
     faults: list[tuple[float, float]] = field(default_factory=list)
 
@@ -180,7 +173,7 @@
     """Return a manifest with other limits, time-outs and routes for each version."""
     manifest: dict[str, Any] = make_manifest(version)
     routes = {route["Name"]: route for route in manifest["Routes"]}
-    routes["l"] = {**routes["r"], "Name": "l", "PathPrefix": KINDS["live"].prefix}
+    routes["l"] = routes["r"] | {"Name": "l", "PathPrefix": KINDS["live"].prefix}
     for name in ("r", "l", "t"):
         routes[name]["TimeoutMs"] = rng.choice([8000, 12000, 15000])
     routes["r"]["MaxAttempts"] = 1
@@ -188,10 +181,9 @@
     routes["s"]["TimeoutMs"] = rng.choice([2500, 3000, 4000])
     if rng.random() < 0.5:
         extra = {"Name": f"x{version}", "PathPrefix": f"/x{version}/"}
-        routes["x"] = {**routes["s"], **extra}
+        routes["x"] = routes["s"] | extra
     manifest["Routes"] = list(routes.values())
-    engine = manifest["Services"][1]["Engine"]
-    engine |= {"Slots": 16, "Moves": True, "Backups": True, "HandleTtlS": 5.0}
+    manifest["Services"][1]["Engine"] |= {"Slots": 16, "HandleTtlS": 5.0}
     manifest["Limits"]["IdleTimeoutMs"] = rng.choice([4000, 8000, 15000])
     return manifest
 
@@ -204,33 +196,32 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.folder = folder
-        first = f"127.{100 + os.getpid() % 100}.{seed % 250}"
-        self.ips = [f"{first}.{number + 1}" for number in range(options.nodes)]
+        network = f"127.{100 + os.getpid() % 100}.{seed % 250}"
+        self.ips = [f"{network}.{number + 1}" for number in range(options.nodes)]
         self.ports = free_ports(5)
         self.nodes: dict[tuple[str, str], asyncio.subprocess.Process] = {}
-        self.engines: list[Engine] = []
-        self.entries: list[object] = []
+        self.engines: dict[str, Engine] = {}
+        self.lists = [WholeRunnerList() for _ in range(GROUPS)]
         self.requests: dict[str, Request] = {}
-        self.breaches: list[Breach] = []
+        self.breaches: list[tuple[str, str, str]] = []
         self.faults: list[tuple[float, str]] = []
-        self.version = 0
-        self.list_address = ""
+        self._version = 0
         self._ending = False
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: list[asyncio.Task[None]] = []
 
     # Processes
 
     async def start_engine(self, name: str, service: str, stage: str) -> None:
-        """Start an engine, every other one behind a proxy."""
+        """Start an engine, and a proxy in front of it for each group but the first."""
         port = free_ports(1)[0]
-        address = f"127.0.0.1:{port}"
-        proxy = FaultProxy(address) if self.rng.random() < 0.5 else None
-        if proxy is not None:
-            address = await proxy.start()
-        settings = {"name": name, "service": service, "stage": stage}
-        settings |= {"address": address, "port": port}
-        settings |= {"record": str(self.folder / "runs.jsonl")}
-        settings |= {"bare_share": self.options.bare}
+        addresses = [f"127.0.0.1:{port}"]
+        proxies = [FaultProxy(addresses[0], self.rng) for _ in range(1, GROUPS)]
+        for proxy in proxies:
+            await proxy.listen()
+            addresses.append(proxy.address)
+        settings = {"name": name, "service": service, "stage": stage, "port": port}
+        settings["record"] = str(self.folder / "runs.jsonl")
+        settings["bare_share"] = self.options.bare
         with (self.folder / f"{name}.log").open("ab") as output:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -239,116 +230,98 @@
                 stdout=output,
                 stderr=output,
             )
-        self.engines.append(Engine(name, process, proxy))
-        runner = FakeRunner(address, name=name, service=service, stage=stage)
-        self.entries.append(runner.entry() | {"Slots": 16})
+        self.engines[name] = Engine(name, process, proxies)
+        for runner_list, address in zip(self.lists, addresses, strict=True):
+            runner = FakeRunner(address, name=name, service=service, stage=stage)
+            runner_list.entries.append(runner.entry() | {"Slots": 16})
 
     async def start_node(self, role: str, ip: str) -> None:
         """Start a process of a node, again if it was killed."""
         name = f"{role}-{ip}"
+        list_address = self.lists[self.ips.index(ip) % GROUPS].address
         seeds = tuple(self.ips[:3])
-        make_settings(self.folder, ip, role, self.ports, self.list_address, seeds)
-        self.nodes[role, ip] = await start_process(
-            role,
-            self.folder / f"{name}.toml",
-            self.folder / f"{name}.log",
-            self.options.tree / "platform" / "serve.py",
-        )
+        make_settings(self.folder, ip, role, self.ports, list_address, seeds)
+        settings, log = self.folder / f"{name}.toml", self.folder / f"{name}.log"
+        serve = self.options.tree / "platform" / "serve.py"
+        self.nodes[role, ip] = await start_process(role, settings, log, serve)
 
     async def start(self) -> None:
         """Start all processes and wait until every node is ready."""
-        runner_list = WholeRunnerList()
-        await runner_list.start()
-        self.list_address = runner_list.address
+        for runner_list in self.lists:
+            await runner_list.start()
         for number in range(self.options.engines):
             await self.start_engine(f"e-{number}", ENGINE_SERVICE, "decode")
         for number in range(max(2, self.options.engines // 3)):
             await self.start_engine(f"p-{number}", PLAIN_SERVICE, "")
-        runner_list.entries = self.entries
         for ip in self.ips[:3]:
             await self.start_node("control", ip)
         for ip in self.ips:
             await self.start_node("entry", ip)
         async with asyncio.timeout(START_SECONDS):
-            await self._wait(self.change_routes)
+            while not await self.change_routes():
+                await asyncio.sleep(POLL_SECONDS)
             for ip in self.ips:
                 url = f"http://{ip}:{self.ports[1]}/hawthornshelf/readyz"
-                await self._wait(lambda url=url: self._is_ready(url))  # type: ignore[misc]
-
-    async def _wait(self, check: Callable[[], Awaitable[bool]]) -> None:
-        while not await check():
-            await asyncio.sleep(POLL_SECONDS)
-
-    async def _is_ready(self, url: str) -> bool:
-        with contextlib.suppress(aiohttp.ClientError, OSError):
-            async with aiohttp.ClientSession() as client, client.get(url) as response:
-                return response.status == 200
-        return False
+                while await _fetch_status("GET", url) != 200:
+                    await asyncio.sleep(POLL_SECONDS)
 
     async def change_routes(self) -> bool:
         """Send the next manifest to a control node; return whether it took it."""
-        self.version += 1
-        body = json.dumps(make_routes(self.version, self.rng)).encode()
+        self._version += 1
+        body = json.dumps(make_routes(self._version, self.rng)).encode()
         ip = self.rng.choice(self.ips[:3])
         url = f"http://{ip}:{self.ports[2]}/hawthornshelf/Config.Replace"
-        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-            async with (
-                aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(4.0)) as client,
-                client.post(url, data=body) as response,
-            ):
-                return response.status == 200
-        return False
+        return await _fetch_status("POST", url, body) == 200
 
     async def stop(self) -> None:
         """End all processes that this trial started, each by its own id."""
         for task in self._tasks:
             task.cancel()
-        processes = [*self.nodes.values(), *(e.process for e in self.engines)]
+        engines = self.engines.values()
+        processes = [*self.nodes.values(), *(engine.process for engine in engines)]
         for process in processes:
             with contextlib.suppress(ProcessLookupError):
                 process.kill()
         await asyncio.gather(*(process.wait() for process in processes))
-        for engine in self.engines:
-            if engine.proxy is not None:
-                await engine.proxy.stop()
+        for proxy in (proxy for engine in engines for proxy in engine.proxies):
+            await proxy.stop()
 
     # Callers
 
     async def call(self, rng: random.Random) -> None:
         """Send requests to random nodes on kept connections, one after another."""
-        names = list(KINDS)
-        weights = [kind.weight for kind in KINDS.values()]
-        timeout = aiohttp.ClientTimeout(sock_read=ABANDON_SECONDS, sock_connect=1.0)
+        kinds = list(KINDS.values())
+        weights = [kind.weight for kind in kinds]
+        patience = rng.choice(PATIENCE_SECONDS)
+        timeout = aiohttp.ClientTimeout(sock_read=patience, sock_connect=1.0)
         async with aiohttp.ClientSession(timeout=timeout) as client:
             client._retry_connection = False
             while not self._ending:
-                kind = rng.choices(names, weights)[0]
-                total = rng.choice([4, 12, 25, 60]) if KINDS[kind].is_stream else 1
-                request = Request(
-                    secrets.token_hex(8), kind, rng.choice(self.ips), total, time.time()
-                )
-                self.requests[request.id] = request
+                kind = rng.choices(kinds, weights)[0]
+                total = rng.choice([4, 12, 25, 60]) if kind.is_stream else 1
+                name, node = secrets.token_hex(8), rng.choice(self.ips)
+                request = Request(name, kind, node, total, time.time())
+                self.requests[name] = request
                 try:
                     await self._send(client, request, rng)
-                except (aiohttp.ClientError, OSError, ValueError) as error:
+                except (aiohttp.ClientError, OSError) as error:
                     request.outcome = f"cut: {type(error).__name__}"
                 await asyncio.sleep(rng.uniform(0.05, 0.3))
 
     async def _send(
         self, client: aiohttp.ClientSession, request: Request, rng: random.Random
     ) -> None:
-        kind = KINDS[request.kind]
-        headers = {"Host": HOST, "X-Request-Id": request.id, "X-Deadline-Ms": "9000"}
-        if kind.is_stream:
+        headers = {"Host": "ficu95.example", "X-Request-Id": request.id}
+        headers["X-Deadline-Ms"] = rng.choice(["4000", "9000"])
+        if request.kind.is_stream:
             tokens = 3000 if rng.random() < LONG_PROMPT_SHARE else 300
             part = f"5c1e:{tokens - 100},{request.id[:8]}:100"
             headers |= {"X-Model": "m", "X-Token-Counts": f"{tokens},{request.total}"}
             headers |= {"X-Prompt-Prefix": part}
-        url = f"http://{request.node}:{self.ports[0]}{kind.prefix}{request.id}"
+        url = f"http://{request.node}:{self.ports[0]}{request.kind.prefix}{request.id}"
         method = rng.choice(["POST", "POST", "POST", "GET", "PUT"])
-        async with client.request(
-            method, url, data=b"hello", headers=headers
-        ) as response:
+        sending = client.request(method, url, data=b"hello", headers=headers)
+        async with sending as response:
             request.status = response.status
             if response.status >= 300:
                 request.outcome = "refused"
@@ -357,167 +330,130 @@
             stamp = response.headers.get("X-Answer-Stamp", "")
             if not stamp or response.headers.get("X-Request-Id") != request.id:
                 self.break_rule("MIXED", request, f"receipt {stamp!r}")
-            if kind.is_stream:
+            if request.kind.is_stream:
                 await self._read_events(request, response, stamp)
-                return
-            body = await response.read()
-            if body != f"{stamp} {request.id}".encode():
-                self.break_rule("MIXED", request, f"body {body[:80]!r}")
+            else:
+                body = await response.read()
+                if body != f"{stamp} {request.id}".encode():
+                    self.break_rule("MIXED", request, f"body {body[:80]!r}")
             request.outcome = "whole"
 
     async def _read_events(
         self, request: Request, response: aiohttp.ClientResponse, run: str
     ) -> None:
         """Check every event as it comes: its id, its run, and the request it is of."""
-        resumable = not KINDS[request.kind].runs_once
         rest = b""
         async for data in response.content.iter_any():
             *events, rest = (rest + data).split(b"\n\n")
             for event in events:
-                fields = dict(
-                    line.split(": ", 1) for line in event.decode().splitlines()
+                match = re.fullmatch(rb"id: (\d+)\ndata: (\w+) (\w+)", event)
+                number, token, owner = (
+                    (b"0", b"", b"") if match is None else match.groups()
                 )
-                number = int(fields["id"])
-                token, _, owner = fields["data"].partition(" ")
-                if number != request.last + 1:
-                    text = f"event {number} came, {request.last + 1} was next"
-                    self.break_rule("ORDER", request, text)
-                if token != run and not resumable:
-                    text = f"event {number} is of run {token}, not {run}"
+                if int(number) != request.last + 1:
+                    text = f"{event!r} came, {request.last + 1} was next"
                     self.break_rule("ORDER", request, text)
-                if owner != request.id:
-                    self.break_rule("MIXED", request, f"event of request {owner}")
-                request.last = max(request.last, number)
+                if token.decode() != run and request.kind.runs_once:
+                    self.break_rule("ORDER", request, f"{event!r} in run {run}")
+                if owner.decode() != request.id:
+                    self.break_rule("MIXED", request, f"{event!r}")
+                request.last = max(request.last, int(number))
         if rest or request.last != request.total:
             text = f"ended as whole at {request.last} of {request.total}, {rest[:40]!r}"
             self.break_rule("ORDER", request, text)
-        request.outcome = "whole"
 
     def break_rule(self, rule: str, request: Request, text: str) -> None:
         """Note that a rule was broken."""
-        self.breaches.append(Breach(rule, request.id, text))
+        self.breaches.append((rule, request.id, text))
 
     # Faults
 
-    def note(self, text: str) -> None:
-        """Note a fault."""
-        self.faults.append((time.time(), text))
+    def note(
+        self, text: str, seconds: float = 0.0, engines: tuple[Engine, ...] = ()
+    ) -> None:
+        """Note a fault and the engines that it concerns."""
+        now = time.time()
+        names = ",".join(engine.name for engine in engines)
+        self.faults.append((now, f"{text}, {seconds:.2f} s, {names}"))
+        for engine in engines:
+            engine.faults.append((now, now + seconds))
 
-    def spawn(self, fault: Awaitable[None]) -> None:
-        """Run a fault beside the others."""
-        task = asyncio.ensure_future(fault)
-        self._tasks.add(task)
+    def draw_engines(self) -> tuple[Engine, ...]:
+        """Return all or some engines."""
+        share = self.rng.choice([0.3, 0.6, 1.0, 1.0])
+        return tuple(e for e in self.engines.values() if self.rng.random() < share)
 
     async def inject(self, seconds: float) -> None:
         """Draw faults and changes, which overlap, until the time is up."""
         until = time.monotonic() + seconds
-        faults = [self._silence] * 4 + [self._hold, self._refuse, self._delay]
-        faults += [self._reset, self._restart_node]
+        faults: list[Callable[[], Awaitable[None]]] = [self._stop_engines] * 4
+        faults += [self._harm_proxies] * 5 + [self._reset, self._restart_node]
         while time.monotonic() < until:
-            changed = await self.change_routes()
-            self.note(f"manifest {self.version} {'taken' if changed else 'unclear'}")
+            is_taken = await self.change_routes()
+            self.note(f"manifest {self._version} taken: {is_taken}")
             for _ in range(self.rng.choice([1, 1, 2])):
                 await asyncio.sleep(self.rng.uniform(0.0, 0.4))
-                self.spawn(self.rng.choice(faults)())
+                fault = self.rng.choice(faults)
+                self._tasks.append(asyncio.ensure_future(fault()))  # type: ignore[arg-type]
             await asyncio.sleep(self.rng.uniform(0.8, 3.0))
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=2 * STOP_SECONDS[1])
-
-    async def _silence(self) -> None:
-        """Stop all or some engines, and reset some streams as these go on."""
-        share = self.rng.choice([0.3, 0.6, 1.0, 1.0])
-        chosen = [e for e in self.engines if self.rng.random() < share]
-        seconds = self.rng.uniform(*STOP_SECONDS)
-        resets = self.rng.choice(["never", "while", "after"])
-        names = ",".join(e.name for e in chosen)
-        self.note(f"stop {seconds:.2f} s, resets {resets}: {names}")
-        for engine in chosen:
+        await asyncio.gather(*self._tasks)
+
+    async def _stop_engines(self) -> None:
+        """Stop engines, and reset some streams meanwhile or as these go on."""
+        engines = self.draw_engines()
+        seconds = self.rng.uniform(*FAULT_SECONDS)
+        reset_after = self.rng.choice([None, seconds / 2, seconds + 0.1])
+        self.note(f"stop, reset after {reset_after}", seconds, engines)
+        if reset_after is not None:
+            asyncio.get_running_loop().call_later(reset_after, self._reset_all, engines)
+        for engine in engines:
             engine.stops += 1
-            engine.faults.append((time.time(), time.time() + seconds))
             engine.process.send_signal(signal.SIGSTOP)
-        if resets == "while":
-            await asyncio.sleep(seconds / 2)
-            self._reset_all(chosen)
-        await asyncio.sleep(seconds / 2 if resets == "while" else seconds)
-        for engine in chosen:
+        await asyncio.sleep(seconds)
+        for engine in engines:
             engine.stops -= 1
             if not engine.stops:
                 engine.process.send_signal(signal.SIGCONT)
-        if resets == "after":
-            await asyncio.sleep(self.rng.uniform(0.0, 0.15))
-            self._reset_all(chosen)
 
-    def _reset_all(self, engines: list[Engine]) -> None:
-        for engine in engines:
-            if engine.proxy is not None:
-                engine.proxy.reset(self.rng, RESET_SHARE)
-
-    def _draw_proxied(self, what: str, seconds: float) -> list[FaultProxy]:
-        share = self.rng.choice([0.4, 1.0])
-        chosen = [e for e in self.engines if e.proxy and self.rng.random() < share]
-        self.note(f"{what} {seconds:.2f} s: {','.join(e.name for e in chosen)}")
-        for engine in chosen:
-            engine.faults.append((time.time(), time.time() + seconds))
-        return [engine.proxy for engine in chosen if engine.proxy]
-
-    async def _hold(self) -> None:
-        """Silence proxies in one direction, or stall them in both."""
-        directions = self.rng.choice([(True,), (False,), (True, False)])
-        seconds = self.rng.uniform(*STOP_SECONDS)
-        proxies = self._draw_proxied(f"hold {directions}", seconds)
-        for value in (True, False):
-            for proxy in proxies:
-                for is_answer in directions:
-                    await proxy.hold(is_answer, value)
-            if value:
-                await asyncio.sleep(seconds)
-
-    async def _refuse(self) -> None:
-        """Refuse new connections while old ones live on."""
-        seconds = self.rng.uniform(*STOP_SECONDS)
-        proxies = self._draw_proxied("refuse new", seconds)
-        await asyncio.gather(*(proxy.refuse(True) for proxy in proxies))
-        await asyncio.sleep(seconds)
-        await asyncio.gather(*(proxy.refuse(False) for proxy in proxies))
-
-    async def _delay(self) -> None:
-        seconds = self.rng.uniform(*STOP_SECONDS)
-        proxies = self._draw_proxied("delay", seconds)
-        for proxy in proxies:
-            proxy.delay_seconds = self.rng.uniform(0.05, 0.5)
+    def _reset_all(self, engines: tuple[Engine, ...]) -> None:
+        for proxy in (proxy for engine in engines for proxy in engine.proxies):
+            proxy.reset()
+
+    async def _harm_proxies(self) -> None:
+        """Silence, stall or delay engines for some nodes, or refuse new connections."""
+        engines, what = self.draw_engines(), self.rng.choice(HARMS)
+        groups = self.rng.choice([(0,), (1,), (0, 1)])
+        seconds = self.rng.uniform(*FAULT_SECONDS)
+        self.note(f"{what} in groups {groups}", seconds, engines)
+        proxies = [engine.proxies[group] for engine in engines for group in groups]
+        await asyncio.gather(*(proxy.harm(what, 1) for proxy in proxies))
         await asyncio.sleep(seconds)
-        for proxy in proxies:
-            proxy.delay_seconds = 0.0
+        await asyncio.gather(*(proxy.harm(what, -1) for proxy in proxies))
 
     async def _reset(self) -> None:
-        """Reset streams as they go on."""
-        self.note("reset half of the proxied connections")
-        self._reset_all(self.engines)
+        engines = self.draw_engines()
+        self.note("reset", 0.0, engines)
+        self._reset_all(engines)
 
     async def _restart_node(self) -> None:
         """Kill an entry node, and start it again."""
-        ip = self.rng.choice(self.ips)
-        seconds = self.rng.uniform(0.2, 2.0)
+        ip, seconds = self.rng.choice(self.ips), self.rng.uniform(*FAULT_SECONDS)
         process = self.nodes["entry", ip]
-        if process.returncode is not None:
-            return
-        self.note(f"kill entry node {ip}, start it {seconds:.2f} s later")
-        process.kill()
-        await process.wait()
-        await asyncio.sleep(seconds)
-        await self.start_node("entry", ip)
-
-    # The whole trial
+        if process.returncode is None:
+            self.note(f"kill entry node {ip}", seconds)
+            process.kill()
+            await process.wait()
+            await asyncio.sleep(seconds)
+            await self.start_node("entry", ip)
 
     async def run(self) -> None:
         """Run the trial, and leave its logs in the folder."""
         try:
             await self.start()
-            callers = [
-                asyncio.create_task(self.call(random.Random(f"{self.seed}/{number}")))
-                for number in range(self.options.callers)
-            ]
-            await asyncio.sleep(1.0)
+            rngs = (
+                random.Random(f"{self.seed}/{n}") for n in range(self.options.callers)
+            )
+            callers = [asyncio.create_task(self.call(rng)) for rng in rngs]
             await self.inject(self.options.seconds)
             self._ending = True
             await asyncio.sleep(QUIET_SECONDS)
@@ -530,7 +466,16 @@
             await self.stop()
 
 
-# The report
+async def _fetch_status(method: str, url: str, body: bytes = b"") -> int:
+    """Return the status of an answer, or 0 without one."""
+    timeout = aiohttp.ClientTimeout(4.0)
+    with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as client,
+            client.request(method, url, data=body) as response,
+        ):
+            return response.status
+    return 0
 
 
 class Report:
@@ -538,60 +483,51 @@
 
     def __init__(self, trial: Trial) -> None:
         self.trial = trial
-        path = trial.folder / "runs.jsonl"
-        self.lines = [json.loads(line) for line in path.read_text().splitlines()]
-        self.lines.sort(key=lambda line: line["at"])
+        record = (trial.folder / "runs.jsonl").read_text().splitlines()
+        self.lines = sorted(map(json.loads, record), key=lambda line: line["at"])
         self.logs: list[str] = []
         for log in sorted(trial.folder.glob("*-127.*.log")):
             self.logs += log.read_text(errors="replace").splitlines()
         self.runs: dict[str, list[dict[str, Any]]] = defaultdict(list)
         self.arrivals: Counter[str] = Counter()
-        ends = {
-            (line["run"], line["engine"]): line
-            for line in self.lines
-            if line["what"] == "ends"
-        }
+        ends: dict[tuple[str, str], float] = {}
         for line in self.lines:
-            self.arrivals[line["request"]] += line["what"] == "arrives"
-            self.arrivals[line["request"]] -= line["what"] == "refused"
+            if not line.get("source"):
+                change = {"arrives": 1, "refused": -1}
+                self.arrivals[line["request"]] += change.get(line["what"], 0)
+            if line["what"] == "ends":
+                ends[line["run"], line["engine"]] = line["at"]
             if line["what"] == "begins":
-                self.arrivals[line["request"]] -= line["copied"]
-                line["end"] = ends.get((line["run"], line["engine"]))
                 self.runs[line["request"]].append(line)
-        self._check()
-
-    def _check(self) -> None:
-        """Check what only the record of the engines shows: TWICE, REFUSED, UNASKED."""
-        trial = self.trial
         for name, runs in self.runs.items():
-            request = trial.requests.get(name)
-            if request is None:
-                trial.breaches.append(Breach("UNASKED", name, "no caller sent it"))
-                continue
-            if not KINDS[request.kind].runs_once:
-                continue
-            new = [run for run in runs if not run["copied"]]
-            if len(new) > 1:
-                trial.break_rule("TWICE", request, f"ran {len(new)} times")
-            if request.status in ANSWERS_NOT_RUN:
-                text = f"answered {request.status}, and ran {len(runs)} times"
-                trial.break_rule("REFUSED", request, text)
-            for before, after in zip(runs, runs[1:], strict=False):
-                if after["copied"] and self._overlap(before, after["at"]):
-                    trial.break_rule("TWICE", request, "still ran beside its copy")
-
-    def _overlap(self, run: dict[str, Any], at: float) -> bool:
-        """Return whether a run of an engine without a fault went on beside its copy."""
-        ended_at = run["end"]["at"] if run["end"] else float("inf")
-        engine = next(e for e in self.trial.engines if e.name == run["engine"])
-        calm = all(
-            start > ended_at or end + 1.0 < at - 1.0 for start, end in engine.faults
-        )
-        return calm and ended_at > at + MOVE_ON_SECONDS
-
-    def count(self, event: str) -> int:
-        """Return the number of log lines of an event, over all nodes."""
-        return sum(f" event={event} " in f"{line} " for line in self.logs)
+            self._check(trial.requests.get(name), name, runs, ends)
+
+    def _check(
+        self,
+        request: Request | None,
+        name: str,
+        runs: list[dict[str, Any]],
+        ends: dict[tuple[str, str], float],
+    ) -> None:
+        """Check what only the record of the engines shows: UNASKED, TWICE, REFUSED."""
+        if request is None:
+            self.trial.breaches.append(("UNASKED", name, "no caller sent it"))
+            return
+        if not request.kind.runs_once:
+            return
+        new = [run for run in runs if not run["source"]]
+        if len(new) > 1:
+            self.trial.break_rule("TWICE", request, f"ran {len(new)} times")
+        if request.status in NOT_RUN_STATUSES:
+            text = f"answered {request.status}, and ran {len(runs)} times"
+            self.trial.break_rule("REFUSED", request, text)
+        for run, copy in zip(runs, runs[1:], strict=False):
+            end = ends.get((run["run"], run["engine"]), float("inf"))
+            faults = self.trial.engines[run["engine"]].faults
+            # A run that its node can't reach, or that is stopped, may go on.
+            is_calm = all(f[0] > end or f[1] < copy["at"] - 2.0 for f in faults)
+            if copy["source"] and is_calm and end > copy["at"] + MOVE_ON_SECONDS:
+                self.trial.break_rule("TWICE", request, "still ran beside its copy")
 
     def summarize(self) -> str:
         """Return the figures of the trial in one line."""
@@ -599,56 +535,48 @@
         requests = trial.requests.values()
         statuses = Counter(request.status for request in requests)
         runs = [run for runs in self.runs.values() for run in runs]
-        lost = {
-            match[1]
-            for line in self.logs
-            if " event=runners-lost " in line
-            and (match := re.search(r"node=(\S+)", line))
-        }
-        once = [r for r in requests if KINDS[r.kind].runs_once]
-        cut = [r for r in requests if KINDS[r.kind].is_stream and r.last]
+        lost = [line for line in self.logs if " event=runners-lost " in line]
+        once = [request for request in requests if request.kind.runs_once]
+        cut = [
+            r for r in requests if r.kind.is_stream and r.last and r.outcome != "whole"
+        ]
         figures = {
             "requests": len(requests),
-            "whole": sum(r.outcome == "whole" for r in requests),
+            "whole": sum(request.outcome == "whole" for request in requests),
             "runs": len(runs),
-            "from a copy": sum(run["copied"] for run in runs),
-            "relays": self.count("request-relayed"),
-            "nodes with runners-lost": len(lost),
-            "cut streams": sum(r.outcome != "whole" for r in cut),
-            "502": statuses[502],
-            "503": statuses[503],
-            "504": statuses[504],
+            "from a copy": sum(bool(run["source"]) for run in runs),
+            "relays": sum(" event=request-relayed " in line for line in self.logs),
+            "runners-lost at nodes": len(
+                {line.rpartition("node=")[2] for line in lost}
+            ),
+            "cut streams": len(cut),
+            **{str(status): statuses[status] for status in (502, 503, 504)},
             "no answer": statuses[0],
-            "once, arrived again": sum(self.arrivals[r.id] > 1 for r in once),
+            "once but arrived again": sum(self.arrivals[r.id] > 1 for r in once),
             "rules broken": len(trial.breaches),
         }
         text = ", ".join(f"{name} {value}" for name, value in figures.items())
-        return f"seed {trial.seed}, nodes {len(trial.ips)}: {text}"
+        size = f"nodes {len(trial.ips)}, engines {trial.options.engines}"
+        return f"seed {trial.seed}, {size}: {text}"
 
-    def describe(self, breach: Breach) -> str:
+    def describe(self, breach: tuple[str, str, str]) -> str:
         """Return a broken rule with all that was logged for its request."""
-        trial = self.trial
-        request = trial.requests.get(breach.request)
-        lines = [line for line in self.logs if breach.request in line]
-        lines += [
-            f"time={_format_time(line['at'])} {json.dumps(line)}"
-            for line in self.lines
-            if line["request"] == breach.request
-        ]
+        rule, name, text = breach
+        lines = [line for line in self.logs if name in line]
+        for line in self.lines:
+            if line["request"] == name:
+                lines.append(f"{_format_time(line['at'])} {json.dumps(line)}")
+        request = self.trial.requests.get(name)
         if request is not None:
-            lines.append(f"time={_format_time(request.sent_at)} sent: {request}")
-            lines += [
-                f"time={_format_time(at)} fault: {text}"
-                for at, text in trial.faults
-                if request.sent_at - 4.0 < at < request.sent_at + 10.0
-            ]
-        shown = sorted(lines, key=lambda line: line.partition("time=")[2])[:LINES_SHOWN]
-        head = f"{breach.rule} {breach.request}: {breach.text}"
-        return "\n".join([head, *(f"    {line}" for line in shown)])
+            lines.append(f"{_format_time(request.sent_at)} sent: {request}")
+            for at, fault in self.trial.faults:
+                if request.sent_at - 4.0 < at < request.sent_at + 10.0:
+                    lines.append(f"{_format_time(at)} fault: {fault}")
+        return "\n    ".join([f"{rule} {name}: {text}", *sorted(lines)])
 
 
 def _format_time(at: float) -> str:
-    text = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(at))
+    text = time.strftime("time=%Y-%m-%dT%H:%M:%S", time.gmtime(at))
     return f"{text}.{int(at % 1 * 1000):03d}+00:00"
 
 
@@ -660,7 +588,7 @@
     parser.add_argument("--seconds", type=float, default=13.0)
     parser.add_argument("--nodes", type=int, default=16)
     parser.add_argument("--engines", type=int, default=12)
-    parser.add_argument("--callers", type=int, default=40)
+    parser.add_argument("--callers", type=int, default=60)
     parser.add_argument("--bare", type=float, default=0.0, help="share of bare 503")
     parser.add_argument("--tree", type=Path, default=ROOT, help="the code to run")
     parser.add_argument("--logs", type=Path, help="folder to keep the logs in")
@@ -670,6 +598,7 @@
 def main() -> int:
     """Run the seeds one at a time; return 1 if a rule broke."""
     options = parse_arguments()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     is_broken = False
     with tempfile.TemporaryDirectory() as temporary:
         for seed in range(options.seed, options.seed + options.rounds):
