--- a/scripts/stubengine.py
+++ b/scripts/stubengine.py
@@ -6,20 +6,12 @@
 import secrets
 import sys
 import time
-from dataclasses import dataclass, field
 from pathlib import Path
-from typing import TextIO
+from typing import Any, TextIO
 
 import aiohttp
 from aiohttp import web
 
-ROOT = Path(__file__).resolve().parent.parent
-sys.path[:0] = [str(ROOT), str(ROOT / "platform")]
-
-from tests.southernveil.fakes import FakeRunner  # noqa: E402
-
-__all__ = ["StubEngine"]
-
 COPY_PATH = "/stub/copy"
 BACKLOG = 2
 """Connections that the kernel completes while the process is stopped; others hang."""
@@ -28,59 +20,56 @@
 WORK_SECONDS = 0.06
 GAP_SECONDS = 0.05
 COPY_SECONDS = 0.15
-COPY_TIMEOUT_SECONDS = 1.0
+COPY_TIMEOUT = aiohttp.ClientTimeout(1.0)
 HANDLE_TTL_SECONDS = 5.0
 
 
-@dataclass
-class StubEngine(FakeRunner):
+class StubEngine:
     """Stream numbered events, keep copies for others, and record each run.
 
     A stream runs from its first event on, a plain request from its arrival on. Each
-    event names its run. `bare_share` is the share of plain runs that end with a 503
-    that doesn't say "not run"; `copied` has the run and the time of each copy.
+    event names its run. The option `bare` is the share of plain runs that end with a
+    503 that doesn't say "not run".
     """
 
-    record: TextIO = sys.stdout
-    slots: int = 16
-    bare_share: float = 0.0
-    born: int = field(default_factory=lambda: int(time.time() * 1000))
-    copied: dict[str, tuple[str, float]] = field(default_factory=dict)
-    used: set[str] = field(default_factory=set)
-    running: int = 0
+    def __init__(self, options: dict[str, Any], record: TextIO) -> None:
+        self.options = options
+        self.record = record
+        self.born = int(time.time() * 1000)
+        self.copies: dict[str, tuple[str, float]] = {}
+        self.used: set[str] = set()
+        self.running = 0
 
-    async def serve(self, port: int) -> None:
+    async def serve(self) -> None:
         """Listen with a small backlog until killed."""
         server = web.Server(self.handle, handler_cancellation=True)
-        loop = asyncio.get_running_loop()
+        loop, port = asyncio.get_running_loop(), self.options["port"]
         async with aiohttp.ClientSession() as self.session:
             await loop.create_server(server, "127.0.0.1", port, backlog=BACKLOG)
             await asyncio.Event().wait()
 
     def write(self, what: str, request: str, **fields: object) -> None:
         """Write one line of the record."""
-        line = {"at": time.time(), "what": what, "engine": self.name}
+        line = {"at": time.time(), "what": what, "engine": self.options["name"]}
         self.record.write(json.dumps(line | {"request": request} | fields) + "\n")
-        self.record.flush()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         body = await request.read()
         if request.path == COPY_PATH:
             return self._keep_copy(request.method, *json.loads(body))
-        headers = {"X-Instance-Id": self.name}
+        headers = {"X-Instance-Id": self.options["name"]}
         if request.path in ("/hawthornshelf/report", "/healthz"):
-            report = {"Running": self.running, "Waiting": 0, "Stage": self.stage}
-            report |= {"Busy": False, "Seq": 0, "born": self.born}
+            report = {"Running": self.running, "Waiting": 0, "Busy": False, "Seq": 0}
+            report |= {"Stage": self.options["stage"], "born": self.born}
             return web.Response(body=json.dumps(report).encode(), headers=headers)
         name = request.headers.get("X-Request-Id", "")
         source = request.headers.get("X-Kv-Source", "")
         self.write("arrives", name, source=source)
         headers |= {"X-Request-Id": name}
-        refusal = 503 if self.running >= self.slots else 0
-        if source and not self._has_copy(name, source):
-            refusal = 503
-        if request.headers.get("X-Expect-Instance", self.name) != self.name:
+        is_full = self.running >= self.options["slots"]
+        refusal = 503 if is_full or (source and not self._has_copy(name, source)) else 0
+        if request.headers.get("X-Expect-Instance") != self.options["name"]:
             refusal = 421
         if refusal:
             self.write("refused", name, status=refusal, source=source)
@@ -88,26 +77,24 @@
             return web.Response(status=refusal, headers=headers)
         self.running += 1
         try:
-            if self.stage:
+            if self.options["stage"]:
                 return await self._run_stream(request, name, headers)
             return await self._work(name, headers)
         finally:
             self.running -= 1
 
     def _has_copy(self, request: str, source: str) -> bool:
-        copied_at = self.copied.get(request, ("", float("-inf")))[1]
+        copied_at = self.copies.get(request, ("", float("-inf")))[1]
         is_fresh = time.monotonic() < copied_at + HANDLE_TTL_SECONDS
         return is_fresh and source.endswith(f"/{request}")
 
     def _keep_copy(self, method: str, request: str, run: str) -> web.Response:
         """Keep, extend or drop a copy; one that was used takes no more."""
         if method == "DELETE":
-            self.copied.pop(request, None)
-        elif request in self.used:
-            return web.Response(status=503)
-        else:
-            self.copied[request] = (run, time.monotonic())
-        return web.Response()
+            self.copies.pop(request, None)
+        elif request not in self.used:
+            self.copies[request] = (run, time.monotonic())
+        return web.Response(status=503 if request in self.used else 200)
 
     async def _work(self, request: str, headers: dict[str, str]) -> web.Response:
         run, how = secrets.token_hex(4), "closed"
@@ -117,7 +104,7 @@
             how = "whole"
         finally:
             self.write("ends", request, run=run, how=how, last=1)
-        if secrets.randbelow(1000) < 1000 * self.bare_share:
+        if secrets.randbelow(1000) < 1000 * self.options["bare"]:
             return web.Response(status=503, headers=headers)
         headers["X-Answer-Stamp"] = run
         return web.Response(body=f"{run} {request}".encode(), headers=headers)
@@ -129,18 +116,16 @@
         last = int(request.headers.get("Last-Event-Id") or 0)
         total = int(request.headers["X-Token-Counts"].partition(",")[2])
         source = request.headers.get("X-Kv-Source", "")
-        run = self.copied.pop(name)[0] if source else secrets.token_hex(4)
+        run, how = secrets.token_hex(4), "closed"
         if source:
+            run, _ = self.copies.pop(name)
             self.used.add(name)
         await asyncio.sleep(PREFILL_SECONDS)
-        backup = request.headers.get("X-Kv-Backup", "")
-        first = last + 1
+        backup, first = request.headers.get("X-Kv-Backup", ""), last + 1
         self.write("begins", name, run=run, first=first, source=source, backup=backup)
         copying = asyncio.create_task(self._copy_run(name, run, backup))
-        how = "closed"
         headers |= {"X-Answer-Stamp": run, "Content-Type": "text/event-stream"}
-        headers["X-Weight-Versions"] = "1"
-        response = web.StreamResponse(headers=headers)
+        response = web.StreamResponse(headers=headers | {"X-Weight-Versions": "1"})
         response.enable_chunked_encoding()
         try:
             await response.prepare(request)
@@ -163,21 +148,12 @@
 
     async def _send_copy(self, method: str, request: str, run: str, to: str) -> None:
         """Send a part of a copy, unless the other engine is out of reach."""
-        limit = aiohttp.ClientTimeout(COPY_TIMEOUT_SECONDS)
-        parts = {"json": [request, run], "timeout": limit}
-        if to:
-            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-                url = f"http://{to}{COPY_PATH}"
-                (await self.session.request(method, url, **parts)).release()
-
-
-def main() -> None:
-    """Serve with the options in the first argument, a JSON object, until killed."""
-    options = json.loads(sys.argv[1])
-    port, path = options.pop("port"), options.pop("record")
-    with Path(path).open("a") as record:
-        asyncio.run(StubEngine(record=record, **options).serve(port))
+        url, part = f"http://{to}{COPY_PATH}", [request, run]
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            sending = self.session.request(method, url, json=part, timeout=COPY_TIMEOUT)
+            (await sending).release()
 
 
 if __name__ == "__main__":
-    main()
+    with Path(sys.argv[2]).open("a", buffering=1) as file:
+        asyncio.run(StubEngine(json.loads(sys.argv[1]), file).serve())
--- a/tests/partitionproxy.py
+++ b/tests/partitionproxy.py
@@ -2,8 +2,15 @@
 
 import asyncio
 import contextlib
+import random
+import socket
+from collections import Counter
 
-__all__ = ["PartitionProxy"]
+__all__ = ["FaultProxy", "PartitionProxy"]
+
+HOLD_POLL_SECONDS = 0.02
+DELAY_SECONDS = (0.05, 0.5)
+RESET_SHARE = 0.5
 
 
 class PartitionProxy:
@@ -17,9 +24,9 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self.address = ""
 
-    async def start(self) -> str:
-        """Listen on a free port and return its address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> str:
+        """Listen on a port, by default a free one, and return its address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
         return self.address
@@ -76,3 +83,49 @@
                     writer.write(data)
                     await writer.drain()
         writer.transport.abort()
+
+
+class FaultProxy(PartitionProxy):
+    """Forward to an engine; delay, hold back, reset or refuse on demand."""
+
+    def __init__(self, target: str, rng: random.Random) -> None:
+        super().__init__(target)
+        self._harms: Counter[str] = Counter()
+        self._rng = rng
+
+    async def harm(self, what: str, change: int) -> None:
+        """Begin to do a harm, or end it; open connections survive a refusal."""
+        self._harms[what] += change
+        if what == "refuse" and self._harms[what] == (change > 0):
+            assert self._server is not None
+            self._server.close()
+            if change < 0:
+                await self.start(int(self.address.rpartition(":")[2]))
+
+    def reset(self) -> None:
+        """Reset a share of the open connections, on the nodes' side."""
+        for writer in sorted(self._writers, key=id):
+            if self._is_answer(writer) and self._rng.random() < RESET_SHARE:
+                linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+                sock = writer.get_extra_info("socket")
+                with contextlib.suppress(OSError):
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+
+    def _is_answer(self, writer: asyncio.StreamWriter) -> bool:
+        own = writer.get_extra_info("sockname")
+        return own is not None and self.address.endswith(f":{own[1]}")
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        hold = "hold answers" if self._is_answer(writer) else "hold requests"
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                while self._harms[hold] or self._harms["stall"]:
+                    await asyncio.sleep(HOLD_POLL_SECONDS)
+                if self._harms["delay"]:
+                    await asyncio.sleep(self._rng.uniform(*DELAY_SECONDS))
+                writer.write(data)
+                await writer.drain()
+        writer.transport.abort()
--- a/tests/southernveil/fakes.py
+++ b/tests/southernveil/fakes.py
@@ -155,16 +155,17 @@
 
 @dataclass
 class FakeRunnerList(_FakeServer):
-    """Serve the list of runners, one entry per page."""
+    """Serve the list of runners, by default one entry per page."""
 
     entries: list[object] = field(default_factory=list)
+    page_size: int = 1
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         index = int(request.query.get("PageToken", "p-0").removeprefix("p-"))
-        has_next = index + 1 < len(self.entries)
+        end = index + self.page_size
         page = {
-            "Instances": self.entries[index : index + 1],
-            "Next": f"p-{index + 1}" if has_next else None,
+            "Instances": self.entries[index:end],
+            "Next": f"p-{end}" if end < len(self.entries) else None,
         }
         return web.Response(body=json.dumps(page).encode())
 
