--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 
 trials: $(STAMP)
 	$(PYTHON) scripts/trials.py
+	$(PYTHON) scripts/trial_runs.py --seed $(SEED) --rounds 5
 
 binary: $(STAMP)
 	scripts/build_binary.sh
--- a/scripts/stubengine.py
+++ b/scripts/stubengine.py
@@ -58,15 +58,14 @@
         body = await request.read()
         if request.path == COPY_PATH:
             return self._keep_copy(request.method, *json.loads(body))
-        headers = {"X-Instance-Id": self.options["name"]}
+        name = request.headers.get("X-Request-Id", "")
+        headers = {"X-Instance-Id": self.options["name"], "X-Request-Id": name}
         if request.path in ("/hawthornshelf/report", "/healthz"):
             report = {"Running": self.running, "Waiting": 0, "Busy": False, "Seq": 0}
             report |= {"Stage": self.options["stage"], "born": self.born}
             return web.Response(body=json.dumps(report).encode(), headers=headers)
-        name = request.headers.get("X-Request-Id", "")
         source = request.headers.get("X-Kv-Source", "")
         self.write("arrives", name, source=source)
-        headers |= {"X-Request-Id": name}
         is_full = self.running >= self.options["slots"]
         refusal = 503 if is_full or (source and not self._has_copy(name, source)) else 0
         if request.headers.get("X-Expect-Instance") != self.options["name"]:
@@ -85,8 +84,8 @@
 
     def _has_copy(self, request: str, source: str) -> bool:
         copied_at = self.copies.get(request, ("", float("-inf")))[1]
-        is_fresh = time.monotonic() < copied_at + HANDLE_TTL_SECONDS
-        return is_fresh and source.endswith(f"/{request}")
+        is_kept = time.monotonic() < copied_at + HANDLE_TTL_SECONDS
+        return is_kept and source.endswith(f"/{request}")
 
     def _keep_copy(self, method: str, request: str, run: str) -> web.Response:
         """Keep, extend or drop a copy; one that was used takes no more."""
@@ -97,13 +96,10 @@
         return web.Response(status=503 if request in self.used else 200)
 
     async def _work(self, request: str, headers: dict[str, str]) -> web.Response:
-        run, how = secrets.token_hex(4), "closed"
+        run = secrets.token_hex(4)
         self.write("begins", request, run=run, first=1, source="")
-        try:
-            await asyncio.sleep(WORK_SECONDS)
-            how = "whole"
-        finally:
-            self.write("ends", request, run=run, how=how, last=1)
+        await asyncio.sleep(WORK_SECONDS)
+        self.write("ends", request, run=run, how="whole", last=1)
         if secrets.randbelow(1000) < 1000 * self.options["bare"]:
             return web.Response(status=503, headers=headers)
         headers["X-Answer-Stamp"] = run
