--- a/scripts/trial_runs.py
+++ b/scripts/trial_runs.py
@@ -34,13 +34,15 @@
 """Groups of nodes: the first one reaches engines directly, others by their proxies."""
 
 SLOTS = 16
+RETRIES_PER_NODE = 1
+"""Retries of a node in 10 s beside a share of its requests, as in a fleet of 60."""
+
 START_SECONDS = 90.0
 POLL_SECONDS = 0.2
 LATE_RUN_SECONDS = 4.0
 FAULT_SECONDS = (1.0, 3.3)
 LONGEST_GAP_SECONDS = (4.0, 9.0)
-MOVE_ON_SECONDS = 0.4
-"""Time for which a run may overlap with its continuation elsewhere."""
+OVERLAP_SECONDS = 0.4
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 FAULTS = ["stop"] * 5 + ["refuse"] * 4 + ["hold answers", "hold requests", "stall"]
@@ -159,13 +161,14 @@
         address = self.lists[self.ips.index(ip) % GROUPS].address
         seeds, path = tuple(self.ips[:3]), self.folder / f"{role}-{ip}.toml"
         fakes.make_settings(self.folder, ip, role, self.ports[:5], address, seeds)
+        slack = f"RetrySlack = {len(self.ips) * RETRIES_PER_NODE}"
+        path.write_text(path.read_text().replace("RetrySlack = 60", slack))
         log, serve = path.with_suffix(".log"), self.options.tree / "platform/serve.py"
         self.nodes[role, ip] = await start_process(role, path, log, serve)
 
     async def start(self) -> None:
         """Start all processes and wait until every node is ready."""
-        for runner_list in self.lists:
-            await runner_list.start()
+        await asyncio.gather(*(runner_list.start() for runner_list in self.lists))
         for number in range(self.options.engines):
             await self.start_engine(f"e-{number}", fakes.ENGINE_SERVICE, "decode")
         for number in range(max(2, self.options.engines // 3)):
@@ -373,9 +376,8 @@
         for run, copy in zip(runs, runs[1:], strict=False):
             end = self.ends.get((run["run"], run["engine"]), float("inf"))
             faults = self.trial.engines[run["engine"]].faults
-            # A run may go on that is stopped, or that its node can't reach.
             is_calm = all(f[0] > end or f[1] < copy["at"] - 2.0 for f in faults)
-            if copy["source"] and is_calm and end > copy["at"] + MOVE_ON_SECONDS:
+            if copy["source"] and is_calm and end > copy["at"] + OVERLAP_SECONDS:
                 self.trial.break_rule("TWICE", request, "still ran beside its copy")
 
     def summarize(self) -> str:
@@ -384,21 +386,19 @@
         statuses = Counter(request.status for request in requests)
         runs = [run for runs in self.runs.values() for run in runs]
         lost = [line for line in self.logs if " event=runners-lost " in line]
-        begun = [r for r in requests if r.kind.is_stream and r.last]
         figures = {
-            "nodes": self.trial.options.nodes,
             "requests": len(requests),
             "whole": sum(request.is_whole for request in requests),
             "runs": len(runs),
             "from a copy": sum(bool(run["source"]) for run in runs),
             "relays": sum(" event=request-relayed " in line for line in self.logs),
             "nodes cut off": len({line.rpartition("node=")[2] for line in lost}),
-            "cut streams": sum(not request.is_whole for request in begun),
+            "cut streams": sum(r.last > 0 and not r.is_whole for r in requests),
             **{f"status {n}": statuses[n] for n in (0, 502, 503, 504)},
             "rules broken": len(self.trial.breaches),
         }
         text = ", ".join(f"{name} {value}" for name, value in figures.items())
-        return f"seed {self.trial.seed}: {text}"
+        return f"seed {self.trial.seed}, {len(self.trial.ips)} nodes: {text}"
 
     def describe(self, breach: tuple[str, Request, str]) -> str:
         """Return a broken rule with all that was logged for its request."""
