--- a/scripts/trial_runs.py
+++ b/scripts/trial_runs.py
@@ -229,7 +229,8 @@
         if request.kind.is_stream:
             tokens = rng.choice([300, 300, 300, 300, 3000])
             headers |= {"X-Model": "m", "X-Token-Counts": f"{tokens},{request.total}"}
-            headers["X-Prompt-Prefix"] = f"5c1e:{tokens - 100},{request.id[:8]}:100"
+            parts = f"{rng.getrandbits(10):x}:{tokens - 100},{request.id[:8]}:100"
+            headers["X-Prompt-Prefix"] = parts
         url = f"http://{request.node}:{self.ports[0]}{request.kind.prefix}{request.id}"
         method = rng.choice(["POST", "POST", "POST", "GET", "PUT"])
         sending = client.request(method, url, data=b"hello", headers=headers)
@@ -258,8 +259,7 @@
                 match = re.fullmatch(rb"id: (\d+)\ndata: (\w+) (\w+)", event)
                 number, token, owner = match.groups() if match else (b"0", b"", b"")
                 if int(number) != request.last + 1:
-                    text = f"{event!r} came, {request.last + 1} was next"
-                    self.break_rule("ORDER", request, text)
+                    self.break_rule("ORDER", request, f"{event!r}, not the next one")
                 if token.decode() != run and request.kind.runs_once:
                     self.break_rule("ORDER", request, f"{event!r} in run {run}")
                 if owner.decode() != request.id:
