--- a/scripts/stubengine.py
+++ b/scripts/stubengine.py
@@ -6,8 +6,7 @@
 import secrets
 import sys
 import time
-from pathlib import Path
-from typing import Any, TextIO
+from typing import Any
 
 import aiohttp
 from aiohttp import web
@@ -32,9 +31,8 @@
     503 that doesn't say "not run".
     """
 
-    def __init__(self, options: dict[str, Any], record: TextIO) -> None:
+    def __init__(self, options: dict[str, Any]) -> None:
         self.options = options
-        self.record = record
         self.born = int(time.time() * 1000)
         self.copies: dict[str, tuple[str, float]] = {}
         self.used: set[str] = set()
@@ -51,7 +49,8 @@
     def write(self, what: str, request: str, **fields: object) -> None:
         """Write one line of the record."""
         line = {"at": time.time(), "what": what, "engine": self.options["name"]}
-        self.record.write(json.dumps(line | {"request": request} | fields) + "\n")
+        sys.stdout.write(json.dumps(line | {"request": request} | fields) + "\n")
+        sys.stdout.flush()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -151,5 +150,4 @@
 
 
 if __name__ == "__main__":
-    with Path(sys.argv[2]).open("a", buffering=1) as file:
-        asyncio.run(StubEngine(json.loads(sys.argv[1]), file).serve())
+    asyncio.run(StubEngine(json.loads(sys.argv[1])).serve())
--- a/scripts/trial_runs.py
+++ b/scripts/trial_runs.py
@@ -18,6 +18,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
+from itertools import starmap
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -46,7 +47,7 @@
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 FAULTS = ["stop"] * 5 + ["refuse"] * 4 + ["hold answers", "hold requests", "stall"]
-FAULTS += ["delay", "nothing", "restart"]
+FAULTS += ["delay", "nothing", "restart", "restart"]
 
 
 class Kind(NamedTuple):
@@ -124,6 +125,7 @@
     def __init__(self, options: argparse.Namespace, seed: int, folder: Path) -> None:
         self.options, self.seed, self.folder = options, seed, folder
         self.rng = random.Random(seed)
+        self.mix = self.rng.choices(FAULTS, k=4)
         network = f"127.{100 + os.getpid() % 100}.{seed % 250}"
         self.ips = [f"{network}.{number + 1}" for number in range(options.nodes)]
         self.ports = fakes.free_ports(5 + 2 * GROUPS * options.engines)
@@ -147,10 +149,9 @@
             addresses.append(await proxy.start(next(self._engine_ports)))
         settings = {"name": name, "stage": stage, "port": port, "slots": SLOTS}
         settings["bare"] = self.options.bare
-        program, record = ROOT / "scripts" / "stubengine.py", self.folder / "runs.jsonl"
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, program, json.dumps(settings), record
-        )
+        command = (sys.executable, ROOT / "scripts/stubengine.py", json.dumps(settings))
+        with (self.folder / "runs.jsonl").open("ab") as record:
+            process = await asyncio.create_subprocess_exec(*command, stdout=record)
         self.engines[name] = Engine(name, process, proxies)
         for runner_list, address in zip(self.lists, addresses, strict=True):
             runner = fakes.FakeRunner(address, name=name, service=service, stage=stage)
@@ -287,9 +288,10 @@
 
     async def _do_harm(self) -> None:
         """Draw a fault, and reset some streams meanwhile or after it."""
-        what, seconds = self.rng.choice(FAULTS), self.rng.uniform(*FAULT_SECONDS)
+        what, seconds = self.rng.choice(self.mix), self.rng.uniform(*FAULT_SECONDS)
         if what == "restart":
-            await self._restart_node(self.rng.choice(self.ips), seconds)
+            ips = self.rng.sample(self.ips, self.rng.choice([1, len(self.ips) // 4]))
+            await asyncio.gather(*(self._restart_node(ip, seconds) for ip in ips))
             return
         share = self.rng.choice([0.3, 0.6, 1.0, 1.0])
         engines = [e for e in self.engines.values() if self.rng.random() < share]
@@ -368,9 +370,8 @@
 
     def _check(self, request: Request, runs: list[dict[str, Any]]) -> None:
         """Check what only the record of the engines shows: TWICE and REFUSED."""
-        new = [run for run in runs if not run["source"]]
-        if len(new) > 1:
-            self.trial.break_rule("TWICE", request, f"ran {len(new)} times")
+        if (number := sum(not run["source"] for run in runs)) > 1:
+            self.trial.break_rule("TWICE", request, f"ran {number} times")
         if runs and request.status in NOT_RUN_STATUSES:
             self.trial.break_rule("REFUSED", request, f"{request.status}, and ran")
         for run, copy in zip(runs, runs[1:], strict=False):
@@ -400,9 +401,8 @@
         text = ", ".join(f"{name} {value}" for name, value in figures.items())
         return f"seed {self.trial.seed}, {len(self.trial.ips)} nodes: {text}"
 
-    def describe(self, breach: tuple[str, Request, str]) -> str:
+    def describe(self, rule: str, request: Request, text: str) -> str:
         """Return a broken rule with all that was logged for its request."""
-        rule, request, text = breach
         lines = [line for line in self.logs if request.id in line]
         lines += [_stamp(e["at"], e) for e in self.lines if e["request"] == request.id]
         lines.append(_stamp(request.sent_at, f"sent: {request}"))
@@ -434,7 +434,7 @@
             trial = Trial(options, seed, folder)
             asyncio.run(trial.run())
             report = Report(trial)
-            lines = [report.summarize(), *map(report.describe, trial.breaches)]
+            lines = [report.summarize(), *starmap(report.describe, trial.breaches)]
             print("\n".join(lines), flush=True)
             status |= bool(trial.breaches)
     return status
