--- a/scripts/trial_runs.py
+++ b/scripts/trial_runs.py
@@ -35,8 +35,8 @@
 """Groups of nodes: the first one reaches engines directly, others by their proxies."""
 
 SLOTS = 16
-RETRIES_PER_NODE = 1
-"""Retries of a node in 10 s beside a share of its requests, as in a fleet of 60."""
+RETRIES_PER_NODE = (1, 3, 6)
+"""Retries of a node in 10 s beside a share of its requests: as with 60 to 10 nodes."""
 
 START_SECONDS = 90.0
 POLL_SECONDS = 0.2
@@ -126,6 +126,7 @@
         self.options, self.seed, self.folder = options, seed, folder
         self.rng = random.Random(seed)
         self.mix = self.rng.choices(FAULTS, k=4)
+        self.retries = self.rng.choice(RETRIES_PER_NODE)
         network = f"127.{100 + os.getpid() % 100}.{seed % 250}"
         self.ips = [f"{network}.{number + 1}" for number in range(options.nodes)]
         self.ports = fakes.free_ports(5 + 2 * GROUPS * options.engines)
@@ -162,7 +163,7 @@
         address = self.lists[self.ips.index(ip) % GROUPS].address
         seeds, path = tuple(self.ips[:3]), self.folder / f"{role}-{ip}.toml"
         fakes.make_settings(self.folder, ip, role, self.ports[:5], address, seeds)
-        slack = f"RetrySlack = {len(self.ips) * RETRIES_PER_NODE}"
+        slack = f"RetrySlack = {len(self.ips) * self.retries}"
         path.write_text(path.read_text().replace("RetrySlack = 60", slack))
         log, serve = path.with_suffix(".log"), self.options.tree / "platform/serve.py"
         self.nodes[role, ip] = await start_process(role, path, log, serve)
@@ -214,7 +215,7 @@
             client._retry_connection = False
             while not self._ending:
                 kind = rng.choices(KINDS, [kind.weight for kind in KINDS])[0]
-                total = rng.choice([4, 12, 25, 60]) if kind.is_stream else 1
+                total = rng.choice([4, 12, 25, 60, 120]) if kind.is_stream else 1
                 name, node = secrets.token_hex(8), rng.choice(self.ips)
                 request = Request(name, kind, node, total, time.time())
                 self.requests[name] = request
@@ -296,7 +297,7 @@
         share = self.rng.choice([0.3, 0.6, 1.0, 1.0])
         engines = [e for e in self.engines.values() if self.rng.random() < share]
         groups = self.rng.choice([(0,), (1,), (0, 1)])
-        reset_after = self.rng.choice([None, seconds / 2, seconds + 0.1])
+        reset_after = self.rng.choice([None, self.rng.uniform(0.0, seconds + 1.5)])
         now, names = time.time(), ",".join(engine.name for engine in engines)
         text = f"{what} {seconds:.2f} s in {groups}, reset after {reset_after}: {names}"
         self.faults.append((now, text))
