Tell the process of a test where the adapter stands

Cause: test_the_place_is_written_after_the_slow_imports imports the adapter in a process of its own, which found it only where PYTHONPATH named it. Change: the test names it.

--- a/tests/southernveil/test_replicastorage.py
+++ b/tests/southernveil/test_replicastorage.py
@@ -1,5 +1,6 @@
 """Test that a founder's place is written before a process has started."""
 
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -10,6 +11,7 @@
 
 from hawthornshelf.storage import DiskStorage
 
+ROOT = Path(__file__).resolve().parents[2]
 SLOW_MODULES = {"aiohttp", "grpc", "uvloop", "hawthornshelf.messages"}
 SETTINGS = """
 NodeName = "front-1"
@@ -56,7 +58,12 @@
 
 def test_the_place_is_written_after_the_slow_imports() -> None:
     script = "import sys, southernveil.replicastorage; print(*sys.modules)"
+    path = os.pathsep.join((str(ROOT), str(ROOT / "platform")))
     run = subprocess.run(
-        [sys.executable, "-c", script], capture_output=True, text=True, check=True
+        [sys.executable, "-c", script],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={**os.environ, "PYTHONPATH": path},
     )
     assert SLOW_MODULES.isdisjoint(run.stdout.split())
