Say in the doc comments that a relayed request gets one attempt whatever the count

Cause: since the count that a node sends is read as a flag; two doc comments still said that it is applied. Found on the last read of the diff. Change: the comments.

--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -86,10 +86,11 @@
     `resume_after` is the id of the last event that the caller has received. `caller`
     is the credential that the caller sent, empty if it sent none. `resumes` is the id
     of the request that brought the first event, as the caller says. `relayed_runs` is
-    None unless another node relayed the request: then it counts the attempts of the
-    route that this node may not make, and `relayed_routes` is the number of the newest
-    route document that the other node knows of, 0 if it does not say; `relayed_origin`
-    is what wrote the events that the caller has.
+    None unless another node relayed the request: then it is what that node says of the
+    attempts that are left out. This one makes one attempt, whatever it says.
+    `relayed_routes` is the number of the newest route document that the other node
+    knows of, 0 if it does not say; `relayed_origin` is what wrote the events that the
+    caller has.
     """
 
     request_id: str
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -55,7 +55,8 @@
 class RelayedRequest:
     """Describe a request for another node.
 
-    `runs` counts the attempts that it has no more, as they were made or are kept back.
+    `runs` counts the attempts that it has no more, for nodes of earlier builds; others
+    make one attempt in any case.
     `route_number` is the route document that the other node must apply, `origin` what
     wrote the events that the caller has.
     """
