--- a/scripts/trial_runs.py
+++ b/scripts/trial_runs.py
@@ -18,7 +18,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
-from itertools import starmap
+from itertools import pairwise, starmap
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -44,10 +44,18 @@
 FAULT_SECONDS = (1.0, 3.3)
 LONGEST_GAP_SECONDS = (4.0, 9.0)
 OVERLAP_SECONDS = 0.4
+CONTACT_SECONDS = 3.0
+"""Time after a stop of its process until a node counts as in touch again."""
+
+NOTICES = (0.0, 0.0, 0.3, 1.5, None)
+"""Seconds after which engines drop a run whose connection has closed; None: never."""
+
+CUTS = frozenset({"stop", "refuse", "hold requests", "stall"})
+"""Harms that keep a node from reaching an engine; the rest let its requests through."""
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 FAULTS = ["stop"] * 5 + ["refuse"] * 4 + ["hold answers", "hold requests", "stall"]
-FAULTS += ["delay", "nothing", "restart", "restart"]
+FAULTS += ["delay", "nothing", "restart", "restart", "freeze", "crash", "crash"]
 
 
 class Kind(NamedTuple):
@@ -84,13 +92,24 @@
 
 @dataclass
 class Engine:
-    """Hold an engine's process and its proxies; `faults` are from when until when."""
+    """Hold an engine's process and its proxies.
+
+    `faults` are from when until when, and the groups that can't reach it meanwhile.
+    """
 
-    name: str
+    settings: dict[str, Any]
     process: asyncio.subprocess.Process
     proxies: list[FaultProxy]
     stops: int = 0
-    faults: list[tuple[float, float]] = field(default_factory=list)
+    faults: list[tuple[float, float, tuple[int, ...]]] = field(default_factory=list)
+    kills: list[float] = field(default_factory=list)
+
+    def is_reached(self, group: int, since: float, until: float) -> bool:
+        """Return whether the nodes of a group reach it all of the time."""
+        return not any(
+            begin < until and end > since and group in groups
+            for begin, end, groups in self.faults
+        )
 
     async def harm(self, what: str, groups: tuple[int, ...], change: int) -> None:
         """Begin or end a fault: for all nodes, or at the proxies of some groups."""
@@ -99,7 +118,7 @@
                 await self.proxies[group].harm(what, change)
             return
         self.stops += change
-        if self.stops == (change > 0):
+        if self.stops == (change > 0) and self.process.returncode is None:
             self.process.send_signal(signal.SIGSTOP if change > 0 else signal.SIGCONT)
 
 
@@ -137,6 +156,7 @@
         self.requests: dict[str, Request] = {}
         self.breaches: list[tuple[str, Request, str]] = []
         self.faults: list[tuple[float, str]] = []
+        self.freezes: list[tuple[str, float, float]] = []
         self._version = 0
         self._ending = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -150,14 +170,18 @@
             addresses.append(await proxy.start(next(self._engine_ports)))
         settings = {"name": name, "stage": stage, "port": port, "slots": SLOTS}
         settings["bare"] = self.options.bare
-        command = (sys.executable, ROOT / "scripts/stubengine.py", json.dumps(settings))
-        with (self.folder / "runs.jsonl").open("ab") as record:
-            process = await asyncio.create_subprocess_exec(*command, stdout=record)
-        self.engines[name] = Engine(name, process, proxies)
+        settings["notice"] = self.rng.choice(NOTICES)
+        process = await self._execute(settings)
+        self.engines[name] = Engine(settings, process, proxies)
         for runner_list, address in zip(self.lists, addresses, strict=True):
             runner = fakes.FakeRunner(address, name=name, service=service, stage=stage)
             runner_list.entries.append(runner.entry() | {"Slots": SLOTS})
 
+    async def _execute(self, settings: dict[str, Any]) -> asyncio.subprocess.Process:
+        command = (sys.executable, ROOT / "scripts/stubengine.py", json.dumps(settings))
+        with (self.folder / "runs.jsonl").open("ab") as record:
+            return await asyncio.create_subprocess_exec(*command, stdout=record)
+
     async def start_node(self, role: str, ip: str) -> None:
         """Start a process of a node, again if it was killed."""
         address = self.lists[self.ips.index(ip) % GROUPS].address
@@ -294,25 +318,56 @@
             ips = self.rng.sample(self.ips, self.rng.choice([1, len(self.ips) // 4]))
             await asyncio.gather(*(self._restart_node(ip, seconds) for ip in ips))
             return
+        if what == "freeze":
+            await self._freeze_node(self.rng.choice(self.ips), seconds)
+            return
+        if what == "crash":
+            await self._crash_engine(self.rng.choice([*self.engines.values()]), seconds)
+            return
         share = self.rng.choice([0.3, 0.6, 1.0, 1.0])
         engines = [e for e in self.engines.values() if self.rng.random() < share]
         groups = self.rng.choice([(0,), (1,), (0, 1)])
         reset_after = self.rng.choice([None, self.rng.uniform(0.0, seconds + 1.5)])
-        now, names = time.time(), ",".join(engine.name for engine in engines)
+        now, names = time.time(), ",".join(e.settings["name"] for e in engines)
         text = f"{what} {seconds:.2f} s in {groups}, reset after {reset_after}: {names}"
         self.faults.append((now, text))
+        if reset_after is not None:
+            is_half = self.rng.random() < 0.5
+            asyncio.get_running_loop().call_later(reset_after, self._reset, is_half)
+        cut = range(GROUPS) if what == "stop" else [group + 1 for group in groups]
         for engine in engines:
-            engine.faults.append((now, now + seconds))
+            if what in CUTS:
+                engine.faults.append((now, now + seconds, tuple(cut)))
             await engine.harm(what, groups, 1)
-        if reset_after is not None:
-            asyncio.get_running_loop().call_later(reset_after, self._reset)
         await asyncio.sleep(seconds)
         for engine in engines:
             await engine.harm(what, groups, -1)
 
-    def _reset(self) -> None:
+    def _reset(self, is_half: bool) -> None:
+        """Reset connections; of some, the engines' side stays open."""
         for proxy in (p for engine in self.engines.values() for p in engine.proxies):
-            proxy.reset()
+            proxy.reset(is_half)
+
+    async def _crash_engine(self, engine: Engine, seconds: float) -> None:
+        """Kill an engine; another boot of it comes at its address."""
+        name, now = engine.settings["name"], time.time()
+        self.faults.append((now, f"engine {name} down for {seconds:.2f}"))
+        engine.kills.append(now)
+        engine.process.kill()
+        await engine.process.wait()
+        await asyncio.sleep(seconds)
+        engine.process, engine.stops = await self._execute(engine.settings), 0
+
+    async def _freeze_node(self, ip: str, seconds: float) -> None:
+        process = self.nodes["entry", ip]
+        if process.returncode is None:
+            now = time.time()
+            self.faults.append((now, f"entry node {ip} stopped for {seconds:.2f}"))
+            self.freezes.append((ip, now, now + seconds))
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
 
     async def _restart_node(self, ip: str, seconds: float) -> None:
         process = self.nodes["entry", ip]
@@ -365,9 +420,13 @@
                 self.ends[line["run"], line["engine"]] = line["at"]
             if line["what"] == "begins":
                 self.runs[line["request"]].append(line)
+        pattern = re.compile(r" event=request-relayed .*?request=(\w+)")
+        self.relayed = {m[1] for line in self.logs if (m := pattern.search(line))}
         for request in trial.requests.values():
             if request.kind.runs_once:
                 self._check(request, self.runs[request.id])
+            if request.kind.is_stream:
+                self._check_overlap(request, self.runs[request.id])
 
     def _check(self, request: Request, runs: list[dict[str, Any]]) -> None:
         """Check what only the record of the engines shows: TWICE and REFUSED."""
@@ -375,12 +434,34 @@
             self.trial.break_rule("TWICE", request, f"ran {number} times")
         if runs and request.status in NOT_RUN_STATUSES:
             self.trial.break_rule("REFUSED", request, f"{request.status}, and ran")
-        for run, copy in zip(runs, runs[1:], strict=False):
-            end = self.ends.get((run["run"], run["engine"]), float("inf"))
-            faults = self.trial.engines[run["engine"]].faults
-            is_calm = all(f[0] > end or f[1] < copy["at"] - 2.0 for f in faults)
-            if copy["source"] and is_calm and end > copy["at"] + OVERLAP_SECONDS:
-                self.trial.break_rule("TWICE", request, "still ran beside its copy")
+
+    def _check_overlap(self, request: Request, runs: list[dict[str, Any]]) -> None:
+        """Check that no run goes on beside the next one, where its node reaches it."""
+        groups = [self.trial.ips.index(request.node) % GROUPS]
+        if request.id in self.relayed:
+            groups = [*range(GROUPS)]
+        for run, copy in pairwise(runs):
+            engine, late = self.trial.engines[run["engine"]], copy["at"]
+            end = self._find_end(run, engine)
+            until = late + OVERLAP_SECONDS
+            if self._is_out_of_touch(request, late):
+                continue
+            if end > until and all(engine.is_reached(g, late, until) for g in groups):
+                kind = "its copy" if copy["source"] else "another one"
+                text = f"ran on for {min(end - late, 99):.2f} s beside {kind}"
+                self.trial.break_rule("TWICE", request, text)
+
+    def _find_end(self, run: dict[str, Any], engine: Engine) -> float:
+        end = self.ends.get((run["run"], run["engine"]), float("inf"))
+        return min([end, *(at for at in engine.kills if at >= run["at"])])
+
+    def _is_out_of_touch(self, request: Request, at: float) -> bool:
+        """Return whether a node that may have sent a request was stopped lately."""
+        return any(
+            begin < at and end > at - CONTACT_SECONDS
+            for ip, begin, end in self.trial.freezes
+            if ip == request.node or request.id in self.relayed
+        )
 
     def summarize(self) -> str:
         """Return the figures of the trial in one line."""
--- a/tests/partitionproxy.py
+++ b/tests/partitionproxy.py
@@ -22,6 +22,7 @@
         self._silent: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._callers: dict[asyncio.StreamWriter, asyncio.StreamWriter] = {}
         self.address = ""
 
     async def start(self, port: int = 0) -> str:
@@ -66,6 +67,7 @@
             )
             own_writers.add(target_writer)
             self._writers.add(target_writer)
+            self._callers[target_writer] = writer
             await asyncio.gather(
                 self._copy(reader, target_writer), self._copy(target_reader, writer)
             )
@@ -73,6 +75,8 @@
             writer.transport.abort()
         finally:
             self._writers -= own_writers
+            for own in own_writers:
+                self._callers.pop(own, None)
 
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -92,6 +96,7 @@
         super().__init__(target)
         self._harms: Counter[str] = Counter()
         self._rng = rng
+        self._half_open: set[asyncio.StreamWriter] = set()
 
     async def harm(self, what: str, change: int) -> None:
         """Begin to do a harm, or end it; open connections survive a refusal."""
@@ -102,10 +107,16 @@
             if change < 0:
                 await self.start(int(self.address.rpartition(":")[2]))
 
-    def reset(self) -> None:
-        """Reset a share of the open connections, on the nodes' side."""
+    def reset(self, is_half: bool = False) -> None:
+        """Reset a share of the open connections.
+
+        With `is_half` the engine's side of each stays open, as after a reset on the
+        way whose other half was lost.
+        """
         for writer in sorted(self._writers, key=id):
             if self._is_answer(writer) and self._rng.random() < RESET_SHARE:
+                if is_half:
+                    self._half_open.add(writer)
                 linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
                 sock = writer.get_extra_info("socket")
                 with contextlib.suppress(OSError):
@@ -119,13 +130,17 @@
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        hold = "hold answers" if self._is_answer(writer) else "hold requests"
+        is_answer = self._is_answer(writer)
+        hold = "hold answers" if is_answer else "hold requests"
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
+                if writer in self._half_open:
+                    continue
                 while self._harms[hold] or self._harms["stall"]:
                     await asyncio.sleep(HOLD_POLL_SECONDS)
                 if self._harms["delay"]:
                     await asyncio.sleep(self._rng.uniform(*DELAY_SECONDS))
                 writer.write(data)
                 await writer.drain()
-        writer.transport.abort()
+        if self._callers.get(writer) not in self._half_open:
+            writer.transport.abort()
