Name the engine before and the silence on the lines of a resent request

Change: `previous` and `silent`. A relay noted its peer as the last runner before it wrote the line.

--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -164,8 +164,8 @@
             context.is_relayed = False
             return False
         context.peers.add(peer.node)
-        context.last_runner = peer.node
         self._recorder.record_relay(context, peer.node)
+        context.last_runner = peer.node
         may_have_run = context.begin_run(peer.node)
         if context.runs:
             self._budget.spend(self._clock.monotonic(), context.service)
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -124,7 +124,7 @@
             request=context.inbound.request_id,
             runner=state.runner.name,
             attempt=context.sends,
-            **_describe_ground(context),
+            **self._describe_ground(context),
             reason=context.reason,
         )
 
@@ -138,7 +138,7 @@
             number=len(context.peers),
             unreached=context.unreached,
             last_resort=context.is_relayed,
-            **_describe_ground(context),
+            **self._describe_ground(context),
             routes=context.route_number,
             reason=context.reason,
         )
@@ -312,6 +312,24 @@
             routes=routes,
         )
 
+    def _describe_ground(self, context: RequestContext) -> dict[str, str | float]:
+        """Return what decides whether a request may be sent once more.
+
+        `previous` is where it went last, `silent` how long ago its last event came.
+        """
+        now = self._clock.monotonic()
+        since = context.last_event_at or context.inbound.arrived_at
+        return {
+            "previous": context.last_runner,
+            "silent": round(now - since, 4),
+            "runs": context.runs,
+            "may_have_run": context.may_have_run,
+            "repeatable": context.is_repeatable,
+            "backup": context.backup.runner.name if context.backup else "",
+            "copy": context.source.address if context.source else "",
+            "after": context.last_event_id[:MAX_LOGGED_ID],
+        }
+
     def _find_build(self, runner: str) -> str:
         state = self._runners.find(runner)
         return state.runner.build if state is not None else ""
@@ -331,18 +349,6 @@
     }
 
 
-def _describe_ground(context: RequestContext) -> dict[str, str | int]:
-    """Return what decides whether a request may be sent once more."""
-    return {
-        "runs": context.runs,
-        "may_have_run": context.may_have_run,
-        "repeatable": context.is_repeatable,
-        "backup": context.backup.runner.name if context.backup else "",
-        "copy": context.source.address if context.source else "",
-        "after": context.last_event_id[:MAX_LOGGED_ID],
-    }
-
-
 def _name_parts(context: RequestContext) -> str:
     """Return the digests of the prompt's shared segments, the first ones of many."""
     prompt = context.inbound.prompt
