Show that a stream goes on beside the run before it, on real sockets

Change: a test of two engines of which the first goes on with its run after the connection broke, and answers a call that stops runs in six ways; for streams that may run once and for those that may be resumed.

--- a/tests/southernveil/test_run_ends.py
+++ b/tests/southernveil/test_run_ends.py
@@ -1,9 +1,143 @@
 """Break streams off whose engines go on with the run; see what goes on beside it."""
 
+import asyncio
+import json
+import re
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
 import eliot
+import pytest
+
+from hawthornshelf.gateway.routes import Route
+from tests.southernveil.test_framing import (
+    ONCE_ROUTE,
+    STREAM_ROUTE,
+    Script,
+    make_stream,
+    resume,
+    run,
+    start_forwarder,
+)
+from tests.southernveil.test_not_run import (
+    PROMPT,
+    BreakingRunner,
+    SeeingCaller,
+    break_off,
+    make_pair,
+    make_request,
+)
+
+STOP_CALL = b"POST /hawthornshelf/kv-move "
+
+
+class Word(NamedTuple):
+    """Represent what an engine answers to a call that stops a run."""
+
+    status: bytes
+    body: bytes = b""
+
+
+HANDLE = b'{"KvHandle":"3fa0","made":2}'
+MOVED = Word(b"200 OK", HANDLE)
+KEPT = Word(b"503 No room", HANDLE)
+ABSENT = Word(b"404 Not found")
+REPLACED = Word(b"421 Misdirected")
+STOPPING = (MOVED, KEPT)
+
+
+@dataclass
+class OngoingEngine(BreakingRunner):
+    """Go on with a run though its connection has broken, until it is asked to stop.
+
+    `words` are its answers to such calls. A run that it does not know has ended as its
+    connection broke.
+    """
+
+    words: list[Word] = field(default_factory=list)
+    is_running: bool = False
+    asked: list[dict[str, object]] = field(default_factory=list)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        inner = asyncio.StreamReader()
+        serving = asyncio.create_task(super().serve(inner, writer))
+        while not serving.done():
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (OSError, asyncio.IncompleteReadError):
+                inner.feed_eof()
+                break
+            if head.startswith(STOP_CALL):
+                found = re.search(rb"Content-Length: (\d+)", head, re.IGNORECASE)
+                assert found is not None
+                self._stop(json.loads(await reader.readexactly(int(found[1]))), writer)
+            else:
+                inner.feed_data(head)
+        await serving
 
-from tests.southernveil.test_framing import ONCE_ROUTE, resume, run, start_forwarder
-from tests.southernveil.test_not_run import PROMPT, make_pair, make_request
+    def _stop(self, body: dict[str, object], writer: asyncio.StreamWriter) -> None:
+        self.asked.append(body)
+        word = self.words.pop(0)
+        self.is_running &= word not in STOPPING
+        head = b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n"
+        writer.write(head % (word.status, len(word.body)) + word.body)
+
+    async def _respond(
+        self, writer: asyncio.StreamWriter, script: Script, head: bytes
+    ) -> None:
+        self.is_running = bool(self.words) and self.words[-1] in STOPPING
+        await super()._respond(writer, script, head)
+
+
+@dataclass
+class NextEngine(BreakingRunner):
+    """Note for each run that arrives whether another engine still works on it."""
+
+    other: OngoingEngine | None = None
+    beside: list[bool] = field(default_factory=list)
+
+    def _note(self, head: bytes) -> bytes:
+        assert self.other is not None
+        self.beside.append(self.other.is_running)
+        return super()._note(head)
+
+
+def make_engines(*words: Word) -> tuple[SeeingCaller, OngoingEngine, NextEngine]:
+    """Return a caller and two engines; the first breaks off, and goes on by itself."""
+    caller = SeeingCaller()
+    old = OngoingEngine("a", [break_off], seen=caller.seen, words=list(words))
+    new = NextEngine("b", [resume(b"\n")], seen=caller.seen, other=old)
+    return caller, old, new
+
+
+ANSWERED = {
+    "moved": (MOVED,),
+    "kept": (KEPT,),
+    "absent": (ABSENT,),
+    "replaced": (REPLACED,),
+    "busy": (Word(b"409 Conflict"), MOVED),
+    "failed": (Word(b"500 Error"), MOVED),
+}
+
+
+@pytest.mark.parametrize("words", ANSWERED.values(), ids=ANSWERED.keys())
+@pytest.mark.parametrize("route", [ONCE_ROUTE, STREAM_ROUTE], ids=["once", "resumed"])
+def test_a_stream_goes_on_only_once_the_engine_before_works_on_it_no_more(
+    route: Route, words: tuple[Word, ...]
+) -> None:
+    async def check() -> None:
+        caller, old, new = make_engines(*words)
+        async with start_forwarder(route, old, new) as forwarder:
+            await forwarder.serve(make_request(prompt=PROMPT), caller)
+        assert new.beside == [False]
+        assert [(ask["Id"], ask["Last"]) for ask in old.asked] == [("r1", True)] * len(
+            words
+        )
+        assert (caller.data, caller.ended) == (make_stream(b"\n"), True)
+
+    run(check())
 
 
 def test_a_resend_names_the_engine_before_and_how_long_its_caller_got_nothing() -> None:
@@ -12,6 +146,7 @@
         lines: list[dict[str, object]] = []
         async with start_forwarder(ONCE_ROUTE, *runners) as forwarder:
             eliot.add_destinations(lines.append)
+            lines.clear()  # the first destination gets what was logged before
             try:
                 await forwarder.serve(make_request(prompt=PROMPT), caller)
             finally:
