Stop a run at its engine before the stream goes on elsewhere (TWICE)

Cause: the end of a connection was taken for the end of the run. A stream went on from its copy, or was sent again, as soon as the node's end broke; nobody asked the engine, which need not learn of the close, nor act on it. Fix: RunStopper, before begin_run, which now refuses while a run may be open. It asks the engine to stop the run and to move its KV cache to where the stream goes on. Ended: go on. Out of reach: go on, and ask until the run's time is over. Silent or unclear: a stream that may run once ends by the pause that callers wait for, one that may run again goes on with the call lying at the engine. A run relayed to another node is not sent on, as this node can't know its end. Engines that can't stop a run keep no copies.

--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -15,7 +15,7 @@
     digest_request,
 )
 from hawthornshelf.gateway.routes import RetryPolicy, Route
-from hawthornshelf.gateway.runners import RunnerState
+from hawthornshelf.gateway.runners import Runner, RunnerState
 from hawthornshelf.origins import Origin
 
 __all__ = ["MIN_SECONDS_LEFT", "RequestContext"]
@@ -32,7 +32,9 @@
     until it ends. `target_at` is when the first byte or token is due. `sends` counts
     attempts, `runs` those that may have been executed. `source` is a KV cache to
     continue from; `backup` is the engine that keeps a copy of the KV cache of the last
-    run, None if that has none.
+    run, None if that has none. `open_run` is the engine that may still work on the last
+    run, None if none may; `is_open_elsewhere` means that the engine of another node
+    may, which this node doesn't know.
     `is_suspect` tells whether the request was in flight when a runner crashed; `trial`
     names the suspects that it may run with, once, although they may be to blame.
     `response` is that of the last attempt, `unfinished_bytes` the number of bytes after
@@ -82,6 +84,8 @@
     permits: int = 0
     permit_seconds: float = 0.0
     backup: RunnerState | None = None
+    open_run: Runner | None = None
+    is_open_elsewhere: bool = False
     is_suspect: bool = False
     trial: frozenset[bytes] = frozenset()
     _digests: RequestDigests | None = None
@@ -131,12 +135,15 @@
         """Note that the request goes out to a peer; return if it may have run before.
 
         `copy` is the engine from whose copy it goes on. Raise SecondRunRefused if it
-        may have run, may not run again, and its last run has no copy there.
+        may have run, may not run again, and its last run has no copy there, or if an
+        engine may still work on that.
         """
         may_have_run = self.may_have_run
         continues = copy is not None and copy is self.backup
         if may_have_run and not continues and not self.is_repeatable:
             raise SecondRunRefused(peer)
+        if self.open_run is not None or self.is_open_elsewhere:
+            raise SecondRunRefused(peer)
         self.may_have_run = True
         self.backup = None
         return may_have_run
@@ -153,6 +160,8 @@
         """Return whether a request without a complete response may be sent again."""
         if self.deadline - now < MIN_SECONDS_LEFT:
             return False
+        if self.is_open_elsewhere:
+            return False
         if self.is_recoverable:
             return True
         if self.may_have_run and (self.trial or not self.is_repeatable):
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -33,7 +33,9 @@
     "RunnerReplaced",
     "RunnerResponse",
     "RunnerSilent",
+    "RunNotEnded",
     "SecondRunRefused",
+    "StoppedRun",
 ]
 
 
@@ -185,6 +187,13 @@
         super().__init__("send", peer, "the request may have run already")
 
 
+class RunNotEnded(HawthornshelfError):
+    """Signal a request that can't go on elsewhere, as its last run may go on."""
+
+    def __init__(self, peer: str, finding: str) -> None:
+        super().__init__("stop run", peer, f"the last run may go on: {finding}")
+
+
 class PrefillRefused(HawthornshelfError):
     """Signal that an engine refused to prefill a prompt, with its HTTP status."""
 
@@ -193,6 +202,17 @@
         self.status = status
 
 
+class StoppedRun(NamedTuple):
+    """Represent a run that an engine has stopped when it was asked to.
+
+    `handle` names the KV cache that it keeps of the run, None if it doesn't tell;
+    `is_moved` means that the engine named in the call has a whole copy.
+    """
+
+    handle: KvCacheHandle | None
+    is_moved: bool
+
+
 class EngineLoad(NamedTuple):
     """Store the numbers of running and waiting requests that an engine reports."""
 
@@ -315,6 +335,16 @@
         AttemptFailed.
         """
 
+    @abstractmethod
+    async def stop_run(
+        self, runner: Runner, request_id: str, to: str
+    ) -> StoppedRun | None:
+        """Stop the run of a request, and move its KV cache to the address `to`.
+
+        Return None if the engine has no such run. Raises RunnerReplaced,
+        ConnectionRefused or AttemptFailed.
+        """
+
     @abstractmethod
     async def drop_handle(self, handle: KvCacheHandle) -> None:
         """Free a KV cache that no engine will fetch; raise AttemptFailed."""
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -26,6 +26,7 @@
     RunnerClient,
     RunnerResponse,
     RunnerSilent,
+    RunNotEnded,
 )
 from hawthornshelf.gateway.flight import Flight
 from hawthornshelf.gateway.loadprobe import LoadProbe
@@ -46,6 +47,7 @@
 from hawthornshelf.gateway.routegate import RouteGate
 from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteIndex, RouteTable
 from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
+from hawthornshelf.gateway.runstopper import RunStopper
 from hawthornshelf.gateway.scheduler import (
     AdmissionRejected,
     EngineScheduler,
@@ -119,6 +121,9 @@
             clock,
         )
         self._releaser = CacheReleaser(client, runners, self._limiter)
+        self._stopper = RunStopper(
+            client, runners, self._limiter, self._releaser, self._recorder, clock
+        )
         self._clock = clock
         self._rng = rng
         self._count_nodes = count_nodes
@@ -196,6 +201,7 @@
     async def stop(self) -> None:
         """Cancel what goes on besides requests; call it once none is open."""
         await self._crashes.stop()
+        await self._stopper.stop()
         await self._releaser.stop()
 
     def load(self, table: RouteTable) -> None:
@@ -359,20 +365,26 @@
                     return
         except RequestBlocked as blocked:
             await self._refuse_blocked(context, blocked)
+        except RunNotEnded as error:
+            await self._give_up(context, error.reason, RETRY_AFTER_SECONDS)
         except AdmissionRejected as rejection:
             await self._reject(context, rejection)
 
     async def _try_next_or_relay(self, context: RequestContext) -> bool:
         """Send a request to a runner, or to another node if this one reaches none."""
         if context.is_relayed or self._relay.applies(context):
-            return await self._relay.relay(context)
+            return await self._relay_request(context)
         try:
             return await self._try_next(context)
         except AdmissionRejected:
             if not self._relay.is_last_resort(context):
                 raise
             context.is_relayed = True
-            return await self._relay.relay(context)
+            return await self._relay_request(context)
+
+    async def _relay_request(self, context: RequestContext) -> bool:
+        await self._stopper.settle(context)
+        return await self._relay.relay(context)
 
     async def _settle_crash(self, context: RequestContext) -> None:
         """Wait for the evidence on the last runner before a request is sent again."""
@@ -497,6 +509,9 @@
         route = context.route
         if reservation is None or context.is_repeatable:
             return None
+        profile = self._index.find_engine(context.service)
+        if profile is None or not (profile.stops_runs and profile.copies_runs):
+            return None
         is_stream = route.retry_policy is RetryPolicy.STREAM
         return reservation.placement.backup if is_stream else None
 
@@ -593,12 +608,16 @@
 
         `copy` is the engine from whose copy of the last run it goes on, if any.
         """
+        to = state.runner if copy is not None else None
+        context.source = await self._stopper.settle(context, to) or context.source
         self._recorder.record_standing(context, state, self._quarantine.check(context))
         if context.sends:
             self._recorder.record_resend(context, state)
         may_have_run = context.begin_run(state.runner.name, copy)
         if context.sends:
             self._budget.spend(self._clock.monotonic(), context.service)
+        if self._may_outlast(context):
+            context.open_run = state.runner
         context.tried.add(state.runner.name)
         context.last_runner = state.runner.name
         context.sends += 1
@@ -611,6 +630,8 @@
                     attempt = self._make_attempt(context, state, backup)
                     response = await self._await_headers(context, attempt)
                 self._reachability.record_answer()
+                if response.not_run or not response.is_stream:
+                    context.open_run = None
                 if response.not_run:
                     context.may_have_run = may_have_run
                     self._recorder.record_refusal(context, state, response.status)
@@ -622,6 +643,7 @@
                 relayed = await self._relay_response(
                     context, state, response, reservation, flight
                 )
+                context.open_run = None
                 flight.is_answered = True
                 flight.has_run = response.status < 300 and (
                     flight.has_written or not response.is_stream
@@ -631,6 +653,8 @@
             context.source = None
             context.may_have_run = may_have_run or error.sent
             context.runs += error.sent and response is None
+            if not error.sent:
+                context.open_run = None
             self._recorder.record_failure(context, state, error)
             if response is None:
                 self._record_unreached(context, error, state)
@@ -662,6 +686,16 @@
         except TimeoutError as error:
             raise RunnerSilent(attempt.runner.name) from error
 
+    def _may_outlast(self, context: RequestContext) -> bool:
+        """Return whether a run may go on though its connection is gone.
+
+        That of an engine may, if the engine also stops it when it is asked to.
+        """
+        if not context.route.is_generation:
+            return False
+        profile = self._index.find_engine(context.service)
+        return profile is not None and profile.stops_runs
+
     def _record_unreached(
         self, context: RequestContext, error: AttemptFailed, state: RunnerState
     ) -> None:
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -96,7 +96,8 @@
 
     A relayed request is never relayed again. The other node admits and places it like a
     request of its own callers, for one attempt; this one counts those that may have
-    run, and takes further ones from its retry budget.
+    run, and takes further ones from its retry budget. It gives up no run of an engine,
+    and sends none again that broke, as it can't tell whether the engine still works.
     """
 
     def __init__(
@@ -181,6 +182,7 @@
         except AttemptFailed as error:
             context.may_have_run = may_have_run or error.sent
             context.runs += error.sent
+            context.is_open_elsewhere = error.sent and context.route.is_generation
             self._recorder.record_relay_failure(context, peer.node, error)
             return False
         finally:
@@ -216,7 +218,7 @@
             context.origin,
         )
         is_last = context.runs + 1 >= context.route.max_attempts
-        if is_last or not context.is_repeatable:
+        if is_last or not context.is_repeatable or context.route.is_generation:
             return await self._client.relay(request)
         try:
             async with asyncio.timeout(ANSWER_SHARE * seconds_left):
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -5,7 +5,7 @@
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.exchange import AttemptFailed, RunnerResponse
 from hawthornshelf.gateway.quarantine import RequestBlocked
-from hawthornshelf.gateway.runners import RunnerState, RunnerTable
+from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
 from hawthornshelf.logs import write_log
 from hawthornshelf.metrics import Metrics, RequestOutcome
 from hawthornshelf.origins import Continuation
@@ -128,6 +128,38 @@
             reason=context.reason,
         )
 
+    def record_run_end(
+        self,
+        context: RequestContext,
+        runner: Runner,
+        end: str,
+        calls: int,
+        seconds: float,
+    ) -> None:
+        """Record what is known of the end of a run whose request is to go on."""
+        self._metrics.record_run_end(end, seconds)
+        write_log(
+            "run-settled",
+            request=context.inbound.request_id,
+            runner=runner.name,
+            boot=runner.boot,
+            outcome=end,
+            calls=calls,
+            seconds=round(seconds, 4),
+            events=context.events,
+            list_age=self._list_age(),
+        )
+
+    def record_late_end(self, request: str, runner: Runner, end: str) -> None:
+        """Record the end of a run that had not been awaited."""
+        write_log(
+            "run-settled-late",
+            request=request,
+            runner=runner.name,
+            boot=runner.boot,
+            outcome=end,
+        )
+
     def record_relay(self, context: RequestContext, peer: str) -> None:
         """Record that a request goes to another node, and on what ground."""
         write_log(
--- a/hawthornshelf/gateway/routes.py
+++ b/hawthornshelf/gateway/routes.py
@@ -35,13 +35,16 @@
     """Describe what all engines of a service have in common.
 
     `kv_cache_tokens` is the size of the KV cache; `handle_seconds` is the lifetime of
-    a KV cache handle.
+    a KV cache handle. `stops_runs` means that an engine stops a run when it is asked
+    to, `copies_runs` that it copies one to another engine as it goes on.
     """
 
     slots: int
     kv_cache_tokens: int
     handle_seconds: float = 5.0
     switch_seconds: float = 3.0
+    stops_runs: bool = True
+    copies_runs: bool = True
 
 
 class ServiceSpec(NamedTuple):
@@ -64,7 +67,8 @@
     """Describe one route; durations are in seconds, priority 0 is the most urgent.
 
     `timeout` limits a request, `target` is the objective for its first byte or token,
-    and `max_attempts` limits its runs.
+    and `max_attempts` limits its runs. `stall_limit` is the longest pause between two
+    events that callers of a stream wait for.
     """
 
     name: str
@@ -78,6 +82,7 @@
     max_attempts: int = 1
     resumable: bool = False
     is_generation: bool = False
+    stall_limit: float = 2.0
 
 
 class CallerLimits(NamedTuple):
@@ -142,6 +147,11 @@
             for service in table.services
             if service.engine is None
         }
+        self._engines = {
+            service.name: service.engine
+            for service in table.services
+            if service.engine is not None
+        }
         for route in table.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
 
@@ -149,6 +159,10 @@
         """Return the path of a plain service's liveness check, empty for engines."""
         return self._health_paths.get(service, "")
 
+    def find_engine(self, service: str) -> EngineProfile | None:
+        """Return what the engines of a service have in common, None without any."""
+        return self._engines.get(service)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, or None."""
         prefixes = self._hosts.get(host)
--- a/hawthornshelf/metrics.py
+++ b/hawthornshelf/metrics.py
@@ -74,6 +74,7 @@
         self._latencies: dict[str, HdrHistogram] = {}
         self._buckets: dict[tuple[int, str], _Bucket] = {}
         self._permits: dict[_PermitKey, int] = {}
+        self._run_ends: dict[str, HdrHistogram] = {}
 
     def record(self, wall_time: float, request: RequestOutcome) -> None:
         """Count a request that ended at `wall_time`, in seconds since the epoch.
@@ -87,7 +88,7 @@
         if outcome != "complete":
             bucket.failed += request.is_server_error
             return
-        microseconds = min(max(int(seconds * 1e6), MIN_LATENCY_US), MAX_LATENCY_US)
+        microseconds = _to_microseconds(seconds)
         if work not in self._latencies:
             self._latencies[work] = new_histogram()
         self._latencies[work].record_value(microseconds)
@@ -98,6 +99,12 @@
         key = _PermitKey(service, is_granted)
         self._permits[key] = self._permits.get(key, 0) + 1
 
+    def record_run_end(self, outcome: str, seconds: float) -> None:
+        """Count what was found on the end of a run, and the seconds that it took."""
+        if outcome not in self._run_ends:
+            self._run_ends[outcome] = new_histogram()
+        self._run_ends[outcome].record_value(_to_microseconds(seconds))
+
     def buckets(self) -> list[OutcomeBucket]:
         """Return the buckets of the last six hours, with encoded histograms."""
         return [
@@ -111,7 +118,9 @@
         """Return all metrics in the Prometheus text format."""
         registry = CollectorRegistry()
         registry.register(
-            _MetricsCollector(self._outcomes, self._permits, self._latencies, gauges)
+            _MetricsCollector(
+                self._outcomes, self._permits, self._run_ends, self._latencies, gauges
+            )
         )
         return generate_latest(registry)
 
@@ -125,16 +134,22 @@
         return self._buckets[key]
 
 
+def _to_microseconds(seconds: float) -> int:
+    return min(max(int(seconds * 1e6), MIN_LATENCY_US), MAX_LATENCY_US)
+
+
 class _MetricsCollector(Collector):
     def __init__(
         self,
         outcomes: Mapping[_OutcomeKey, int],
         permits: Mapping[_PermitKey, int],
+        run_ends: Mapping[str, HdrHistogram],
         latencies: Mapping[str, HdrHistogram],
         gauges: Mapping[str, float],
     ) -> None:
         self._outcomes = outcomes
         self._permits = permits
+        self._run_ends = run_ends
         self._latencies = latencies
         self._gauges = gauges
 
@@ -145,7 +160,7 @@
         )
         for key, count in self._outcomes.items():
             requests.add_metric([key.work, key.outcome], count)
-        families = [requests, self._collect_permits()]
+        families = [requests, self._collect_permits(), *self._collect_run_ends()]
         return [*families, *self._collect_latencies(), *self._collect_gauges()]
 
     def _collect_permits(self) -> CounterMetricFamily:
@@ -159,6 +174,24 @@
             family.add_metric([key.service, answer], count)
         return family
 
+    def _collect_run_ends(self) -> list[Any]:
+        counts = CounterMetricFamily(
+            "hawthornshelf_run_ends",
+            "What engines were found to do with runs whose connections broke",
+            labels=["outcome"],
+        )
+        waits = GaugeMetricFamily(
+            "hawthornshelf_run_end_seconds",
+            "Time until that was known",
+            labels=["outcome", "quantile"],
+        )
+        for outcome, histogram in self._run_ends.items():
+            counts.add_metric([outcome], histogram.get_total_count())
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile) / 1e6
+                waits.add_metric([outcome, str(quantile / 100)], value)
+        return [counts, waits]
+
     def _collect_latencies(self) -> list[Any]:
         family = GaugeMetricFamily(
             "hawthornshelf_latency_seconds",
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -38,6 +38,7 @@
     RunnerClient,
     RunnerReplaced,
     RunnerResponse,
+    StoppedRun,
 )
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.identity import digest_request
@@ -442,6 +443,15 @@
             raise RunnerReplaced(runner.name, found.name)
         return found.boot if found.stage is not Stage.MIXED else 0
 
+    async def stop_run(
+        self, runner: Runner, request_id: str, to: str
+    ) -> StoppedRun | None:
+        """Find no run: one ends with its connection."""
+        found = await self._reach(runner, "stop")
+        if found.name != runner.name:
+            raise RunnerReplaced(runner.name, found.name)
+        return None
+
     async def drop_handle(self, handle: KvCacheHandle) -> None:
         """Do nothing: runners keep no KV cache here."""
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -20,9 +20,11 @@
     ResponseWriter,
     RunnerClient,
     RunnerResponse,
+    StoppedRun,
 )
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.routes import (
+    EngineProfile,
     RetryPolicy,
     Route,
     RouteTable,
@@ -152,6 +154,7 @@
     prefills: list[Attempt] = field(default_factory=list)
     responses: list[FakeResponse] = field(default_factory=list)
     dropped: list[KvCacheHandle] = field(default_factory=list)
+    stopped: list[str] = field(default_factory=list)
     before_break: Callable[[], None] | None = None
 
     def __post_init__(self) -> None:
@@ -208,6 +211,12 @@
     async def probe(self, runner: Runner, health_path: str) -> int:
         return runner.boot
 
+    async def stop_run(
+        self, runner: Runner, request_id: str, to: str
+    ) -> StoppedRun | None:
+        self.stopped.append(runner.name)
+        return None
+
     async def drop_handle(self, handle: KvCacheHandle) -> None:
         self.dropped.append(handle)
 
@@ -276,5 +285,5 @@
         _route("/read/", RetryPolicy.STREAM, splits=LLM, is_generation=True),
         _route("/short/", RetryPolicy.SAFE, timeout=0.05),
     ),
-    (ServiceSpec("app"), ServiceSpec("llm")),
+    (ServiceSpec("app"), ServiceSpec("llm", engine=EngineProfile(48, 305_000))),
 )
--- a/tests/gateway/load.py
+++ b/tests/gateway/load.py
@@ -25,6 +25,7 @@
     PromptSegment,
     RunnerClient,
     RunnerResponse,
+    StoppedRun,
 )
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.placement import LONG_PROMPT_TOKENS
@@ -188,6 +189,11 @@
     async def probe(self, runner: Runner, health_path: str) -> int:
         return runner.boot
 
+    async def stop_run(
+        self, runner: Runner, request_id: str, to: str
+    ) -> StoppedRun | None:
+        return None
+
     async def drop_handle(self, handle: KvCacheHandle) -> None:
         """Do nothing: engines keep no KV cache here."""
 
--- a/tests/southernveil/fakes.py
+++ b/tests/southernveil/fakes.py
@@ -82,6 +82,7 @@
         "Service": PLAIN_SERVICE,
     }
     engine = {"Service": ENGINE_SERVICE, "Kind": "streaming", "Sticky": True}
+    profile = {"Slots": 48, "KvTokens": 305000, "Moves": True, "Backups": True}
     manifest: dict[str, object] = {
         "Version": version,
         "Routes": [
@@ -92,7 +93,7 @@
         ],
         "Services": [
             {"Name": PLAIN_SERVICE, "HealthPath": "/healthz", "MaxConnections": 130},
-            {"Name": ENGINE_SERVICE, "Engine": {"Slots": 48, "KvTokens": 305000}},
+            {"Name": ENGINE_SERVICE, "Engine": profile},
         ],
         "Limits": {
             "MaxHeaderBytes": 16384,
@@ -190,6 +191,8 @@
         if request.raw_path == "/hawthornshelf/report":
             report = {"Running": 12, "Waiting": 1, "Stage": self.stage, "Busy": False}
             return web.Response(body=json.dumps(report).encode())
+        if request.raw_path == "/hawthornshelf/kv-move":
+            return web.Response(status=404)
         headers = {name.title(): value for name, value in request.headers.items()}
         self.received.append({**headers, ":path": request.raw_path})
         self.bodies.append(body)
--- a/tests/southernveil/test_framing.py
+++ b/tests/southernveil/test_framing.py
@@ -28,6 +28,7 @@
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.peerrelay import Peer
 from hawthornshelf.gateway.routes import (
+    EngineProfile,
     RetryPolicy,
     Route,
     RouteTable,
@@ -45,6 +46,9 @@
 
 FRAMINGS = ("length", "chunks", "connection")
 ENDS = ("reached", "reached-then-reset", "closed-early", "reset-early")
+PROBES = (b"GET /healthz", b"GET /hawthornshelf/report")
+STOP_CALL = b"POST /hawthornshelf/kv-move "
+RELEASE_CALL = b"DELETE /hawthornshelf/kv-handle/"
 LINE_ENDS = {"LF": b"\n", "CRLF": b"\r\n", "CR": b"\r"}
 
 
@@ -124,6 +128,7 @@
     resumed_after: list[bytes] = field(default_factory=list)
     probes: int = 0
     build: str = ""
+    released: list[bytes] = field(default_factory=list)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -131,8 +136,15 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-                if head.startswith(b"GET /healthz"):
+                if head.startswith(PROBES):
                     self.probes += 1
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+                    continue
+                if head.startswith(STOP_CALL):
+                    await self._stop(reader, writer, head)
+                    continue
+                if head.startswith(RELEASE_CALL):
+                    self.released.append(head.split()[1].rpartition(b"/")[2])
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                     continue
                 script = self.scripts.pop(0)(self._note(head))
@@ -141,6 +153,20 @@
                     break
         writer.close()
 
+    async def _stop(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+    ) -> None:
+        """Answer a call that stops a run: a run ends with its connection here."""
+        found = re.search(rb"\r\nContent-Length: (\d+)", head, re.IGNORECASE)
+        assert found is not None
+        status, body = self.answer_stop(await reader.readexactly(int(found[1])))
+        lines = b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n" % (status, len(body))
+        writer.write(lines + body)
+
+    def answer_stop(self, call: bytes) -> tuple[bytes, bytes]:
+        """Return the status line and the body of the answer to such a call."""
+        return b"404 Not found", b""
+
     def _note(self, head: bytes) -> bytes:
         found = re.search(rb"\r\nLast-Event-Id: (\d+)", head, re.IGNORECASE)
         after = found[1] if found else b""
@@ -205,7 +231,7 @@
         HttpRelayClient(session),
         lambda tried: None if peer is None or peer.node in tried else peer,
     )
-    forwarder.load(RouteTable(1, (route,), (ServiceSpec("app", "/healthz"),)))
+    forwarder.load(RouteTable(1, (route,), (describe_service(route),)))
     try:
         yield forwarder
     finally:
@@ -215,6 +241,11 @@
             server.close()
 
 
+def describe_service(route: Route) -> ServiceSpec:
+    engine = EngineProfile(6, 10_000) if route.is_generation else None
+    return ServiceSpec("app", "/healthz", engine=engine)
+
+
 def make_route(retry_policy: RetryPolicy, **changes: object) -> Route:
     route = Route(
         name="r",
--- a/tests/southernveil/test_not_run.py
+++ b/tests/southernveil/test_not_run.py
@@ -41,6 +41,7 @@
 from tests.southernveil.test_framing import (
     CLOCK,
     ONCE_ROUTE,
+    PROBES,
     STREAM_ROUTE,
     RawRunner,
     Script,
@@ -121,10 +122,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         head = await reader.readuntil(b"\r\n\r\n")
-        if not head.startswith(b"GET /healthz"):
+        if not head.startswith(PROBES):
             self.arrived.set()
         await self.woken.wait()
-        if not head.startswith(b"GET /healthz"):
+        if not head.startswith(PROBES):
             self._note(head)
             self.looked.set()
         writer.close()
@@ -385,7 +386,7 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-                if head.startswith(b"GET /healthz"):
+                if head.startswith(PROBES):
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                     continue
                 self._note(head)
--- a/tests/southernveil/test_run_ends.py
+++ b/tests/southernveil/test_run_ends.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import re
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -28,8 +27,6 @@
     make_request,
 )
 
-STOP_CALL = b"POST /hawthornshelf/kv-move "
-
 
 class Word(NamedTuple):
     """Represent what an engine answers to a call that stops a run."""
@@ -38,7 +35,8 @@
     body: bytes = b""
 
 
-HANDLE = b'{"KvHandle":"3fa0","made":2}'
+HANDLE_NAME = "3fa0"
+HANDLE = b'{"KvHandle":"%b","made":2}' % HANDLE_NAME.encode()
 MOVED = Word(b"200 OK", HANDLE)
 KEPT = Word(b"503 No room", HANDLE)
 ABSENT = Word(b"404 Not found")
@@ -58,31 +56,11 @@
     is_running: bool = False
     asked: list[dict[str, object]] = field(default_factory=list)
 
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        inner = asyncio.StreamReader()
-        serving = asyncio.create_task(super().serve(inner, writer))
-        while not serving.done():
-            try:
-                head = await reader.readuntil(b"\r\n\r\n")
-            except (OSError, asyncio.IncompleteReadError):
-                inner.feed_eof()
-                break
-            if head.startswith(STOP_CALL):
-                found = re.search(rb"Content-Length: (\d+)", head, re.IGNORECASE)
-                assert found is not None
-                self._stop(json.loads(await reader.readexactly(int(found[1]))), writer)
-            else:
-                inner.feed_data(head)
-        await serving
-
-    def _stop(self, body: dict[str, object], writer: asyncio.StreamWriter) -> None:
-        self.asked.append(body)
+    def answer_stop(self, call: bytes) -> tuple[bytes, bytes]:
+        self.asked.append(json.loads(call))
         word = self.words.pop(0)
         self.is_running &= word not in STOPPING
-        head = b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n"
-        writer.write(head % (word.status, len(word.body)) + word.body)
+        return word.status, word.body
 
     async def _respond(
         self, writer: asyncio.StreamWriter, script: Script, head: bytes
@@ -122,6 +100,10 @@
 }
 
 
+def _keeps_handle(words: tuple[Word, ...]) -> bool:
+    return words[-1] in STOPPING
+
+
 @pytest.mark.parametrize("words", ANSWERED.values(), ids=ANSWERED.keys())
 @pytest.mark.parametrize("route", [ONCE_ROUTE, STREAM_ROUTE], ids=["once", "resumed"])
 def test_a_stream_goes_on_only_once_the_engine_before_works_on_it_no_more(
@@ -131,6 +113,11 @@
         caller, old, new = make_engines(*words)
         async with start_forwarder(route, old, new) as forwarder:
             await forwarder.serve(make_request(prompt=PROMPT), caller)
+            uses_handle = f"/{HANDLE_NAME}\r\n".encode() in new.heads[0]
+            while _keeps_handle(words) and not uses_handle and not old.released:
+                await asyncio.sleep(0)
+        assert uses_handle == (route is ONCE_ROUTE and words[-1] is MOVED)
+        assert old.released in ([], [HANDLE_NAME.encode()])
         assert new.beside == [False]
         assert [(ask["Id"], ask["Last"]) for ask in old.asked] == [("r1", True)] * len(
             words
