Ask a silent engine again at once, and test how runs end

Cause: a call to a silent engine was ended after 0.3 s and followed by a pause, so that none lay there as the engine went on; and two connects had to hang before an engine counted as out of reach, longer than a resumable stream waits. Change: after a silent call the next one goes out at once; one connection that does not come about lets the stream go on, and the engine is asked again 0.05 s later.

--- a/hawthornshelf/gateway/runstopper.py
+++ b/hawthornshelf/gateway/runstopper.py
@@ -9,7 +9,6 @@
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.exchange import (
     AttemptFailed,
-    ConnectionRefused,
     KvCacheHandle,
     RunnerClient,
     RunnerReplaced,
@@ -29,7 +28,10 @@
 """Least time for an engine's answer; as long as a repeatable request waits for it."""
 
 CALL_SECONDS = 0.3
-"""Time of one call; a connection may wait for an engine that has long gone on."""
+"""Time of one call; one to a silent engine is followed by the next one at once.
+
+A connection may still wait for an engine that has long gone on.
+"""
 
 FIRST_PAUSE_SECONDS = 0.05
 MAX_EARLY_PAUSE_SECONDS = 0.2
@@ -42,12 +44,6 @@
 PERMIT_WAIT_SECONDS = 0.1
 """Longest wait for a permit to call an engine that names a rate."""
 
-CONNECT_FAILURES = 2
-"""Connections that did not come about after which an engine is out of reach.
-
-One alone may be a lost packet. A refused one counts at once.
-"""
-
 
 class RunEnd(StrEnum):
     """Name what is known of the end of a run."""
@@ -75,7 +71,6 @@
         self.end = RunEnd.SILENT
         self.stopped: StoppedRun | None = None
         self.calls = 0
-        self.failed_connects = 0
         self.is_awaited = True
         self.changed = asyncio.Event()
 
@@ -179,11 +174,14 @@
                     await self._call(stop)
             if stop.is_over:
                 break
-            await asyncio.sleep(pause)
+            if stop.end is not RunEnd.SILENT:
+                await asyncio.sleep(pause)
+                pause *= 2
             now = self._clock.monotonic()
             is_early = now < began_at + EARLY_SECONDS
-            longest = MAX_EARLY_PAUSE_SECONDS if is_early else MAX_PAUSE_SECONDS
-            pause = min(longest, 2 * pause)
+            pause = min(
+                MAX_EARLY_PAUSE_SECONDS if is_early else MAX_PAUSE_SECONDS, pause
+            )
         if not stop.is_awaited:
             self._recorder.record_late_end(stop.request, stop.runner, stop.end)
             self._release(stop)
@@ -203,12 +201,8 @@
             stopped = await self._client.stop_run(runner, stop.request, stop.to)
         except RunnerReplaced:
             stop.conclude(RunEnd.REPLACED)
-        except ConnectionRefused:
-            stop.conclude(RunEnd.UNREACHED)
         except AttemptFailed as error:
-            stop.failed_connects += not error.sent
-            is_unreached = stop.failed_connects >= CONNECT_FAILURES
-            stop.conclude(RunEnd.UNREACHED if is_unreached else RunEnd.UNKNOWN)
+            stop.conclude(RunEnd.UNKNOWN if error.sent else RunEnd.UNREACHED)
         else:
             stop.conclude(RunEnd.STOPPED if stopped else RunEnd.ABSENT, stopped)
 
--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -57,6 +57,23 @@
     assert context.begin_run("b")
 
 
+@pytest.mark.parametrize("kind", [STREAM_ONCE, RESUMABLE])
+@pytest.mark.parametrize("is_elsewhere", [False, True])
+def test_no_run_begins_while_an_engine_may_still_work_on_the_last_one(
+    kind: tuple[RetryPolicy, bool], is_elsewhere: bool
+) -> None:
+    fleet = Fleet([])
+    context = make_context(*kind)
+    context.begin_run("d0")
+    context.backup = fleet.runners.find("d1")
+    context.open_run = None if is_elsewhere else fleet.listed[3]
+    context.is_open_elsewhere = is_elsewhere
+    with pytest.raises(SecondRunRefused):
+        context.begin_run("d1", context.backup)
+    context.open_run, context.is_open_elsewhere = None, False
+    assert context.begin_run("d1", context.backup)
+
+
 def test_a_run_from_the_copy_of_the_run_before_is_no_second_run() -> None:
     context = make_context(*STREAM_ONCE)
     context.begin_run("a")
--- a/tests/southernveil/test_endless.py
+++ b/tests/southernveil/test_endless.py
@@ -114,6 +114,10 @@
     await client.drop_handle(KvCacheHandle(address, "abc"))
 
 
+async def stop_run(client: HttpRunnerClient, address: str) -> None:
+    await client.stop_run(make_attempt(address).runner, "1", address)
+
+
 async def read_list(client: HttpRunnerClient, address: str) -> None:
     await CloudRunnerSource(client._session, address, SystemClock()).read()
 
@@ -124,6 +128,7 @@
     "load": read_load,
     "probe": probe,
     "drop handle": drop_handle,
+    "stop run": stop_run,
     "list": read_list,
 }
 
--- a/tests/southernveil/test_run_ends.py
+++ b/tests/southernveil/test_run_ends.py
@@ -2,13 +2,27 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
+from unittest import mock
 
 import eliot
 import pytest
+from southernveil.runnerclient import HttpRunnerClient, make_session
 
-from hawthornshelf.gateway.routes import Route
+from hawthornshelf.gateway.exchange import (
+    AttemptFailed,
+    ConnectionRefused,
+    RunnerReplaced,
+)
+from hawthornshelf.gateway.routes import (
+    EngineProfile,
+    Route,
+    RouteTable,
+    ServiceSpec,
+)
+from hawthornshelf.gateway.runners import Runner
 from tests.southernveil.test_framing import (
     ONCE_ROUTE,
     STREAM_ROUTE,
@@ -23,9 +37,12 @@
     BreakingRunner,
     SeeingCaller,
     break_off,
+    listen,
     make_pair,
     make_request,
+    start_cut_node,
 )
+from tests.southernveil.test_relay import RecordingRunner
 
 
 class Word(NamedTuple):
@@ -127,6 +144,124 @@
     run(check())
 
 
+class SilentEngine(OngoingEngine):
+    """Leave calls that stop runs unanswered."""
+
+    async def _stop(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+    ) -> None:
+        await super()._stop(reader, mock.Mock(), head)
+
+
+@pytest.mark.parametrize("route", [ONCE_ROUTE, STREAM_ROUTE], ids=["once", "resumed"])
+def test_a_stream_that_may_run_once_ends_if_its_engine_says_nothing_of_the_run(
+    route: Route,
+) -> None:
+    async def check() -> None:
+        caller, _, new = make_engines()
+        old = SilentEngine("a", [break_off], seen=caller.seen, words=[ABSENT] * 9)
+        new.other = old
+        brief = route._replace(stall_limit=0.5)
+        async with start_forwarder(brief, old, new) as forwarder:
+            await forwarder.serve(make_request(prompt=PROMPT), caller)
+        assert old.asked
+        is_once = route is ONCE_ROUTE
+        assert (caller.aborted, caller.ended) == (is_once, not is_once)
+        assert len(new.heads) == (not is_once)
+
+    run(check())
+
+
+@pytest.mark.parametrize("able", [{"stops_runs": False}, {"copies_runs": False}])
+def test_an_engine_that_can_not_stop_a_run_is_given_no_copy_to_go_on_from(
+    able: dict[str, bool],
+) -> None:
+    async def check() -> None:
+        caller, old, new = make_engines(MOVED)
+        async with start_forwarder(ONCE_ROUTE, old, new) as forwarder:
+            engine = EngineProfile(6, 10_000)._replace(**able)
+            spec = ServiceSpec("app", "/healthz", engine=engine)
+            forwarder.load(RouteTable(2, (ONCE_ROUTE,), (spec,)))
+            await forwarder.serve(make_request(prompt=PROMPT), caller)
+        assert b"X-Kv-Backup" not in old.heads[0]
+        assert (caller.aborted, new.heads, old.asked) == (True, [], [])
+
+    run(check())
+
+
+def end_before_the_head(after: bytes) -> Script:
+    raise ConnectionAbortedError
+
+
+@pytest.mark.parametrize("script", [break_off, end_before_the_head])
+def test_a_relayed_stream_that_broke_is_not_run_beside_the_run_of_the_other_node(
+    script: Callable[[bytes], Script],
+) -> None:
+    async def check() -> None:
+        caller = SeeingCaller()
+        caller.seen.set()
+        first = BreakingRunner("n0", [script], seen=caller.seen)
+        second = RecordingRunner("n1", [resume(b"\n")])
+        async with (
+            listen(first) as one,
+            listen(second) as two,
+            start_cut_node(STREAM_ROUTE, one, two) as forwarder,
+        ):
+            await forwarder.serve(make_request(prompt=PROMPT), caller)
+        assert (len(first.heads), second.heads) == (1, [])
+        assert caller.aborted or caller.status == 502
+
+    run(check())
+
+
+CALLS = {
+    "absent": (ABSENT, None),
+    "moved": (MOVED, True),
+    "kept": (KEPT, False),
+    "moved without a handle": (Word(b"200 OK", b"[]"), True),
+    "replaced": (REPLACED, RunnerReplaced),
+    "no room and no handle": (Word(b"503 Full", b"{}"), AttemptFailed),
+    "busy": (Word(b"409 Conflict", HANDLE), AttemptFailed),
+    "moved elsewhere": (Word(b"302 Found", HANDLE), AttemptFailed),
+}
+
+
+@pytest.mark.parametrize(("word", "found"), CALLS.values(), ids=CALLS.keys())
+def test_only_an_engines_own_word_counts_as_the_end_of_a_run(
+    word: Word, found: object
+) -> None:
+    async def check() -> None:
+        engine = OngoingEngine("a", [], words=[word])
+        async with listen(engine) as peer:
+            session = make_session()
+            client = HttpRunnerClient(session)
+            runner = Runner("a", "app", peer.address, "dc", 6)
+            try:
+                stopped = await client.stop_run(runner, "r1", "h:1")
+            except AttemptFailed as error:
+                assert type(error) is found
+                assert error.sent or isinstance(error, RunnerReplaced)
+            else:
+                assert (stopped and stopped.is_moved) == found
+            await session.close()
+
+    run(check())
+
+
+def test_an_engine_that_refuses_the_connection_was_not_asked() -> None:
+    async def check() -> None:
+        async with listen(OngoingEngine("a", [])) as gone:
+            pass
+        session = make_session()
+        runner = Runner("a", "app", gone.address, "dc", 6)
+        with pytest.raises(ConnectionRefused) as error:
+            await HttpRunnerClient(session).stop_run(runner, "r1", "h:1")
+        assert not error.value.sent
+        await session.close()
+
+    run(check())
+
+
 def test_a_resend_names_the_engine_before_and_how_long_its_caller_got_nothing() -> None:
     async def check() -> None:
         caller, runners = make_pair(resume(b"\n"))
