Let simulated engines work on without their connections, and watch two at work at once

Cause: in runsoak a run ended as its node stopped reading it, and nothing looked at two engines that work on one request. Change: what an engine does for a request lasts until it is whole, dropped (at the close, 0.3 or 1.5 s later, or never) or stopped; whichever was sent first may not be at work 0.4 s after the later of the two has begun, where its node reaches it. The check of the trial on real processes took a late run that was stopped at once for the later one's fault, as it ordered runs by their begin; it orders them as they were sent.

--- a/scripts/trial_runs.py
+++ b/scripts/trial_runs.py
@@ -58,6 +58,9 @@
 FAULTS += ["delay", "nothing", "restart", "restart", "freeze", "crash", "crash"]
 
 
+RESENT = re.compile(r" event=request-resent request=(\w+) runner=(\S+)")
+
+
 class Kind(NamedTuple):
     """Represent a kind of request."""
 
@@ -421,6 +424,10 @@
             if line["what"] == "begins":
                 self.runs[line["request"]].append(line)
         pattern = re.compile(r" event=request-relayed .*?request=(\w+)")
+        self.order: dict[str, dict[str, int]] = defaultdict(dict)
+        for line in filter(None, map(RESENT.search, self.logs)):
+            sent = self.order[line[1]]
+            sent[line[2]] = len(sent)
         self.relayed = {m[1] for line in self.logs if (m := pattern.search(line))}
         for request in trial.requests.values():
             if request.kind.runs_once:
@@ -440,8 +447,11 @@
         groups = [self.trial.ips.index(request.node) % GROUPS]
         if request.id in self.relayed:
             groups = [*range(GROUPS)]
-        for run, copy in pairwise(runs):
-            engine, late = self.trial.engines[run["engine"]], copy["at"]
+        order = self.order[request.id]
+        for pair in pairwise(runs):
+            late = pair[1]["at"]
+            run, copy = sorted(pair, key=lambda run: order.get(run["engine"], -1))
+            engine = self.trial.engines[run["engine"]]
             end = self._find_end(run, engine)
             until = late + OVERLAP_SECONDS
             if self._is_out_of_touch(request, late):
--- a/tests/gateway/runsoak.py
+++ b/tests/gateway/runsoak.py
@@ -15,8 +15,10 @@
     AttemptFailed,
     Header,
     InboundRequest,
+    KvCacheHandle,
     Prompt,
     RunnerResponse,
+    StoppedRun,
 )
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.routes import RouteTable
@@ -42,6 +44,12 @@
 WAKE_SECONDS = 3.5
 """Time after the last request in which a silent engine may still run it."""
 
+OVERLAP_SECONDS = 0.4
+"""Time for which two engines may work on one request."""
+
+NOTICES = (0.0, 0.3, 1.5, float("inf"))
+"""Seconds after which an engine drops a run whose connection has closed."""
+
 EVENTS = 16
 EVENT_SECONDS = 0.12
 ONCE_STREAM, RESUMABLE, ONCE = "/read/x", "/talk/x", "/once/x"
@@ -64,6 +72,22 @@
     body: bytes
 
 
+@dataclass(eq=False)
+class Work:
+    """Represent what one engine does for one request, sent at one time, until another.
+
+    `node` is the client of the node that sent it.
+    """
+
+    request: str
+    body: bytes
+    runner: SimRunner
+    run: Run
+    node: "_Client"
+    sent_at: float
+    until: float
+
+
 class Ask(NamedTuple):
     """Record one request and what its caller got."""
 
@@ -94,6 +118,10 @@
         self.draws = random.Random(f"{self.seed}/draws")
         self.runs: list[Run] = []
         self.copies: dict[tuple[str, str], Run] = {}
+        self.works: list[Work] = []
+        self.overlaps: set[bytes] = set()
+        draws = random.Random(f"{self.seed}/notices")
+        self.notices = {r.address: draws.choice(NOTICES) for r in self.runners}
         self.accepting: set[str] = set()
         self.shares: dict[str, float] = {"kept": 0.0, "hop": 0.0}
         self.breaks_hop = lambda: self.draws.random() < self.shares["hop"]
@@ -165,6 +193,48 @@
         self.runs.append(Run(b"t%d" % len(self.runs), attempt.inbound.body))
         return self.runs[-1]
 
+    def begin_work(self, client: "_Client", response: "_Response") -> Work:
+        """Note that an engine works for a request; look later if another one does."""
+        inbound, now = response.attempt.inbound, self.clock.monotonic()
+        work = Work(
+            inbound.request_id,
+            inbound.body,
+            response.runner,
+            response.run,
+            client,
+            client.sent_at.pop(id(response.attempt)),
+            now + EVENTS * EVENT_SECONDS,
+        )
+        for other in self.find_works(work.request):
+            first = min(work, other, key=lambda work: work.sent_at)
+            loop = asyncio.get_running_loop()
+            loop.call_later(OVERLAP_SECONDS, self._check_overlap, first)
+        self.works.append(work)
+        return work
+
+    def find_works(self, request: str) -> list[Work]:
+        return [work for work in self.works if work.request == request]
+
+    def _check_overlap(self, work: Work) -> None:
+        """Note a work that goes on beside a later one though its node reaches it."""
+        now = self.clock.monotonic()
+        is_silent = now < work.runner.silent_until + OVERLAP_SECONDS
+        is_cut = bool(work.node.cut) or work.runner.address in work.node.refuses
+        if work.until > now and not is_silent and not is_cut:
+            self.overlaps.add(work.body)
+
+    def stop_work(self, runner: SimRunner, request: str, to: str) -> StoppedRun | None:
+        """Stop what an engine does for a request, and copy its run elsewhere."""
+        now = self.clock.monotonic()
+        works = [w for w in self.find_works(request) if w.runner is runner]
+        going_on = [work for work in works if work.until > now]
+        for work in going_on:
+            work.until = now
+            self.copies[to, request] = work.run
+            self.counts["stopped"] += 1
+        handle = KvCacheHandle(runner.address, request)
+        return StoppedRun(handle, True) if going_on else None
+
     def keep_copy(self, attempt: Attempt, run: Run) -> None:
         """Let the engine named as backup have a copy, unless it is silent."""
         if attempt.backup and not self.is_silent(self.by_address[attempt.backup]):
@@ -191,6 +261,9 @@
 
     def __post_init__(self) -> None:
         self.is_stream = self.attempt.inbound.prompt is not None and not self.not_run
+        self.work: Work | None = None
+        if self.is_stream:
+            self.work = self.fleet.begin_work(self.client, self)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield events; only a copy or a resumable route lets a run begin later."""
@@ -207,6 +280,8 @@
             yield data[:9]
             self._break("reset", await fleet.wake(self.runner))
             yield data[9:]
+        if self.work is not None:
+            self.work.until = fleet.clock.monotonic()
 
     def _break(self, kind: str, does_apply: bool) -> None:
         if does_apply and self.fleet.draws.random() < self.fleet.shares[kind]:
@@ -217,7 +292,11 @@
         return self.run.token
 
     def close(self) -> None:
-        """Do nothing: a run goes on without its connection."""
+        """Let the run end once its engine notices, if it does."""
+        if self.work is not None:
+            notice = self.fleet.notices[self.runner.address]
+            now = self.fleet.clock.monotonic()
+            self.work.until = min(self.work.until, now + notice)
 
 
 class _Client(SimClient):
@@ -225,6 +304,10 @@
 
     _fleet: RunFleet
 
+    def __init__(self, fleet: RunFleet, node: str) -> None:
+        super().__init__(fleet, node)
+        self.sent_at: dict[int, float] = {}
+
     async def _connect(self, runner: Runner) -> SimRunner:
         """Return the runner at an address once a connection to it is open."""
         await asyncio.sleep(HOP_SECONDS)
@@ -245,9 +328,26 @@
         return found
 
     async def send(self, attempt: Attempt) -> RunnerResponse:
+        self.sent_at[id(attempt)] = self._fleet.clock.monotonic()
         found = await self._connect(attempt.runner)
-        serving = self._fleet.serve(self, found, attempt)
-        return await asyncio.shield(serving)
+        serving = asyncio.ensure_future(self._fleet.serve(self, found, attempt))
+        try:
+            return await asyncio.shield(serving)
+        except asyncio.CancelledError:
+            serving.add_done_callback(_close)
+            raise
+
+    async def stop_run(
+        self, runner: Runner, request_id: str, to: str
+    ) -> StoppedRun | None:
+        found = await self._reach(runner, "stop")
+        return self._fleet.stop_work(found, request_id, to)
+
+
+def _close(serving: "asyncio.Future[_Response]") -> None:
+    """Close a response that came after its node had given the request up."""
+    if not serving.cancelled() and serving.exception() is None:
+        serving.result().close()
 
 
 async def _disturb(fleet: RunFleet, rng: random.Random, until: float) -> None:
@@ -323,6 +423,7 @@
     fleet.counts.update(f"{asked.path} {asked.caller.status}" for asked in asks)
     runs = Counter(run.body for run in fleet.runs)
     faults = [f"{f} {a.path} {a.body!r}" for a in asks for f in _judge(a, runs)]
+    faults += [f"TWICE: side by side {body!r}" for body in sorted(fleet.overlaps)]
     return faults, fleet.counts
 
 
