--- a/tests/southernveil/test_faulty_runners.py
+++ b/tests/southernveil/test_faulty_runners.py
@@ -8,8 +8,11 @@
 from dataclasses import dataclass, field, replace
 
 import pytest
+from southernveil.runnerclient import HttpRunnerClient, make_session
 
+from hawthornshelf.gateway.exchange import Attempt, Header, PrefillRefused
 from hawthornshelf.gateway.routes import RetryPolicy, Route
+from hawthornshelf.gateway.runners import Runner, Stage
 from tests.gateway.fakes import Caller
 from tests.southernveil.test_framing import (
     ONCE_ROUTE,
@@ -23,6 +26,7 @@
     run,
     start_forwarder,
 )
+from tests.southernveil.test_not_run import listen
 
 SAFE_ROUTE = make_route(RetryPolicy.SAFE)
 PLAIN_ONCE_ROUTE = make_route(RetryPolicy.ONCE)
@@ -105,6 +109,64 @@
     run(check())
 
 
+@dataclass
+class TurningEngine(RawRunner):
+    """Refuse prefills; run requests, and repeat a refusal of the same id before."""
+
+    ran: list[bytes] = field(default_factory=list)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        refused: set[bytes] = set()
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                request = find_id(head)
+                if b"X-Stage: prefill" in head:
+                    refused.add(request)
+                    writer.write(REFUSAL % request)
+                    continue
+                self.ran.append(request)
+                if request in refused:
+                    writer.write(REFUSAL % request)
+                script = Script(b"whole", content_type=b"text/plain")
+                writer.write(script.head(request, b"a") + b"whole")
+        writer.close()
+
+
+@pytest.mark.parametrize("between", [0, 1, 5])
+def test_a_refusal_of_a_prefill_written_twice_is_no_refusal_of_the_run(
+    between: int,
+) -> None:
+    async def check() -> None:
+        engine = TurningEngine("a", [])
+        async with listen(engine) as peer:
+            session = make_session()
+            client = HttpRunnerClient(session)
+            runner = Runner("a", "app", peer.address, "dc", 6, stage=Stage.PREFILL)
+            attempt = Attempt(make_inbound(), runner, 1.0, 0)
+            with pytest.raises(PrefillRefused):
+                await client.prefill(attempt)
+            for number in range(between):
+                response = await client.send(rename(attempt, f"x{number}"))
+                assert await response.read() == b"whole"
+                response.close()
+            response = await client.send(attempt)
+            assert (response.not_run, await response.read()) == (False, b"whole")
+            response.close()
+            await session.close()
+        assert engine.ran.count(b"r1") == 1
+
+    run(check())
+
+
+def rename(attempt: Attempt, request_id: str) -> Attempt:
+    headers = (Header("X-Request-Id", request_id),)
+    inbound = replace(attempt.inbound, request_id=request_id, headers=headers)
+    return replace(attempt, inbound=inbound)
+
+
 ERRORS = {
     "plain error": Script(b"sorry", status=b"500 No", content_type=b"text/plain"),
     "error as a stream": Script(b"data: sorry\n\n", status=b"500 No"),
