Relay a stream to no engine that may still work on it

What callers saw: a resumable stream that broke at a silent engine was relayed, the other node chose the same engine, and the first node's calls to stop the old run stopped the new one: the stream was cut, while the old run went on. Cause: a relayed request did not say where a run had been left. Change: a run that was left to go on is noted with its request, and its engine is named over the hop, where it counts as tried. Why it works: no engine gets a request a second time while its first run may be there, whoever places it.

--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -33,7 +33,8 @@
     attempts, `runs` those that may have been executed. `source` is a KV cache to
     continue from; `backup` is the engine that keeps a copy of the KV cache of the last
     run, None if that has none. `open_run` is the engine that may still work on the last
-    run, None if none may; `is_open_elsewhere` means that the engine of another node
+    run, None if none may, `left_at` names those where runs were left that may go on;
+    `is_open_elsewhere` means that the engine of another node
     may, which this node doesn't know.
     `is_suspect` tells whether the request was in flight when a runner crashed; `trial`
     names the suspects that it may run with, once, although they may be to blame.
@@ -85,6 +86,7 @@
     permit_seconds: float = 0.0
     backup: RunnerState | None = None
     open_run: Runner | None = None
+    left_at: set[str] = field(default_factory=set)
     is_open_elsewhere: bool = False
     is_suspect: bool = False
     trial: frozenset[bytes] = frozenset()
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -92,7 +92,7 @@
     attempts that are left out. This one makes one attempt, whatever it says.
     `relayed_routes` is the number of the newest route document that the other node
     knows of, 0 if it does not say; `relayed_origin` is what wrote the events that the
-    caller has.
+    caller has, and `relayed_runners` names runners that may still work on the request.
     """
 
     request_id: str
@@ -110,6 +110,7 @@
     relayed_runs: int | None = None
     relayed_routes: int = 0
     relayed_origin: Origin | None = None
+    relayed_runners: frozenset[str] = frozenset()
 
     @property
     def path(self) -> str:
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -276,6 +276,7 @@
             writer,
             deadline,
             target_at,
+            tried=set(inbound.relayed_runners),
             runs=_count_missing_attempts(inbound, route),
             owes_event=route.is_generation and not inbound.resume_after,
         )
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -58,7 +58,8 @@
     `runs` counts the attempts that it has no more, for nodes of earlier builds; others
     make one attempt in any case.
     `route_number` is the route document that the other node must apply, `origin` what
-    wrote the events that the caller has.
+    wrote the events that the caller has; `runners` may still work on the request, so
+    that it must not go there.
     """
 
     inbound: InboundRequest
@@ -68,6 +69,7 @@
     route_number: int
     resume_after: str = ""
     origin: Origin | None = None
+    runners: frozenset[str] = frozenset()
 
 
 class RelayClient(ABC):
@@ -216,6 +218,7 @@
             route_number,
             context.last_event_id or context.inbound.resume_after,
             context.origin,
+            frozenset(context.left_at),
         )
         is_last = context.runs + 1 >= context.route.max_attempts
         if is_last or not context.is_repeatable or context.route.is_generation:
--- a/hawthornshelf/gateway/runstopper.py
+++ b/hawthornshelf/gateway/runstopper.py
@@ -140,6 +140,8 @@
             self._release(stop)
             raise RunNotEnded(runner.name, stop.end)
         context.open_run = None
+        if not stop.is_over:
+            context.left_at.add(runner.name)
         if to is not None and stop.stopped is not None and stop.stopped.is_moved:
             return stop.stopped.handle
         self._release(stop)
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -544,6 +544,7 @@
             relayed_runs=request.runs,
             relayed_routes=request.route_number,
             relayed_origin=request.origin,
+            relayed_runners=request.runners,
         )
         caller = RelayedCaller()
         task = asyncio.create_task(entry.forwarder.serve(inbound, caller))
--- a/tests/southernveil/test_run_ends.py
+++ b/tests/southernveil/test_run_ends.py
@@ -42,7 +42,7 @@
     make_request,
     start_cut_node,
 )
-from tests.southernveil.test_relay import RecordingRunner
+from tests.southernveil.test_relay import RecordingRunner, serve_callers
 
 
 class Word(NamedTuple):
@@ -214,6 +214,25 @@
     run(check())
 
 
+def test_a_relayed_stream_goes_to_no_engine_that_may_still_work_on_it() -> None:
+    async def check() -> None:
+        caller, _, new = make_engines()
+        silent = SilentEngine("a", [break_off], seen=caller.seen, words=[ABSENT] * 9)
+        new.other, new.scripts = silent, [resume(b"\n")]
+        at_peer = RecordingRunner("a", [resume(b"\n")])
+        async with (
+            start_forwarder(STREAM_ROUTE, at_peer, new) as other,
+            serve_callers(other) as peer,
+            start_forwarder(STREAM_ROUTE, silent, peer=peer) as forwarder,
+        ):
+            forwarder._relay.applies = lambda context: context.runs > 0
+            await forwarder.serve(make_request(prompt=PROMPT), caller)
+        assert (caller.data, caller.ended) == (make_stream(b"\n"), True)
+        assert (at_peer.heads, len(new.heads)) == ([], 1)
+
+    run(check())
+
+
 CALLS = {
     "absent": (ABSENT, None),
     "moved": (MOVED, True),
