Go on asking for a run after its deadline, and often again once its engine is back

Cause: an engine that stood still read a request after its caller's deadline, when nobody asked for it any more, while another engine worked on it; the time that a request brings counts from its reading. Change: runs that may go on are asked for up to 15 s after the deadline, calls lie at a silent engine for 2 s each, and once it answers it is called often for 2 s again. Price: per such run some 20 calls at most after the deadline.

--- a/hawthornshelf/gateway/runstopper.py
+++ b/hawthornshelf/gateway/runstopper.py
@@ -27,7 +27,8 @@
 MIN_WAIT_SECONDS = 0.25
 """Least time for an engine's answer; as long as a repeatable request waits for it."""
 
-CALL_SECONDS = 0.3
+EARLY_CALL_SECONDS = 0.3
+CALL_SECONDS = 2.0
 """Time of one call; one to a silent engine is followed by the next one at once.
 
 A connection may still wait for an engine that has long gone on.
@@ -41,6 +42,12 @@
 EARLY_SECONDS = 2.0
 """Time for which a run that is not known to have ended is called for often."""
 
+AFTER_DEADLINE_SECONDS = 15.0
+"""Time for which it is called for after its deadline.
+
+A request that lies unread counts its time from the moment at which it is read.
+"""
+
 PERMIT_WAIT_SECONDS = 0.1
 """Longest wait for a permit to call an engine that names a rate."""
 
@@ -66,7 +73,7 @@
         self.runner = runner
         self.request = context.inbound.request_id
         self.to = to
-        self.ends_at = context.deadline
+        self.ends_at = context.deadline + AFTER_DEADLINE_SECONDS
         self.has_begun = context.response is not None
         self.end = RunEnd.SILENT
         self.stopped: StoppedRun | None = None
@@ -167,23 +174,30 @@
                     stop.changed.clear()
 
     async def _pursue(self, stop: _Stop) -> None:
-        """Call the engine until it is known that the run has ended."""
-        pause = FIRST_PAUSE_SECONDS
-        began_at = now = self._clock.monotonic()
-        while now < stop.ends_at:
+        """Call the engine until it is known that the run has ended.
+
+        It is called often at first, and again once it answers after silence: what lay
+        there unread is read by then, in any order.
+        """
+        pause, early_until = FIRST_PAUSE_SECONDS, self._clock.monotonic()
+        was_heard = False
+        while (now := self._clock.monotonic()) < stop.ends_at:
+            is_heard = stop.end is RunEnd.ABSENT
+            if is_heard != was_heard or not stop.calls:
+                early_until = now + EARLY_SECONDS
+                pause = FIRST_PAUSE_SECONDS
+            was_heard = is_heard
+            is_early = now < early_until
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(min(CALL_SECONDS, stop.ends_at - now)):
+                seconds = EARLY_CALL_SECONDS if is_early else CALL_SECONDS
+                async with asyncio.timeout(min(seconds, stop.ends_at - now)):
                     await self._call(stop)
             if stop.is_over:
                 break
             if stop.end is not RunEnd.SILENT:
-                await asyncio.sleep(pause)
+                longest = MAX_EARLY_PAUSE_SECONDS if is_early else MAX_PAUSE_SECONDS
+                await asyncio.sleep(min(pause, longest))
                 pause *= 2
-            now = self._clock.monotonic()
-            is_early = now < began_at + EARLY_SECONDS
-            pause = min(
-                MAX_EARLY_PAUSE_SECONDS if is_early else MAX_PAUSE_SECONDS, pause
-            )
         if not stop.is_awaited:
             self._recorder.record_late_end(stop.request, stop.runner, stop.end)
             self._release(stop)
