--- a/hawthornshelf/httplimits.py
+++ b/hawthornshelf/httplimits.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "BoundedConnection",
+    "ByteBudget",
     "MAX_BODY_BYTES",
     "MAX_BUFFERED_BYTES",
     "MAX_EVENT_BYTES",
@@ -126,10 +127,28 @@
     return not is_chunked and "Content-Length" not in headers
 
 
-class _BufferedBytes:
-    """Count the bytes of all bodies that are being read."""
+class ByteBudget:
+    """Count bytes that a process holds, up to a limit."""
 
-    count = 0
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._count = 0
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Return whether more is held than the limit."""
+        return self._count > self._limit
+
+    def take(self, size: int) -> None:
+        """Count bytes that are held from now on."""
+        self._count += size
+
+    def give_back(self, size: int) -> None:
+        """Count bytes that are held no more."""
+        self._count -= size
+
+
+_buffered = ByteBudget(MAX_BUFFERED_BYTES)
 
 
 async def read_body(
@@ -149,15 +168,14 @@
         async for part in response.content.iter_any():
             parts.append(part)
             size += len(part)
-            _BufferedBytes.count += len(part)
-            is_crowded = _BufferedBytes.count > MAX_BUFFERED_BYTES
-            if size > limit or (is_crowded and size > SMALL_BODY_BYTES):
+            _buffered.take(len(part))
+            if size > limit or (_buffered.is_exceeded and size > SMALL_BODY_BYTES):
                 response.close()
                 # The traceback of the error would keep the parts alive.
                 parts.clear()
                 raise ResponseTooLarge(f"a body of {size} bytes so far")
     finally:
-        _BufferedBytes.count -= size
+        _buffered.give_back(size)
     was_reset = isinstance(protocol, BoundedConnection) and protocol.end == "reset"
     if was_reset and ends_with_connection(response):
         raise aiohttp.ClientPayloadError("the connection was reset")
