Bound the heads of requests, and read nothing behind bytes that are no HTTP (memory)

What an operator would see: 60 connections that send headers, or a request line, without end take 390 and 1014 MB of an entry process. Cause: the library bounds each line, not how many there are, and goes on parsing what follows an error; small headers take a hundred times their bytes once parsed. Change: BoundedRequestHandler parses 16 KB at a time while a head is due, answers 431 and closes past 32 KB, and drops what follows bytes that are no HTTP.

--- a/hawthornshelf/inboundlimits.py
+++ b/hawthornshelf/inboundlimits.py
@@ -2,18 +2,24 @@
 
 import contextlib
 from collections.abc import AsyncIterator
+from typing import Any
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
 from hawthornshelf.httplimits import ByteBudget
 
 __all__ = [
     "BodiesCrowded",
     "BodyTooLarge",
+    "BoundedRequestHandler",
     "MAX_REQUEST_BODY_BYTES",
     "hold_body",
 ]
 
+MAX_REQUEST_HEAD_BYTES = 32 * 1024
+"""Request line and headers, twice what a route document allows by default."""
+
 MAX_REQUEST_BODY_BYTES = 8 * 1024 * 1024
 
 MAX_HELD_BODY_BYTES = 32 * 1024 * 1024
@@ -22,6 +28,17 @@
 SMALL_BODY_BYTES = 64 * 1024
 """A body up to this size is taken whatever the size of others."""
 
+PIECE_BYTES = 16 * 1024
+"""Bytes that are parsed at a time while a head is due.
+
+Small headers take far more memory once they are parsed.
+"""
+
+HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
 _held = ByteBudget(MAX_HELD_BODY_BYTES)
 
 
@@ -33,6 +50,49 @@
     """Signal a body for which there is no room beside those of other requests."""
 
 
+class BoundedRequestHandler(RequestHandler):
+    """Close a connection whose request has a head that is too large, or is no HTTP."""
+
+    _head_bytes = 0
+    _payload: Any = None
+    _is_refused = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of requests, in pieces while a head is due."""
+        while data and not self._is_refused:
+            size = PIECE_BYTES if self._is_head_due else len(data)
+            piece, data = data[:size], data[size:]
+            self._receive(piece)
+
+    @property
+    def _is_head_due(self) -> bool:
+        return self._payload is None or self._payload.is_eof()
+
+    def _receive(self, piece: bytes) -> None:
+        count = self._request_count
+        was_due = self._is_head_due
+        super().data_received(piece)
+        if self._request_count > count and self._messages:
+            message, self._payload = self._messages[-1]
+            self._head_bytes = 0
+            # What follows bytes that are no HTTP can't be told apart any more.
+            self._is_refused = not hasattr(message, "headers")
+        elif was_due:
+            self._head_bytes += len(piece)
+        if self._head_bytes > MAX_REQUEST_HEAD_BYTES:
+            self._refuse()
+
+    def _refuse(self) -> None:
+        """Refuse a head that is too large, if no response is being written."""
+        self._is_refused = True
+        transport = self.transport
+        if transport is None:
+            return
+        if self._current_request is None:
+            transport.write(HEAD_TOO_LARGE)
+        self.force_close()
+
+
 @contextlib.asynccontextmanager
 async def hold_body(
     request: web.BaseRequest, limit: int = MAX_REQUEST_BODY_BYTES
