Count a runner's answer as held until its caller has it (memory)

What an operator would see: 60 callers that read nothing of sound answers of 7 MB take 230 to 1000 MB of an entry process. Cause: answers counted while they were read from the runner, not while they waited for their callers. Change: an answer that is passed on whole counts until its response is closed; beyond 32 MB one of more than 64 KB fails as before.

--- a/hawthornshelf/httplimits.py
+++ b/hawthornshelf/httplimits.py
@@ -20,6 +20,8 @@
     "ends_with_connection",
     "limit_connections",
     "read_body",
+    "read_held_body",
+    "release_body",
 ]
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -41,7 +43,7 @@
 """One event of a stream, which is kept until it is whole."""
 
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
-"""All bodies that a process is reading whole at the same time."""
+"""All bodies that a process reads whole, or passes on, at the same time."""
 
 SMALL_BODY_BYTES = 64 * 1024
 """A body up to this size does not fail for the size of others."""
@@ -154,16 +156,32 @@
 async def read_body(
     response: aiohttp.ClientResponse, limit: int = MAX_BODY_BYTES
 ) -> bytes:
-    """Return a whole body; close the connection and raise ResponseTooLarge if it is
-    longer than `limit` bytes, or large while all bodies exceed MAX_BUFFERED_BYTES.
+    """Return a whole body as read_held_body does, and count it no longer."""
+    body = await read_held_body(response, limit)
+    release_body(body)
+    return body
 
-    Raise ClientPayloadError if a reset ended a body that its connection frames; the
-    library takes any end of the connection for the end of such a body.
+
+def release_body(body: bytes) -> None:
+    """Count a body no longer that is held."""
+    _buffered.give_back(len(body))
+
+
+async def read_held_body(
+    response: aiohttp.ClientResponse, limit: int = MAX_BODY_BYTES
+) -> bytes:
+    """Return a whole body, which counts as held until it is released.
+
+    Close the connection and raise ResponseTooLarge if it is longer than `limit` bytes,
+    or large while all that are held exceed MAX_BUFFERED_BYTES. Raise ClientPayloadError
+    if a reset ended a body that its connection frames; the library takes any end of the
+    connection for the end of such a body.
     """
     connection = response.connection
     protocol = connection.protocol if connection is not None else None
     parts: list[bytes] = []
     size = 0
+    is_whole = False
     try:
         async for part in response.content.iter_any():
             parts.append(part)
@@ -174,9 +192,11 @@
                 # The traceback of the error would keep the parts alive.
                 parts.clear()
                 raise ResponseTooLarge(f"a body of {size} bytes so far")
+        was_reset = isinstance(protocol, BoundedConnection) and protocol.end == "reset"
+        if was_reset and ends_with_connection(response):
+            raise aiohttp.ClientPayloadError("the connection was reset")
+        is_whole = True
     finally:
-        _buffered.give_back(size)
-    was_reset = isinstance(protocol, BoundedConnection) and protocol.end == "reset"
-    if was_reset and ends_with_connection(response):
-        raise aiohttp.ClientPayloadError("the connection was reset")
+        if not is_whole:
+            _buffered.give_back(size)
     return b"".join(parts)
