Bound what a command reads of a node's answer (memory)

What an operator would see: a node, or whatever listens at its address, that answers without end keeps `hawthornshelf status` reading for 15 s: up to 6.3 GB in the new test. Cause: the command line had the library's own reader, without the bounds of the other clients, and inflated what it got. Change: the same bounds as everywhere, 32 MB for the body, nothing inflated.

--- a/hawthornshelf/porcelain.py
+++ b/hawthornshelf/porcelain.py
@@ -15,6 +15,7 @@
 from hawthornshelf.configuration import Configuration
 from hawthornshelf.errors import ControlUnavailable, RequestRefused
 from hawthornshelf.explain import RequestTrace, explain_request
+from hawthornshelf.httplimits import limit_connections, read_body
 from hawthornshelf.messages import CODEC
 from hawthornshelf.metrics import OutcomeBucket
 from hawthornshelf.operatorapi import TOKEN_HEADER, AddressAnswer, ReplicaAnswer
@@ -39,6 +40,8 @@
 ]
 
 CALL_SECONDS = 15.0
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+"""The largest answer of a node that a command reads."""
 
 Answer = TypeVar("Answer")
 
@@ -206,7 +209,10 @@
     """
     errors: list[Exception] = []
     timeout = aiohttp.ClientTimeout(total=CALL_SECONDS, sock_connect=2.0)
-    async with aiohttp.ClientSession(timeout=timeout, trust_env=False) as session:
+    connector = limit_connections(aiohttp.TCPConnector())
+    async with aiohttp.ClientSession(
+        connector=connector, timeout=timeout, trust_env=False, auto_decompress=False
+    ) as session:
         for address in at:
             try:
                 return await _call_one(session, address, method, path, body, token)
@@ -232,7 +238,7 @@
     headers = {TOKEN_HEADER: token}
     url = f"http://{address}{path}"
     async with session.request(method, url, data=body, headers=headers) as response:
-        data = await response.read()
+        data = await read_body(response, MAX_ANSWER_BYTES)
         if response.status != 200:
             reason = data.decode(errors="replace")
             step = f"{method} {path}"
