Call an engine out of reach twice a second until the time of its run is over

Cause: after two seconds the pause between calls grew to 2 s, so that a run read by an engine that was back went on for as long. Change: the pause stays below 0.3 s; an engine that is out of reach and off the platform's list as well is not asked any more.

--- a/hawthornshelf/gateway/runstopper.py
+++ b/hawthornshelf/gateway/runstopper.py
@@ -36,8 +36,11 @@
 
 FIRST_PAUSE_SECONDS = 0.05
 MAX_EARLY_PAUSE_SECONDS = 0.2
-MAX_PAUSE_SECONDS = 2.0
-"""Pauses between two calls; each is twice as long as the one before."""
+MAX_PAUSE_SECONDS = 0.3
+"""Pauses between two calls; each is twice as long as the one before.
+
+With a connection that hangs, an engine that is back is called within half a second.
+"""
 
 EARLY_SECONDS = 2.0
 """Time for which a run that is not known to have ended is called for often."""
@@ -192,7 +195,7 @@
                 seconds = EARLY_CALL_SECONDS if is_early else CALL_SECONDS
                 async with asyncio.timeout(min(seconds, stop.ends_at - now)):
                     await self._call(stop)
-            if stop.is_over:
+            if stop.is_over or self._is_gone(stop):
                 break
             if stop.end is not RunEnd.SILENT:
                 longest = MAX_EARLY_PAUSE_SECONDS if is_early else MAX_PAUSE_SECONDS
@@ -227,6 +230,11 @@
         listed = self._runners.find(runner.name)
         return listed is not None and listed.runner.boot != runner.boot
 
+    def _is_gone(self, stop: _Stop) -> bool:
+        """Return whether an engine is out of reach and off the list as well."""
+        is_listed = self._runners.find(stop.runner.name) is not None
+        return stop.end is RunEnd.UNREACHED and not is_listed
+
     def _find_other(self, runner: Runner) -> str:
         """Return the address of another engine, or of the same one without any."""
         addresses = [
