Move one send, and the decision on another, out of the forwarder

Change: attempts (prefill, send, pass on), retrygate (route's rules and this node's share of the budget), the forwarder keeps a request's way from its arrival to its end. Behaviour and tests are unchanged, but that a refused prefill counts against the budget at the time of the refusal and not of the send.

--- /dev/null
+++ b/hawthornshelf/gateway/attempts.py
@@ -0,0 +1,326 @@
+"""Send one attempt of a request to one runner, and pass its response on."""
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+
+from hawthornshelf.clock import Clock
+from hawthornshelf.gateway.chooser import RunnerChooser
+from hawthornshelf.gateway.context import RequestContext
+from hawthornshelf.gateway.continuation import StreamContinuer
+from hawthornshelf.gateway.crashdetector import CrashDetector
+from hawthornshelf.gateway.exchange import (
+    Attempt,
+    AttemptFailed,
+    KvCacheHandle,
+    PrefillRefused,
+    RunnerClient,
+    RunnerResponse,
+    RunnerSilent,
+)
+from hawthornshelf.gateway.flight import Flight
+from hawthornshelf.gateway.quarantine import Quarantine
+from hawthornshelf.gateway.reachability import RunnerReachability
+from hawthornshelf.gateway.recorder import Recorder
+from hawthornshelf.gateway.retrygate import RetryGate
+from hawthornshelf.gateway.routes import EngineProfile, RetryPolicy
+from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
+from hawthornshelf.gateway.runstopper import RunStopper
+from hawthornshelf.gateway.scheduler import EngineScheduler, Reservation
+from hawthornshelf.gateway.stopping import RouteDurations
+from hawthornshelf.gateway.streamrelay import StreamRelay
+from hawthornshelf.origins import Origin
+
+__all__ = ["AttemptSender"]
+
+RESPONSE_TIMEOUT_SHARE = 0.4
+"""Share of the remaining time that a repeatable request waits for response headers."""
+
+
+class AttemptSender:
+    """Prefill a request's prompt, or run it, at a runner that is chosen already.
+
+    `find_engine` returns what the engines of a service have in common, None for others.
+    """
+
+    def __init__(
+        self,
+        client: RunnerClient,
+        runners: RunnerTable,
+        chooser: RunnerChooser,
+        scheduler: EngineScheduler,
+        retries: RetryGate,
+        stopper: RunStopper,
+        crashes: CrashDetector,
+        quarantine: Quarantine,
+        reachability: RunnerReachability,
+        continuer: StreamContinuer,
+        recorder: Recorder,
+        durations: RouteDurations,
+        find_engine: Callable[[str], EngineProfile | None],
+        clock: Clock,
+    ) -> None:
+        self._client = client
+        self._runners = runners
+        self._chooser = chooser
+        self._scheduler = scheduler
+        self._retries = retries
+        self._stopper = stopper
+        self._crashes = crashes
+        self._quarantine = quarantine
+        self._reachability = reachability
+        self._continuer = continuer
+        self._recorder = recorder
+        self._durations = durations
+        self._find_engine = find_engine
+        self._clock = clock
+        self._streams = StreamRelay(recorder)
+
+    async def prefill(
+        self, context: RequestContext, reservation: Reservation
+    ) -> KvCacheHandle | None:
+        """Prefill the prompt at the engine chosen for that and return its KV cache.
+
+        None leaves the prefill to the engine that runs the request. A second prefill
+        and a refused one count against the retry budget.
+        """
+        state = reservation.placement.prefill
+        if state is None:
+            return None
+        if not await self._chooser.acquire(context, state):
+            return None
+        if context.prefills > 0:
+            if not self._retries.may_spend(context):
+                return None
+            self._retries.spend(context)
+        self._quarantine.check(context)
+        context.response = None
+        context.prefills += 1
+        try:
+            with (
+                self._crashes.watch(context, state.runner, is_prefill=True),
+                self._reachability.watch(),
+            ):
+                handle = await self._client.prefill(self._make_attempt(context, state))
+            self._reachability.record_answer()
+            return handle
+        except PrefillRefused as error:
+            self._reachability.record_answer()
+            self._retries.spend(context)
+            self._recorder.record_refusal(context, state, error.status)
+        except AttemptFailed as error:
+            self._recorder.record_failure(context, state, error)
+            self._record_unreached(context, error, state)
+        finally:
+            reservation.end_prefill()
+        return None
+
+    async def send(
+        self,
+        context: RequestContext,
+        state: RunnerState,
+        reservation: Reservation | None,
+        *,
+        copy: RunnerState | None = None,
+    ) -> bool:
+        """Send one attempt; return whether the caller has a response.
+
+        `copy` is the engine from whose copy of the last run it goes on, if any.
+        """
+        to = state.runner if copy is not None else None
+        context.source = await self._stopper.settle(context, to) or context.source
+        self._recorder.record_standing(context, state, self._quarantine.check(context))
+        if context.sends:
+            self._recorder.record_resend(context, state)
+        may_have_run = context.begin_run(state.runner.name, copy)
+        if context.sends:
+            self._retries.spend(context)
+        if self._may_outlast(context):
+            context.open_run = state.runner
+        context.tried.add(state.runner.name)
+        context.last_runner = state.runner.name
+        context.sends += 1
+        context.response, context.unfinished_bytes = None, 0
+        response: RunnerResponse | None = None
+        backup = self._choose_backup(context, reservation)
+        try:
+            with self._crashes.watch(context, state.runner) as flight:
+                with self._reachability.watch():
+                    attempt = self._make_attempt(context, state, backup)
+                    response = await self._await_headers(context, attempt)
+                self._reachability.record_answer()
+                if response.not_run or not response.is_stream:
+                    context.open_run = None
+                if response.not_run:
+                    context.may_have_run = may_have_run
+                    self._recorder.record_refusal(context, state, response.status)
+                    return False
+                context.runs += 1
+                context.source = None
+                context.response = response
+                context.backup = backup
+                relayed = await self._relay_response(
+                    context, state, response, reservation, flight
+                )
+                context.open_run = None
+                flight.is_answered = True
+                flight.has_run = response.status < 300 and (
+                    flight.has_written or not response.is_stream
+                )
+                return relayed
+        except AttemptFailed as error:
+            context.source = None
+            context.may_have_run = may_have_run or error.sent
+            context.runs += error.sent and response is None
+            if not error.sent:
+                context.open_run = None
+            self._recorder.record_failure(context, state, error)
+            if response is None:
+                self._record_unreached(context, error, state)
+            return False
+        finally:
+            if response is not None:
+                response.close()
+
+    def _make_attempt(
+        self,
+        context: RequestContext,
+        state: RunnerState,
+        backup: RunnerState | None = None,
+    ) -> Attempt:
+        seconds_left = context.deadline - self._clock.monotonic()
+        return Attempt(
+            context.inbound,
+            state.runner,
+            seconds_left,
+            context.priority,
+            context.last_event_id or context.inbound.resume_after,
+            context.source,
+            backup.runner.address if backup else "",
+        )
+
+    def _choose_backup(
+        self, context: RequestContext, reservation: Reservation | None
+    ) -> RunnerState | None:
+        """Return the engine that is to keep a copy of the run's KV cache, if any.
+
+        Only a stream that may not run again is worth the memory: it can continue only
+        from the copy.
+        """
+        route = context.route
+        if reservation is None or context.is_repeatable:
+            return None
+        profile = self._find_engine(context.service)
+        if profile is None or not (profile.stops_runs and profile.copies_runs):
+            return None
+        is_stream = route.retry_policy is RetryPolicy.STREAM
+        return reservation.placement.backup if is_stream else None
+
+    async def _await_headers(
+        self, context: RequestContext, attempt: Attempt
+    ) -> RunnerResponse:
+        """Send an attempt and return the response once its headers are there.
+
+        A silent runner is abandoned while there is time for another one, if the
+        request is repeatable, has attempts left and is not late.
+        """
+        sending = self._client.send(attempt)
+        is_last = context.runs + 1 >= context.route.max_attempts
+        if not context.is_repeatable or context.trial or is_last or context.is_late:
+            return await sending
+        seconds_left = context.deadline - self._clock.monotonic()
+        timeout = max(seconds_left * RESPONSE_TIMEOUT_SHARE, context.route.target)
+        try:
+            async with asyncio.timeout(
+                min(timeout, seconds_left * (1 - RESPONSE_TIMEOUT_SHARE))
+            ) as limit:
+                with self._reachability.end_early(limit):
+                    return await sending
+        except TimeoutError as error:
+            raise RunnerSilent(attempt.runner.name) from error
+
+    def _may_outlast(self, context: RequestContext) -> bool:
+        """Return whether a run may go on though its connection is gone.
+
+        That of an engine may, if the engine also stops it when it is asked to.
+        """
+        if not context.route.is_generation:
+            return False
+        profile = self._find_engine(context.service)
+        return profile is not None and profile.stops_runs
+
+    def _record_unreached(
+        self, context: RequestContext, error: AttemptFailed, state: RunnerState
+    ) -> None:
+        """Record a runner that could not be reached; one that is silent may be busy."""
+        context.unreached += not error.sent
+        if not isinstance(error, RunnerSilent):
+            count = len(self._runners.keys())
+            self._reachability.record_failure(state.runner, count)
+
+    async def _relay_response(
+        self,
+        context: RequestContext,
+        state: RunnerState,
+        response: RunnerResponse,
+        reservation: Reservation | None,
+        flight: Flight,
+    ) -> bool:
+        if context.writer.headers_sent and not (
+            response.is_stream and response.status < 300
+        ):
+            reason = f"status {response.status}"
+            raise AttemptFailed("resume", state.runner.name, reason, sent=True)
+        if response.is_stream and response.status < 300:
+            await self._streams.relay(
+                context,
+                flight,
+                response,
+                partial(self._record_first_event, context, state.runner, reservation),
+            )
+            self._continuer.end(context)
+        else:
+            if not context.may_pass_on(response):
+                self._recorder.record_withheld(context, state.runner.name, response)
+                return False
+            body = await response.read()
+            if response.status >= 500 and context.is_repeatable:
+                context.reason = f"runner answered {response.status}"
+                if self._retries.may_retry(context) and self._has_alternative(context):
+                    self._recorder.record_error_response(
+                        context, state, response.status
+                    )
+                    return False
+            context.first_byte_at = self._clock.monotonic()
+            await context.writer.respond(response.status, response.headers, body)
+        self._recorder.record_response(context, state, response.status)
+        now = self._clock.monotonic()
+        seconds = now - context.inbound.arrived_at
+        self._durations.record(now, context.route.name, seconds)
+        return True
+
+    def _has_alternative(self, context: RequestContext) -> bool:
+        now = self._clock.monotonic()
+        return (
+            self._runners.choose_plain(now, context.service, context.tried) is not None
+        )
+
+    def _record_first_event(
+        self, context: RequestContext, runner: Runner, reservation: Reservation | None
+    ) -> None:
+        self._continuer.begin(context, Origin(context.service, runner.build))
+        self._record_first_byte(context, reservation)
+
+    def _record_first_byte(
+        self, context: RequestContext, reservation: Reservation | None
+    ) -> None:
+        now = self._clock.monotonic()
+        context.first_byte_at = now
+        if reservation is None:
+            return
+        reservation.end_prefill()
+        seconds = now - context.reserved_at
+        if context.is_late:
+            self._scheduler.record_late(context.service, seconds)
+        else:
+            reservation.record_ttft(now, seconds)
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -3,12 +3,12 @@
 import asyncio
 import random
 from collections.abc import Callable
-from functools import partial
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.crashrecords import Standing
 from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.admission import engine_priority
+from hawthornshelf.gateway.attempts import AttemptSender
 from hawthornshelf.gateway.budget import RetryBudget
 from hawthornshelf.gateway.cacherelease import CacheReleaser
 from hawthornshelf.gateway.chooser import RunnerChooser
@@ -16,19 +16,13 @@
 from hawthornshelf.gateway.continuation import StreamContinuer, StreamEnded
 from hawthornshelf.gateway.crashdetector import CrashDetector
 from hawthornshelf.gateway.exchange import (
-    Attempt,
-    AttemptFailed,
     InboundRequest,
     KvCacheHandle,
-    PrefillRefused,
     Prompt,
     ResponseWriter,
     RunnerClient,
-    RunnerResponse,
-    RunnerSilent,
     RunNotEnded,
 )
-from hawthornshelf.gateway.flight import Flight
 from hawthornshelf.gateway.loadprobe import LoadProbe
 from hawthornshelf.gateway.notices import NoticeRecorder
 from hawthornshelf.gateway.peerrelay import (
@@ -44,21 +38,19 @@
 from hawthornshelf.gateway.reachability import RunnerReachability
 from hawthornshelf.gateway.recorder import Recorder
 from hawthornshelf.gateway.retrydetector import RetryDetector
+from hawthornshelf.gateway.retrygate import RetryGate
 from hawthornshelf.gateway.routegate import RouteGate
-from hawthornshelf.gateway.routes import RetryPolicy, Route, RouteIndex, RouteTable
-from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
+from hawthornshelf.gateway.routes import Route, RouteIndex, RouteTable
+from hawthornshelf.gateway.runners import RunnerState, RunnerTable
 from hawthornshelf.gateway.runstopper import RunStopper
 from hawthornshelf.gateway.scheduler import (
     AdmissionRejected,
     EngineScheduler,
     PlacementRequest,
-    Reservation,
 )
 from hawthornshelf.gateway.stopping import RouteDurations, may_end_in_time
 from hawthornshelf.gateway.streamorigins import StreamOrigins
-from hawthornshelf.gateway.streamrelay import StreamRelay
 from hawthornshelf.metrics import Metrics
-from hawthornshelf.origins import Origin
 from hawthornshelf.ratelimits import RateLimitTable
 
 __all__ = ["Forwarder"]
@@ -73,9 +65,6 @@
 STOPPING_RETRY_SECONDS = 0.05
 """Retry-After of a node that stops; short, as any other node accepts the request."""
 
-RESPONSE_TIMEOUT_SHARE = 0.4
-"""Share of the remaining time that a repeatable request waits for response headers."""
-
 
 class Forwarder:
     """Forward open requests, with retries, by the routes and runners given to it."""
@@ -98,14 +87,13 @@
         request_view: Callable[[str], None] = lambda node: None,
         origins: StreamOrigins | None = None,
     ) -> None:
-        self._client = client
         self._limiter = RateLimiter(rate_limits, ask_permit, clock, rng)
         client.on_notice = NoticeRecorder(runners, self._limiter, clock).record
         self._runners = runners
         self._budget = budget
         self._recorder = Recorder(runners, metrics, clock)
         self._chooser = RunnerChooser(runners, self._limiter, self._recorder, clock)
-        self._streams = StreamRelay(self._recorder)
+        self._retries = RetryGate(budget, count_nodes, runners, self._recorder, clock)
         self._reachability = RunnerReachability(clock, runners.forget_failures)
         self._routes = RouteGate(clock, request_view)
         self._continuer = StreamContinuer(origins, runners, self._recorder)
@@ -114,8 +102,7 @@
             choose_peer,
             self._reachability,
             self._recorder,
-            budget,
-            count_nodes,
+            self._retries,
             self._routes,
             self._continuer,
             clock,
@@ -126,7 +113,6 @@
         )
         self._clock = clock
         self._rng = rng
-        self._count_nodes = count_nodes
         placer = Placer(runners, rng, count_interactive_requests)
         probe = LoadProbe(client, rng, self._limiter.is_limited)
         self._scheduler = EngineScheduler(placer, probe, clock)
@@ -152,6 +138,22 @@
         self._retry_detectors: dict[str, RetryDetector] = {}
         self._index = RouteIndex()
         self._durations = RouteDurations()
+        self._attempts = AttemptSender(
+            client,
+            runners,
+            self._chooser,
+            self._scheduler,
+            self._retries,
+            self._stopper,
+            self._crashes,
+            self._quarantine,
+            self._reachability,
+            self._continuer,
+            self._recorder,
+            self._durations,
+            lambda service: self._index.find_engine(service),
+            clock,
+        )
         self._limits: set[asyncio.Timeout] = set()
         self._ends_at = float("inf")
         self._has_ended = False
@@ -358,7 +360,7 @@
                 await self._settle_crash(context)
                 if self._relay.applies(context):
                     continue
-                if not self._may_retry(context):
+                if not self._retries.may_retry(context):
                     if self._relay.is_last_resort(context):
                         context.is_relayed = True
                         continue
@@ -431,7 +433,7 @@
         state = await self._chooser.choose_plain(context, excluded)
         state.in_flight += 1
         try:
-            return await self._send(context, state, None)
+            return await self._attempts.send(context, state, None)
         finally:
             state.in_flight -= 1
 
@@ -444,7 +446,7 @@
         context.source = KvCacheHandle(backup.runner.address, request)
         backup.in_flight += 1
         try:
-            return await self._send(context, backup, None, copy=backup)
+            return await self._attempts.send(context, backup, None, copy=backup)
         finally:
             context.source = None
             backup.in_flight -= 1
@@ -476,12 +478,12 @@
         )
         try:
             if context.source is None:
-                context.source = await self._prefill(context, reservation)
+                context.source = await self._attempts.prefill(context, reservation)
             run = reservation.placement.run
             if not self._accepts(context, run):
                 self._recorder.record_leaving_runner(context, run)
             elif limited.has_permit or await self._chooser.acquire(context, run):
-                return await self._send(context, run, reservation)
+                return await self._attempts.send(context, run, reservation)
         finally:
             reservation.release()
         return await self._try_engine(context, prompt)
@@ -499,23 +501,6 @@
             self._clock.monotonic(), state
         ) and self._continuer.accepts(context, state.runner)
 
-    def _choose_backup(
-        self, context: RequestContext, reservation: Reservation | None
-    ) -> RunnerState | None:
-        """Return the engine that is to keep a copy of the run's KV cache, if any.
-
-        Only a stream that may not run again is worth the memory: it can continue only
-        from the copy.
-        """
-        route = context.route
-        if reservation is None or context.is_repeatable:
-            return None
-        profile = self._index.find_engine(context.service)
-        if profile is None or not (profile.stops_runs and profile.copies_runs):
-            return None
-        is_stream = route.retry_policy is RetryPolicy.STREAM
-        return reservation.placement.backup if is_stream else None
-
     async def _reject(
         self, context: RequestContext, rejection: AdmissionRejected
     ) -> None:
@@ -524,255 +509,6 @@
         retry_after = rejection.retry_after or pause or RETRY_AFTER_SECONDS
         await self._give_up(context, rejection.reason, retry_after)
 
-    def _may_retry(self, context: RequestContext) -> bool:
-        """Return whether a request without a complete response may be sent again."""
-        now = self._clock.monotonic()
-        backup = context.backup
-        if backup is not None and not self._runners.accepts_work(now, backup):
-            self._recorder.record_leaving_runner(context, backup)
-            context.backup = None
-        if not context.may_retry(now):
-            return False
-        nodes = self._count_nodes()
-        allowed = self._budget.may_spend(now, context.service, nodes)
-        if not allowed:
-            context.reason += "; retry budget is spent"
-        return allowed
-
-    async def _prefill(
-        self, context: RequestContext, reservation: Reservation
-    ) -> KvCacheHandle | None:
-        """Prefill the prompt at the engine chosen for that and return its KV cache.
-
-        None leaves the prefill to the engine that runs the request. A second prefill
-        and a refused one count against the retry budget.
-        """
-        state = reservation.placement.prefill
-        if state is None:
-            return None
-        if not await self._chooser.acquire(context, state):
-            return None
-        now = self._clock.monotonic()
-        if context.prefills > 0:
-            nodes = self._count_nodes()
-            if not self._budget.may_spend(now, context.service, nodes):
-                return None
-            self._budget.spend(now, context.service)
-        self._quarantine.check(context)
-        context.response = None
-        context.prefills += 1
-        try:
-            with (
-                self._crashes.watch(context, state.runner, is_prefill=True),
-                self._reachability.watch(),
-            ):
-                handle = await self._client.prefill(self._make_attempt(context, state))
-            self._reachability.record_answer()
-            return handle
-        except PrefillRefused as error:
-            self._reachability.record_answer()
-            self._budget.spend(now, context.service)
-            self._recorder.record_refusal(context, state, error.status)
-        except AttemptFailed as error:
-            self._recorder.record_failure(context, state, error)
-            self._record_unreached(context, error, state)
-        finally:
-            reservation.end_prefill()
-        return None
-
-    def _make_attempt(
-        self,
-        context: RequestContext,
-        state: RunnerState,
-        backup: RunnerState | None = None,
-    ) -> Attempt:
-        seconds_left = context.deadline - self._clock.monotonic()
-        return Attempt(
-            context.inbound,
-            state.runner,
-            seconds_left,
-            context.priority,
-            context.last_event_id or context.inbound.resume_after,
-            context.source,
-            backup.runner.address if backup else "",
-        )
-
-    async def _send(
-        self,
-        context: RequestContext,
-        state: RunnerState,
-        reservation: Reservation | None,
-        *,
-        copy: RunnerState | None = None,
-    ) -> bool:
-        """Send one attempt; return whether the caller has a response.
-
-        `copy` is the engine from whose copy of the last run it goes on, if any.
-        """
-        to = state.runner if copy is not None else None
-        context.source = await self._stopper.settle(context, to) or context.source
-        self._recorder.record_standing(context, state, self._quarantine.check(context))
-        if context.sends:
-            self._recorder.record_resend(context, state)
-        may_have_run = context.begin_run(state.runner.name, copy)
-        if context.sends:
-            self._budget.spend(self._clock.monotonic(), context.service)
-        if self._may_outlast(context):
-            context.open_run = state.runner
-        context.tried.add(state.runner.name)
-        context.last_runner = state.runner.name
-        context.sends += 1
-        context.response, context.unfinished_bytes = None, 0
-        response: RunnerResponse | None = None
-        backup = self._choose_backup(context, reservation)
-        try:
-            with self._crashes.watch(context, state.runner) as flight:
-                with self._reachability.watch():
-                    attempt = self._make_attempt(context, state, backup)
-                    response = await self._await_headers(context, attempt)
-                self._reachability.record_answer()
-                if response.not_run or not response.is_stream:
-                    context.open_run = None
-                if response.not_run:
-                    context.may_have_run = may_have_run
-                    self._recorder.record_refusal(context, state, response.status)
-                    return False
-                context.runs += 1
-                context.source = None
-                context.response = response
-                context.backup = backup
-                relayed = await self._relay_response(
-                    context, state, response, reservation, flight
-                )
-                context.open_run = None
-                flight.is_answered = True
-                flight.has_run = response.status < 300 and (
-                    flight.has_written or not response.is_stream
-                )
-                return relayed
-        except AttemptFailed as error:
-            context.source = None
-            context.may_have_run = may_have_run or error.sent
-            context.runs += error.sent and response is None
-            if not error.sent:
-                context.open_run = None
-            self._recorder.record_failure(context, state, error)
-            if response is None:
-                self._record_unreached(context, error, state)
-            return False
-        finally:
-            if response is not None:
-                response.close()
-
-    async def _await_headers(
-        self, context: RequestContext, attempt: Attempt
-    ) -> RunnerResponse:
-        """Send an attempt and return the response once its headers are there.
-
-        A silent runner is abandoned while there is time for another one, if the
-        request is repeatable, has attempts left and is not late.
-        """
-        sending = self._client.send(attempt)
-        is_last = context.runs + 1 >= context.route.max_attempts
-        if not context.is_repeatable or context.trial or is_last or context.is_late:
-            return await sending
-        seconds_left = context.deadline - self._clock.monotonic()
-        timeout = max(seconds_left * RESPONSE_TIMEOUT_SHARE, context.route.target)
-        try:
-            async with asyncio.timeout(
-                min(timeout, seconds_left * (1 - RESPONSE_TIMEOUT_SHARE))
-            ) as limit:
-                with self._reachability.end_early(limit):
-                    return await sending
-        except TimeoutError as error:
-            raise RunnerSilent(attempt.runner.name) from error
-
-    def _may_outlast(self, context: RequestContext) -> bool:
-        """Return whether a run may go on though its connection is gone.
-
-        That of an engine may, if the engine also stops it when it is asked to.
-        """
-        if not context.route.is_generation:
-            return False
-        profile = self._index.find_engine(context.service)
-        return profile is not None and profile.stops_runs
-
-    def _record_unreached(
-        self, context: RequestContext, error: AttemptFailed, state: RunnerState
-    ) -> None:
-        """Record a runner that could not be reached; one that is silent may be busy."""
-        context.unreached += not error.sent
-        if not isinstance(error, RunnerSilent):
-            count = len(self._runners.keys())
-            self._reachability.record_failure(state.runner, count)
-
-    async def _relay_response(
-        self,
-        context: RequestContext,
-        state: RunnerState,
-        response: RunnerResponse,
-        reservation: Reservation | None,
-        flight: Flight,
-    ) -> bool:
-        if context.writer.headers_sent and not (
-            response.is_stream and response.status < 300
-        ):
-            reason = f"status {response.status}"
-            raise AttemptFailed("resume", state.runner.name, reason, sent=True)
-        if response.is_stream and response.status < 300:
-            await self._streams.relay(
-                context,
-                flight,
-                response,
-                partial(self._record_first_event, context, state.runner, reservation),
-            )
-            self._continuer.end(context)
-        else:
-            if not context.may_pass_on(response):
-                self._recorder.record_withheld(context, state.runner.name, response)
-                return False
-            body = await response.read()
-            if response.status >= 500 and context.is_repeatable:
-                context.reason = f"runner answered {response.status}"
-                if self._may_retry(context) and self._has_alternative(context):
-                    self._recorder.record_error_response(
-                        context, state, response.status
-                    )
-                    return False
-            context.first_byte_at = self._clock.monotonic()
-            await context.writer.respond(response.status, response.headers, body)
-        self._recorder.record_response(context, state, response.status)
-        now = self._clock.monotonic()
-        seconds = now - context.inbound.arrived_at
-        self._durations.record(now, context.route.name, seconds)
-        return True
-
-    def _has_alternative(self, context: RequestContext) -> bool:
-        now = self._clock.monotonic()
-        return (
-            self._runners.choose_plain(now, context.service, context.tried) is not None
-        )
-
-    def _record_first_event(
-        self, context: RequestContext, runner: Runner, reservation: Reservation | None
-    ) -> None:
-        self._continuer.begin(context, Origin(context.service, runner.build))
-        self._record_first_byte(context, reservation)
-
-    def _record_first_byte(
-        self, context: RequestContext, reservation: Reservation | None
-    ) -> None:
-        now = self._clock.monotonic()
-        context.first_byte_at = now
-        if reservation is None:
-            return
-        reservation.end_prefill()
-        seconds = now - context.reserved_at
-        if context.is_late:
-            self._scheduler.record_late(context.service, seconds)
-        else:
-            reservation.record_ttft(now, seconds)
-
     async def _fail(
         self,
         context: RequestContext,
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 from hawthornshelf.clock import Clock
-from hawthornshelf.gateway.budget import RetryBudget
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.continuation import StreamContinuer
 from hawthornshelf.gateway.exchange import (
@@ -20,6 +19,7 @@
 from hawthornshelf.gateway.flight import Flight
 from hawthornshelf.gateway.reachability import RunnerReachability
 from hawthornshelf.gateway.recorder import Recorder
+from hawthornshelf.gateway.retrygate import RetryGate
 from hawthornshelf.gateway.routegate import RouteGate
 from hawthornshelf.gateway.runners import Runner
 from hawthornshelf.gateway.streamrelay import StreamRelay
@@ -108,8 +108,7 @@
         choose_peer: ChoosePeer,
         reachability: RunnerReachability,
         recorder: Recorder,
-        budget: RetryBudget,
-        count_nodes: Callable[[], int],
+        retries: RetryGate,
         routes: RouteGate,
         continuer: StreamContinuer,
         clock: Clock,
@@ -118,8 +117,7 @@
         self._choose_peer = choose_peer
         self._reachability = reachability
         self._recorder = recorder
-        self._budget = budget
-        self._count_nodes = count_nodes
+        self._retries = retries
         self._routes = routes
         self._continuer = continuer
         self._streams = StreamRelay(recorder)
@@ -152,12 +150,7 @@
             return False
         if self._client is None or len(context.peers) >= MAX_PEERS:
             return False
-        return not context.runs or self._may_spend(context)
-
-    def _may_spend(self, context: RequestContext) -> bool:
-        """Return whether the retry budget allows one more attempt."""
-        now, nodes = self._clock.monotonic(), self._count_nodes()
-        return self._budget.may_spend(now, context.service, nodes)
+        return not context.runs or self._retries.may_spend(context)
 
     async def relay(self, context: RequestContext) -> bool:
         """Relay a request for one attempt; return whether the caller has a response."""
@@ -171,7 +164,7 @@
         context.last_runner = peer.node
         may_have_run = context.begin_run(peer.node)
         if context.runs:
-            self._budget.spend(self._clock.monotonic(), context.service)
+            self._retries.spend(context)
         self.relayed += 1
         response: RunnerResponse | None = None
         try:
