Keep with an open run whether its response had begun

Cause: RunStopper read it off the last response, which the prefill of the next attempt forgets, so that a run which had begun was asked for on after its engine had said that it has none. Change: OpenRun holds the engine and that fact.

--- a/hawthornshelf/gateway/attempts.py
+++ b/hawthornshelf/gateway/attempts.py
@@ -6,7 +6,7 @@
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.gateway.chooser import RunnerChooser
-from hawthornshelf.gateway.context import RequestContext
+from hawthornshelf.gateway.context import OpenRun, RequestContext
 from hawthornshelf.gateway.continuation import StreamContinuer
 from hawthornshelf.gateway.crashdetector import CrashDetector
 from hawthornshelf.gateway.exchange import (
@@ -136,7 +136,7 @@
         if context.sends:
             self._retries.spend(context)
         if self._may_outlast(context):
-            context.open_run = state.runner
+            context.open_run = OpenRun(state.runner)
         context.tried.add(state.runner.name)
         context.last_runner = state.runner.name
         context.sends += 1
@@ -151,6 +151,8 @@
                 self._reachability.record_answer()
                 if response.not_run or not response.is_stream:
                     context.open_run = None
+                elif context.open_run is not None:
+                    context.open_run = OpenRun(state.runner, has_begun=True)
                 if response.not_run:
                     context.may_have_run = may_have_run
                     self._recorder.record_refusal(context, state, response.status)
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -1,6 +1,7 @@
 """Track the state of one request while it is forwarded."""
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from hawthornshelf.gateway.exchange import (
     InboundRequest,
@@ -18,12 +19,23 @@
 from hawthornshelf.gateway.runners import Runner, RunnerState
 from hawthornshelf.origins import Origin
 
-__all__ = ["MIN_SECONDS_LEFT", "RequestContext"]
+__all__ = ["MIN_SECONDS_LEFT", "OpenRun", "RequestContext"]
 
 MIN_SECONDS_LEFT = 0.01
 """With less time left a request can't be completed, so it is not sent."""
 
 
+class OpenRun(NamedTuple):
+    """Represent a run that may go on at an engine, whatever became of its connection.
+
+    `has_begun` means that the response has begun; else the request may not even have
+    arrived.
+    """
+
+    runner: Runner
+    has_begun: bool = False
+
+
 @dataclass(slots=True)
 class RequestContext:
     """Track one request while it is forwarded; times are monotonic seconds.
@@ -32,10 +44,9 @@
     until it ends. `target_at` is when the first byte or token is due. `sends` counts
     attempts, `runs` those that may have been executed. `source` is a KV cache to
     continue from; `backup` is the engine that keeps a copy of the KV cache of the last
-    run, None if that has none. `open_run` is the engine that may still work on the last
-    run, None if none may, `left_at` names those where runs were left that may go on;
-    `is_open_elsewhere` means that the engine of another node
-    may, which this node doesn't know.
+    run, None if that has none. `open_run` is the last run while an engine may still
+    work on it; `left_at` names engines at which earlier ones were left that may go on.
+    `is_open_elsewhere` means that an engine which another node chose may work on it.
     `is_suspect` tells whether the request was in flight when a runner crashed; `trial`
     names the suspects that it may run with, once, although they may be to blame.
     `response` is that of the last attempt, `unfinished_bytes` the number of bytes after
@@ -85,7 +96,7 @@
     permits: int = 0
     permit_seconds: float = 0.0
     backup: RunnerState | None = None
-    open_run: Runner | None = None
+    open_run: OpenRun | None = None
     left_at: set[str] = field(default_factory=set)
     is_open_elsewhere: bool = False
     is_suspect: bool = False
--- a/hawthornshelf/gateway/runstopper.py
+++ b/hawthornshelf/gateway/runstopper.py
@@ -6,7 +6,7 @@
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.gateway.cacherelease import CacheReleaser
-from hawthornshelf.gateway.context import RequestContext
+from hawthornshelf.gateway.context import OpenRun, RequestContext
 from hawthornshelf.gateway.exchange import (
     AttemptFailed,
     KvCacheHandle,
@@ -70,14 +70,17 @@
 
 
 class _Stop:
-    """Ask an engine to stop a run until it answers or the run's time is over."""
+    """Represent the calls that are to stop one run, until some time, and their result.
 
-    def __init__(self, context: RequestContext, runner: Runner, to: str) -> None:
-        self.runner = runner
+    `is_awaited` is set while its request waits for the result.
+    """
+
+    def __init__(self, context: RequestContext, run: OpenRun, to: str) -> None:
+        self.runner = run.runner
+        self.has_begun = run.has_begun
         self.request = context.inbound.request_id
         self.to = to
         self.ends_at = context.deadline + AFTER_DEADLINE_SECONDS
-        self.has_begun = context.response is not None
         self.end = RunEnd.SILENT
         self.stopped: StoppedRun | None = None
         self.calls = 0
@@ -131,12 +134,13 @@
 
         Return the KV cache that was moved to the runner `to`, if any.
         """
-        runner = context.open_run
-        if runner is None:
+        run = context.open_run
+        if run is None:
             return None
+        runner = run.runner
         began_at = self._clock.monotonic()
         address = to.address if to is not None else self._find_other(runner)
-        stop = _Stop(context, runner, address)
+        stop = _Stop(context, run, address)
         task = asyncio.create_task(self._pursue(stop))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/tests/gateway/test_context.py
+++ b/tests/gateway/test_context.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hawthornshelf.gateway.context import RequestContext
+from hawthornshelf.gateway.context import OpenRun, RequestContext
 from hawthornshelf.gateway.exchange import SecondRunRefused
 from hawthornshelf.gateway.routes import RetryPolicy, Route, Split
 from tests.gateway.fakes import Caller, Fleet, make_inbound
@@ -66,7 +66,7 @@
     context = make_context(*kind)
     context.begin_run("d0")
     context.backup = fleet.runners.find("d1")
-    context.open_run = None if is_elsewhere else fleet.listed[3]
+    context.open_run = None if is_elsewhere else OpenRun(fleet.listed[3])
     context.is_open_elsewhere = is_elsewhere
     with pytest.raises(SecondRunRefused):
         context.begin_run("d1", context.backup)
--- a/tests/gateway/test_runstopper.py
+++ b/tests/gateway/test_runstopper.py
@@ -8,7 +8,7 @@
 import pytest
 
 from hawthornshelf.gateway.cacherelease import CacheReleaser
-from hawthornshelf.gateway.context import RequestContext
+from hawthornshelf.gateway.context import OpenRun, RequestContext
 from hawthornshelf.gateway.exchange import (
     AttemptFailed,
     ConnectionRefused,
@@ -25,7 +25,7 @@
 from hawthornshelf.limitrecords import Permit
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.ratelimits import RateLimitTable
-from tests.gateway.fakes import Caller, FakeResponse, Fleet, grant_permit
+from tests.gateway.fakes import Caller, Fleet, grant_permit
 from tests.gateway.fakes import make_inbound as make_any_inbound
 from tests.gateway.load import VirtualClock, run_in_virtual_time
 
@@ -132,10 +132,9 @@
     inbound = make_any_inbound("/r/x")
     deadline = BUDGET_SECONDS
     context = RequestContext(inbound, route, 1, "llm", Caller(), deadline, 1.0)
-    context.open_run = OLD
+    context.open_run = OpenRun(OLD, has_begun=events)
     context.may_have_run = True
     if events:
-        context.response = FakeResponse(stream=True)
         context.events, context.last_event_id, context.last_event_at = 1, "1", 1e-9
     return context
 
@@ -186,7 +185,7 @@
     case = Case(lambda number: found)
     with pytest.raises(RunNotEnded):
         case.settle()
-    assert case.context.open_run is OLD
+    assert case.context.open_run is not None
     assert case.seconds < STALL_SECONDS
 
 
