Show that a group stays without a leader after a loss that it bears (LOST)

What the operator sees: a change was acknowledged, as many disks were lost as the group is to bear, everything else came back, and no leader is elected. Cause, shown by the test: a voter that is frozen or leaves is removed before the spare replica is promoted; with 2f voters f lost disks leave no majority.

--- /dev/null
+++ b/tests/test_replaced_voters.py
@@ -0,0 +1,153 @@
+"""Test that a group bears lost disks at every moment while it replaces a voter."""
+
+from typing import NamedTuple
+
+import pytest
+
+from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
+from tests.simulation import Simulation
+
+TIMEOUT_SECONDS = 20.0
+CATCH_UP_SECONDS = 4.0
+STEP_SECONDS = 0.005
+CONTROL_NODES = 8
+DELAYS = (0.0, 0.01, 0.03, 0.06, 0.1, 0.2)
+"""Seconds between a change of the voters and the loss of the disks."""
+
+
+class Outcome(NamedTuple):
+    """Represent what came back after the loss."""
+
+    acknowledged: int
+    read: int
+
+
+class Group:
+    """Run a control group with spare nodes, and an operator that changes its routes."""
+
+    def __init__(self, seed: int, losses: int, nodes: int = CONTROL_NODES) -> None:
+        voters = 2 * losses + 1
+        self.losses = losses
+        self.simulation = Simulation(seed, control=3, entries=1, voters=voters)
+        self.simulation.start_all()
+        self.simulation.run_until(self.simulation.leader, TIMEOUT_SECONDS, "leader")
+        for number in range(3, nodes):
+            self.simulation.add_control_node(f"c{number}")
+        self.simulation.run_until(
+            lambda: len(self.voters()) == voters, TIMEOUT_SECONDS, "all voters"
+        )
+        self.simulation.run(3.0)
+        self.submitted = 0
+        self.replaced = ""
+
+    def voters(self) -> set[str]:
+        """Return the nodes of the voters of the leader's membership."""
+        leader = self.simulation.leader()
+        return self.simulation.voters_of(leader) if leader else set()
+
+    def choose_voter(self) -> str:
+        """Return a voter that doesn't lead."""
+        others = self.voters() - {self.simulation.leader()}
+        return str(self.simulation.rng.choice(sorted(others)))
+
+    def begin_replacement(self, how: str) -> None:
+        """Give the group a reason to replace a voter."""
+        simulation = self.simulation
+        self.replaced = self.choose_voter()
+        match how:
+            case "frozen":
+                simulation.freeze(self.replaced)
+            case "leaving":
+                simulation.stop(self.replaced)
+            case "wiped":
+                simulation.wipe(self.replaced)
+                simulation.start(self.replaced)
+            case "lost":
+                simulation.kill(self.replaced)
+                simulation.nodes[self.replaced].control = False
+                simulation.nodes[self.replaced].disk = None
+
+    def run(self, seconds: float) -> None:
+        """Run on, with a change of the routes at every step."""
+        until = self.simulation.now + seconds
+        while self.simulation.now < until:
+            leader = self.simulation.leader()
+            if leader:
+                self.submitted += 1
+                command = ReplaceRoutes(self.submitted, b"%d" % self.submitted)
+                self.simulation.submit(leader, command)
+            self.simulation.run(STEP_SECONDS)
+
+    def run_until_voters_change(self, times: int) -> None:
+        """Run until the leader's voters have changed so many times."""
+        known = self.voters()
+        until = self.simulation.now + TIMEOUT_SECONDS
+        while times and self.simulation.now < until:
+            self.run(STEP_SECONDS)
+            voters = self.voters() or known
+            times -= voters != known
+            known = voters
+
+    def acknowledged(self) -> int:
+        """Return the highest number that an operator was told to be in force."""
+        results = [
+            operation.result.number
+            for operation in self.simulation.operations
+            if isinstance(operation.result, RoutesInForce)
+        ]
+        return max(results, default=0)
+
+    def lose_disks(self, count: int) -> Outcome:
+        """Lose disks of voters, kill all others, start all and read the routes."""
+        simulation = self.simulation
+        acknowledged = self.acknowledged()
+        candidates = sorted(self.voters() - {self.replaced})
+        lost = simulation.rng.sample(candidates, count)
+        for name in simulation.nodes:
+            if name in lost:
+                simulation.wipe(name)
+            else:
+                simulation.kill(name)
+        for name, node in simulation.nodes.items():
+            if node.control or node.entry:
+                simulation.start(name)
+        simulation.run_until(simulation.leader, TIMEOUT_SECONDS, "leader")
+        result = simulation.run_command("e0", ReadRoutes())
+        assert isinstance(result, RoutesInForce)
+        return Outcome(acknowledged, result.number)
+
+
+def count_lost_disks(group: Group, how: str) -> int:
+    """Return how many more disks may be lost while a voter is replaced."""
+    return group.losses - (how in ("wiped", "lost"))
+
+
+@pytest.mark.parametrize("delay", DELAYS)
+@pytest.mark.parametrize("changes", [1, 2])
+@pytest.mark.parametrize("how", ["frozen", "leaving", "wiped", "lost"])
+@pytest.mark.parametrize("losses", [1, 2])
+def test_a_group_never_elects_again_after_a_loss_that_it_bears(
+    losses: int, how: str, changes: int, delay: float
+) -> None:
+    group = Group(seed=losses, losses=losses)
+    group.run(0.1)
+    group.begin_replacement(how)
+    group.run_until_voters_change(changes)
+    group.run(delay)
+    outcome = group.lose_disks(count_lost_disks(group, how))
+    assert outcome.read >= outcome.acknowledged > 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("how", ["wiped", "lost"])
+@pytest.mark.parametrize("losses", [1, 2])
+def test_a_lost_disk_counts_for_longer_than_the_time_to_catch_up(
+    losses: int, how: str, seed: int
+) -> None:
+    group = Group(seed, losses)
+    group.begin_replacement(how)
+    if how == "lost":
+        group.simulation.add_control_node("c8")
+    group.run(CATCH_UP_SECONDS)
+    outcome = group.lose_disks(losses)
+    assert outcome.read >= outcome.acknowledged > 0
