Log what a replica starts with, to tell a forgetful disk from a lost majority

Cause: after a group came back without something acknowledged, the logs could not tell whether a disk had lost what it had confirmed (H2) or no majority of the voters was left (H1): nothing said what a replica had read at its start.

--- a/hawthornshelf/nodeshell.py
+++ b/hawthornshelf/nodeshell.py
@@ -118,6 +118,7 @@
             write_log("storage-lost", level="error", reason=str(error))
             return None
         self._writer = DiskWriter(self._storage, self.post)
+        _log_recovered("storage-loaded", recovered)
         return recovered
 
     @property
@@ -269,4 +270,17 @@
             self._writer.abandon()
         self._writer = DiskWriter(self._storage, self.post)
         self._core.restart_control(self._clock.monotonic(), recovered)
-        write_log("storage-regained", replica=recovered.replica, term=recovered.term)
+        _log_recovered("storage-regained", recovered)
+
+
+def _log_recovered(event: str, recovered: RecoveredState) -> None:
+    """Log what a replica starts with, to compare with what it had before."""
+    snapshot, entries = recovered.snapshot, recovered.entries
+    write_log(
+        event,
+        replica=recovered.replica,
+        term=recovered.term,
+        voted_for=recovered.voted_for,
+        snapshot=snapshot.index,
+        last=entries[-1].index if entries else snapshot.index,
+    )
