--- a/hawthornshelf/storage.py
+++ b/hawthornshelf/storage.py
@@ -90,26 +90,17 @@
         folder.mkdir(parents=True, exist_ok=True)
 
     def load(self) -> RecoveredState:
-        """Return the state last synced, after truncating a torn record at the end.
+        """Write the state that the files hold anew, sync it, and return it.
 
-        Raise StorageCorrupt if a file is corrupt or the log has a gap.
+        What a killed process wrote may be in the page cache only, and after a sync that
+        failed no later sync need write it. So nothing that was read counts before it is
+        in new files. Raise StorageCorrupt if a file is corrupt or the log has a gap.
         """
         replica = self._load_identity()
         snapshot = self._load_snapshot()
-        records = self._load_records()
-        entries: list[LogEntry] = []
-        term, voted_for = 0, ""
-        for record in records:
-            term, voted_for = record.term, record.voted_for
-            _replace_tail(entries, record.entries)
-        entries = [entry for entry in entries if entry.index > snapshot.index]
-        if term < snapshot.term:
-            term, voted_for = snapshot.term, ""
-        self._check_contiguous(snapshot, entries)
-        self._log_file = os.open(
-            self._path("log"), os.O_WRONLY | os.O_APPEND | os.O_CREAT
-        )
-        return RecoveredState(replica, term, voted_for, snapshot, tuple(entries))
+        term, voted_for, entries = self._load_log(snapshot)
+        self._rewrite(snapshot, _Record(term, voted_for, entries))
+        return RecoveredState(replica, term, voted_for, snapshot, entries)
 
     def write(self, batches: Sequence[Persist]) -> None:
         """Write the batches as one record and sync it.
@@ -125,17 +116,13 @@
             raise StorageFailed("write log", str(self._folder), str(error)) from error
 
     def recover(self) -> RecoveredState:
-        """Rewrite the whole state after a failed write and return it.
+        """Load the state again after a failed write, and accept writes.
 
-        After a failed sync, data in the page cache may never reach the disk, so the
-        state counts as durable only once it is written to new files and synced.
         Raise StorageFailed on an I/O error.
         """
         self.close()
         try:
             recovered = self.load()
-            record = _Record(recovered.term, recovered.voted_for, recovered.entries)
-            self._rewrite(recovered.snapshot, record)
         except OSError as error:
             raise StorageFailed("rewrite log", str(self._folder), str(error)) from error
         self._failed = False
@@ -213,6 +200,8 @@
                 raise self._corrupt("replica-id", "lost while the process ran")
             self._write_identity()
         replica = self._read_record_file("replica-id").decode()
+        # A log whose name outlives that of the id could never be read again.
+        self._sync_folder()
         self._has_identity = True
         return replica
 
@@ -239,26 +228,35 @@
         except msgspec.DecodeError as error:
             raise self._corrupt("snapshot", str(error)) from error
 
+    def _load_log(self, snapshot: Snapshot) -> _Record:
+        """Return the term, the vote and the entries after the snapshot."""
+        entries: list[LogEntry] = []
+        term, voted_for = 0, ""
+        for record in self._load_records():
+            term, voted_for = record.term, record.voted_for
+            _replace_tail(entries, record.entries)
+        if any(e.index == snapshot.index and e.term != snapshot.term for e in entries):
+            # The process ended before the log that goes with a leader's snapshot.
+            entries = []
+        entries = [entry for entry in entries if entry.index > snapshot.index]
+        if term < snapshot.term:
+            term, voted_for = snapshot.term, ""
+        self._check_contiguous(snapshot, entries)
+        return _Record(term, voted_for, tuple(entries))
+
     def _load_records(self) -> list[_Record]:
+        """Return the records of the log, without one that is torn at the end."""
         path = self._path("log")
         if not path.exists():
             return []
-        data = path.read_bytes()
-        scan = scan_records(data)
+        scan = scan_records(path.read_bytes())
         if scan.corrupt_middle:
             raise self._corrupt("log", f"corrupt record at byte {scan.valid_bytes}")
-        if scan.valid_bytes < len(data):
-            self._truncate_log(path, scan.valid_bytes)
         try:
             return [msgspec.msgpack.decode(r, type=_Record) for r in scan.records]
         except msgspec.DecodeError as error:
             raise self._corrupt("log", str(error)) from error
 
-    def _truncate_log(self, path: Path, length: int) -> None:
-        with open(path, "r+b") as file:
-            file.truncate(length)
-            self._sync(file.fileno())
-
     def _read_record_file(self, name: str) -> bytes:
         scan = scan_records(self._path(name).read_bytes())
         if len(scan.records) != 1:
