--- a/hawthornshelf/gateway/attempts.py
+++ b/hawthornshelf/gateway/attempts.py
@@ -9,6 +9,7 @@
 from hawthornshelf.gateway.context import OpenRun, RequestContext
 from hawthornshelf.gateway.continuation import StreamContinuer
 from hawthornshelf.gateway.crashdetector import CrashDetector
+from hawthornshelf.gateway.durations import RouteDurations
 from hawthornshelf.gateway.exchange import (
     Attempt,
     AttemptFailed,
@@ -27,15 +28,12 @@
 from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
 from hawthornshelf.gateway.runstopper import RunStopper
 from hawthornshelf.gateway.scheduler import EngineScheduler, Reservation
-from hawthornshelf.gateway.stopping import RouteDurations
+from hawthornshelf.gateway.silence import SilenceLimits, WaitingAttempt
 from hawthornshelf.gateway.streamrelay import StreamRelay
 from hawthornshelf.origins import Origin
 
 __all__ = ["AttemptSender"]
 
-RESPONSE_TIMEOUT_SHARE = 0.4
-"""Share of the remaining time that a repeatable request waits for response headers."""
-
 
 class AttemptSender:
     """Prefill a request's prompt, or run it, at a runner that is chosen already.
@@ -57,6 +55,7 @@
         continuer: StreamContinuer,
         recorder: Recorder,
         durations: RouteDurations,
+        silence: SilenceLimits,
         find_engine: Callable[[str], EngineProfile | None],
         clock: Clock,
     ) -> None:
@@ -72,6 +71,7 @@
         self._continuer = continuer
         self._recorder = recorder
         self._durations = durations
+        self._silence = silence
         self._find_engine = find_engine
         self._clock = clock
         self._streams = StreamRelay(recorder)
@@ -147,7 +147,7 @@
             with self._crashes.watch(context, state.runner) as flight:
                 with self._reachability.watch():
                     attempt = self._make_attempt(context, state, backup)
-                    response = await self._await_headers(context, attempt)
+                    response = await self._await_headers(context, state, attempt)
                 self._reachability.record_answer()
                 if response.not_run or not response.is_stream:
                     context.open_run = None
@@ -219,25 +219,38 @@
         return reservation.placement.backup if is_stream else None
 
     async def _await_headers(
-        self, context: RequestContext, attempt: Attempt
+        self, context: RequestContext, state: RunnerState, attempt: Attempt
     ) -> RunnerResponse:
         """Send an attempt and return the response once its headers are there.
 
-        A silent runner is abandoned while there is time for another one, if the
-        request is repeatable, has attempts left and is not late.
+        A silent runner is abandoned if the request is repeatable, has attempts left and
+        is not late, and as soon as another run is likely to serve it better.
         """
-        sending = self._client.send(attempt)
+        waiting = WaitingAttempt(
+            context,
+            self._clock.monotonic(),
+            lambda: state.answered_at,
+            lambda: self._has_alternative(context),
+        )
         is_last = context.runs + 1 >= context.route.max_attempts
         if not context.is_repeatable or context.trial or is_last or context.is_late:
-            return await sending
-        seconds_left = context.deadline - self._clock.monotonic()
-        timeout = max(seconds_left * RESPONSE_TIMEOUT_SHARE, context.route.target)
+            response = await self._client.send(attempt)
+        else:
+            response = await self._send_watched(waiting, attempt)
+        state.answered_at = self._clock.monotonic()
+        self._silence.record_answer(waiting)
+        return response
+
+    async def _send_watched(
+        self, waiting: WaitingAttempt, attempt: Attempt
+    ) -> RunnerResponse:
         try:
-            async with asyncio.timeout(
-                min(timeout, seconds_left * (1 - RESPONSE_TIMEOUT_SHARE))
-            ) as limit:
-                with self._reachability.end_early(limit):
-                    return await sending
+            async with asyncio.timeout(None) as limit:
+                with (
+                    self._reachability.end_early(limit),
+                    self._silence.watch(waiting, limit),
+                ):
+                    return await self._client.send(attempt)
         except TimeoutError as error:
             raise RunnerSilent(attempt.runner.name) from error
 
--- a/hawthornshelf/gateway/budget.py
+++ b/hawthornshelf/gateway/budget.py
@@ -1,5 +1,6 @@
 """Limit retries and other extra sends over a sliding window."""
 
+import contextlib
 from collections import deque
 from typing import NamedTuple
 
@@ -33,6 +34,10 @@
     def add(self, now: float) -> None:
         self._times.append(now)
 
+    def remove(self, at: float) -> None:
+        with contextlib.suppress(ValueError):
+            self._times.remove(at)
+
     def count(self, now: float) -> int:
         while self._times and self._times[0] <= now - self._seconds:
             self._times.popleft()
@@ -73,6 +78,10 @@
         """Count an extra send to a service."""
         self._find(self._extra_sends, service).add(now)
 
+    def give_back(self, service: str, at: float) -> None:
+        """Take back an extra send that was counted at a time and did not take place."""
+        self._find(self._extra_sends, service).remove(at)
+
     def _find(self, windows: dict[str, _SlidingWindow], service: str) -> _SlidingWindow:
         if service not in windows:
             windows[service] = _SlidingWindow(self._limits.window)
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -19,7 +19,7 @@
 from hawthornshelf.gateway.runners import Runner, RunnerState
 from hawthornshelf.origins import Origin
 
-__all__ = ["MIN_SECONDS_LEFT", "OpenRun", "RequestContext"]
+__all__ = ["MIN_SECONDS_LEFT", "OpenRun", "RequestContext", "ReservedSend"]
 
 MIN_SECONDS_LEFT = 0.01
 """With less time left a request can't be completed, so it is not sent."""
@@ -36,6 +36,13 @@
     has_begun: bool = False
 
 
+class ReservedSend(NamedTuple):
+    """Represent a send that a service's retry budget counts since a time."""
+
+    service: str
+    at: float
+
+
 @dataclass(slots=True)
 class RequestContext:
     """Track one request while it is forwarded; times are monotonic seconds.
@@ -57,6 +64,7 @@
     `unreached` counts attempts that no runner can have received; `peers` names the
     nodes to which the request was relayed; with `is_relayed` it goes to no runner of
     this node any more.
+    `reserved_send` is the next send if the retry budget holds it already.
     `owes_event` tells whether a stream is known to have an event to come; `origin` is
     what wrote the events that the caller has, None while it has none.
     """
@@ -72,6 +80,7 @@
     peers: set[str] = field(default_factory=set)
     unreached: int = 0
     is_relayed: bool = False
+    reserved_send: ReservedSend | None = None
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -15,6 +15,7 @@
 from hawthornshelf.gateway.context import MIN_SECONDS_LEFT, RequestContext
 from hawthornshelf.gateway.continuation import StreamContinuer, StreamEnded
 from hawthornshelf.gateway.crashdetector import CrashDetector
+from hawthornshelf.gateway.durations import RouteDurations
 from hawthornshelf.gateway.exchange import (
     InboundRequest,
     KvCacheHandle,
@@ -48,7 +49,8 @@
     EngineScheduler,
     PlacementRequest,
 )
-from hawthornshelf.gateway.stopping import RouteDurations, may_end_in_time
+from hawthornshelf.gateway.silence import SilenceLimits
+from hawthornshelf.gateway.stopping import may_end_in_time
 from hawthornshelf.gateway.streamorigins import StreamOrigins
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.ratelimits import RateLimitTable
@@ -97,6 +99,7 @@
         self._reachability = RunnerReachability(clock, runners.forget_failures)
         self._routes = RouteGate(clock, request_view)
         self._continuer = StreamContinuer(origins, runners, self._recorder)
+        self._silence = SilenceLimits(self._retries, clock)
         self._relay = PeerRelay(
             relay_client,
             choose_peer,
@@ -105,6 +108,7 @@
             self._retries,
             self._routes,
             self._continuer,
+            self._silence,
             clock,
         )
         self._releaser = CacheReleaser(client, runners, self._limiter)
@@ -151,6 +155,7 @@
             self._continuer,
             self._recorder,
             self._durations,
+            self._silence,
             lambda service: self._index.find_engine(service),
             clock,
         )
@@ -212,6 +217,7 @@
         self._routes.load(table.number)
         names = {route.name for route in table.routes}
         self._durations.retain(names)
+        self._silence.retain(names)
         items = self._retry_detectors.items()
         self._retry_detectors = {
             name: detector for name, detector in items if name in names
@@ -335,6 +341,7 @@
             await self._fail(context, 502 if context.may_have_run else 503)
         finally:
             self._limits.discard(limit)
+            self._retries.release(context)
             if context.source is not None:
                 self._releaser.release(context.source)
 
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -22,6 +22,7 @@
 from hawthornshelf.gateway.retrygate import RetryGate
 from hawthornshelf.gateway.routegate import RouteGate
 from hawthornshelf.gateway.runners import Runner
+from hawthornshelf.gateway.silence import SilenceLimits, WaitingAttempt
 from hawthornshelf.gateway.streamrelay import StreamRelay
 from hawthornshelf.origins import Origin
 
@@ -40,9 +41,6 @@
 MAX_PEERS = 3
 """Nodes to which one request is relayed at most, one after the other."""
 
-ANSWER_SHARE = 0.5
-"""Share of the remaining time for which a repeatable request waits for a peer."""
-
 
 class Peer(NamedTuple):
     """Name a node and the address at which it serves callers."""
@@ -111,6 +109,7 @@
         retries: RetryGate,
         routes: RouteGate,
         continuer: StreamContinuer,
+        silence: SilenceLimits,
         clock: Clock,
     ) -> None:
         self._client = client
@@ -120,6 +119,7 @@
         self._retries = retries
         self._routes = routes
         self._continuer = continuer
+        self._silence = silence
         self._streams = StreamRelay(recorder)
         self._clock = clock
         self.relayed = 0
@@ -216,12 +216,26 @@
         is_last = context.runs + 1 >= context.route.max_attempts
         if is_last or not context.is_repeatable or context.route.is_generation:
             return await self._client.relay(request)
+        waiting = WaitingAttempt(
+            context,
+            self._clock.monotonic(),
+            lambda: float("-inf"),
+            lambda: self._has_alternative(context),
+        )
         try:
-            async with asyncio.timeout(ANSWER_SHARE * seconds_left):
-                return await self._client.relay(request)
+            async with asyncio.timeout(None) as limit:
+                with self._silence.watch(waiting, limit):
+                    return await self._client.relay(request)
         except TimeoutError as error:
             raise RunnerSilent(peer.node) from error
 
+    def _has_alternative(self, context: RequestContext) -> bool:
+        """Return whether a request may go on somewhere if a peer is given up."""
+        if not self._reachability.is_cut:
+            return True
+        is_bounded = len(context.peers) < MAX_PEERS
+        return is_bounded and self._choose_peer(context.peers) is not None
+
     async def _pass_on(
         self, context: RequestContext, peer: Peer, response: RunnerResponse
     ) -> bool:
--- a/hawthornshelf/gateway/retrygate.py
+++ b/hawthornshelf/gateway/retrygate.py
@@ -4,7 +4,7 @@
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.gateway.budget import RetryBudget
-from hawthornshelf.gateway.context import RequestContext
+from hawthornshelf.gateway.context import RequestContext, ReservedSend
 from hawthornshelf.gateway.recorder import Recorder
 from hawthornshelf.gateway.runners import RunnerTable
 
@@ -47,9 +47,35 @@
 
     def may_spend(self, context: RequestContext) -> bool:
         """Return whether the budget allows one more send."""
+        if self._has_reserved(context):
+            return True
         now, nodes = self._clock.monotonic(), self._count_nodes()
         return self._budget.may_spend(now, context.service, nodes)
 
+    def reserve(self, context: RequestContext) -> bool:
+        """Count one more send before it takes place; return whether that is allowed."""
+        if not self.may_spend(context):
+            return False
+        if not self._has_reserved(context):
+            self.release(context)
+            now = self._clock.monotonic()
+            self._budget.spend(now, context.service)
+            context.reserved_send = ReservedSend(context.service, now)
+        return True
+
     def spend(self, context: RequestContext) -> None:
-        """Count one more send."""
-        self._budget.spend(self._clock.monotonic(), context.service)
+        """Count one more send, unless it was reserved."""
+        if self._has_reserved(context):
+            context.reserved_send = None
+        else:
+            self._budget.spend(self._clock.monotonic(), context.service)
+
+    def release(self, context: RequestContext) -> None:
+        """Give back a reserved send that did not take place."""
+        reserved, context.reserved_send = context.reserved_send, None
+        if reserved is not None:
+            self._budget.give_back(reserved.service, reserved.at)
+
+    def _has_reserved(self, context: RequestContext) -> bool:
+        reserved = context.reserved_send
+        return reserved is not None and reserved.service == context.service
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -108,6 +108,7 @@
     shares. `in_flight` counts all requests, `long_requests` those with a long prompt
     and `long_prefills` the long prompts in prefill there that are not late. Until
     `down_until` other runners go first; until `paused_until` it gets no request.
+    `answered_at` is when it last answered a request of this node.
     """
 
     runner: Runner
@@ -122,6 +123,7 @@
     down_until: float = 0.0
     paused_until: float = 0.0
     consecutive_pauses: int = 0
+    answered_at: float = float("-inf")
 
     @property
     def interactive_requests(self) -> int:
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -6,14 +6,11 @@
 
 import pytest
 
+from hawthornshelf.gateway.durations import WINDOW_SECONDS, RouteDurations
 from hawthornshelf.gateway.exchange import Prompt
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.node import StopTiming
-from hawthornshelf.gateway.stopping import (
-    WINDOW_SECONDS,
-    RouteDurations,
-    may_end_in_time,
-)
+from hawthornshelf.gateway.stopping import may_end_in_time
 from tests.gateway.crashfleet import (
     LONG,
     SHORT,
