Wait for what a new leader has not heard before it removes a voter (LOST)

Cause: a voter's disk was lost, then the leader left for a second. The new leader had not heard of the lost voter, took its build for an older one, and removed the leaver first, the way that bears fewer disks: two voters were left, one of them dead. Not knowing was read as knowing the worse case. Change: only a replica that was heard of, and said nothing of replacements, makes a leader remove first. One that is not heard of yet is waited for, and not for longer than a voter is waited for. A group whose replicas say that they are older is still changed in the old order (test_replicas).

--- a/hawthornshelf/progress.py
+++ b/hawthornshelf/progress.py
@@ -5,7 +5,7 @@
 
 from hawthornshelf.raftmessages import AppendReply
 
-__all__ = ["Progress", "ProgressTable"]
+__all__ = ["NEVER", "Progress", "ProgressTable"]
 
 SNAPSHOT_RESEND_SECONDS = 2.0
 NEVER = float("-inf")
--- a/hawthornshelf/raft.py
+++ b/hawthornshelf/raft.py
@@ -14,7 +14,7 @@
     Snapshot,
     VoterSet,
 )
-from hawthornshelf.progress import ProgressTable
+from hawthornshelf.progress import NEVER, ProgressTable
 from hawthornshelf.raftmessages import (
     Append,
     AppendReply,
@@ -201,12 +201,12 @@
         """Start to replace a voter by a learner; return the entry's index.
 
         Return None if that is refused: as `change_membership`, or if the two are no
-        voter and no learner, or a replica may not be able to read the entry.
+        voter and no learner.
         """
         learner = self.membership.find(new)
         if learner is None or learner.voter or old not in self.membership.voters():
             return None
-        if self.replacement or not self.can_replace(old):
+        if self.replacement:
             return None
         membership = self.membership.with_member(learner._replace(voter=True))
         return self._change_voter_set(VoterSet(membership, Replacement(old, new)))
@@ -218,10 +218,15 @@
         membership = self.membership.without(self.replacement.old)
         return self._change_voter_set(VoterSet(membership))
 
-    def can_replace(self, old: str) -> bool:
-        """Return whether all replicas but the old one can read a replacement."""
-        others = set(self.membership.replicas()) - {old, self.replica}
-        return all(self._progress.find(r).reads_replacements for r in others)
+    def has_heard(self, replica: str) -> bool:
+        """Return whether a replica has acknowledged anything to this leader."""
+        is_own = replica == self.replica
+        return is_own or self._progress.find(replica).acked_sent_at > NEVER
+
+    def may_read_replacement(self, replica: str) -> bool:
+        """Return whether nothing shows that a replica's build knows no replacements."""
+        is_known = self._progress.find(replica).reads_replacements
+        return is_known or replica == self.replica or not self.has_heard(replica)
 
     def _change_voter_set(self, voter_set: VoterSet) -> int | None:
         if not self.is_ready or self._membership_pending():
--- a/hawthornshelf/replicas.py
+++ b/hawthornshelf/replicas.py
@@ -122,21 +122,29 @@
                 continue
             old = [m for m in self._raft.membership.on_node(member.node) if m.voter]
             if old:
-                return self._replace(old[0].replica, member.replica)
+                return self._replace(now, old[0].replica, member.replica)
             if self._is_full():
                 replaceable = self._find_replaceable_voter(now)
                 if replaceable is None or self._is_silent(now, member.replica):
                     continue
-                return self._replace(replaceable, member.replica)
+                return self._replace(now, replaceable, member.replica)
             voter = member._replace(voter=True)
             membership = self._raft.membership.with_member(voter)
             return self._raft.change_membership(membership) is not None
         return False
 
-    def _replace(self, old: str, new: str) -> bool:
-        """Replace a voter, in two changes if another build may not know of one."""
-        if not self._raft.can_replace(old):
+    def _replace(self, now: float, old: str, new: str) -> bool:
+        """Replace a voter, in two changes if another build knows no replacement.
+
+        A replica that has said nothing yet is waited for; one that stays silent is not.
+        """
+        others = [r for r in self._raft.membership.replicas() if r != old]
+        if not all(self._raft.may_read_replacement(r) for r in others):
             return self._propose_removal(old)
+        if any(
+            not self._raft.has_heard(r) and not self._is_silent(now, r) for r in others
+        ):
+            return False
         return self._raft.replace_voter(old, new) is not None
 
     def _is_full(self) -> bool:
--- a/tests/replacementexplorer.py
+++ b/tests/replacementexplorer.py
@@ -39,14 +39,14 @@
 class RemovesFirst(ReplicaReconciler):
     """Remove a voter before its successor votes."""
 
-    def _replace(self, old: str, new: str) -> bool:
+    def _replace(self, now: float, old: str, new: str) -> bool:
         return self._propose_removal(old)
 
 
 class AddsFirst(ReplicaReconciler):
     """Let a successor vote before the voter that it replaces is removed."""
 
-    def _replace(self, old: str, new: str) -> bool:
+    def _replace(self, now: float, old: str, new: str) -> bool:
         learner = self._raft.membership.find(new)
         assert learner is not None
         added = self._raft.membership.with_member(learner._replace(voter=True))
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -199,8 +199,8 @@
 
 def test_a_build_that_knows_no_replacement_gets_one() -> None:
     raft = make_joint_leader()
-    assert raft.can_replace("c")
-    assert not raft.can_replace("b")
+    readers = {r: raft.may_read_replacement(r) for r in "abcd"}
+    assert readers == {"a": True, "b": True, "c": False, "d": True}
 
 
 def test_a_snapshot_holds_half_a_replacement() -> None:
--- a/tests/test_replaced_voters.py
+++ b/tests/test_replaced_voters.py
@@ -11,6 +11,7 @@
 CATCH_UP_SECONDS = 4.0
 STEP_SECONDS = 0.005
 CONTROL_NODES = 8
+GRACE_SECONDS = 8.0
 DELAYS = (0.0, 0.01, 0.03, 0.06, 0.1, 0.2)
 """Seconds between a change of the voters and the loss of the disks."""
 
@@ -105,6 +106,14 @@
         ]
         return max(results, default=0)
 
+    def elect_spare(self) -> str:
+        """Restart leaders until one of the later nodes leads, and return its name."""
+        while (leader := self.simulation.leader()) in self.simulation.control:
+            self.simulation.kill(leader)
+            self.simulation.start(leader)
+            self.run(CATCH_UP_SECONDS)
+        return leader
+
     def lose_disks(self, count: int) -> Outcome:
         """Lose disks of voters, kill all others, start all and read the routes."""
         simulation = self.simulation
@@ -159,3 +168,26 @@
     group.run(CATCH_UP_SECONDS)
     outcome = group.lose_disks(losses)
     assert outcome.read >= outcome.acknowledged > 0
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_new_leader_removes_a_sound_voter_as_it_has_not_heard_of_a_lost_one(
+    seed: int,
+) -> None:
+    """One loses its disk; then the leader leaves for a short time."""
+    group = Group(seed, losses=1, nodes=4)
+    simulation = group.simulation
+    group.run(0.1)
+    leaver, lost = simulation.leader(), group.choose_voter()
+    simulation.wipe(lost)
+    simulation.run(0.1)
+    simulation.stop(leaver)
+    simulation.run(0.5)
+    simulation.start(lost)
+    simulation.kill(leaver)
+    simulation.run(1.2)
+    simulation.start(leaver)
+    simulation.run_until(simulation.leader, TIMEOUT_SECONDS, "leader")
+    result = simulation.run_command("e0", ReadRoutes())
+    assert isinstance(result, RoutesInForce)
+    assert result.number >= group.acknowledged() > 0
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -1,10 +1,14 @@
 """Test a control group that replaces lost voters by itself."""
 
+from dataclasses import replace
+
 import pytest
 
 from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
 from hawthornshelf.effects import Effect, Send
 from hawthornshelf.messages import ViewUpdate
+from hawthornshelf.raft import Raft
+from hawthornshelf.raftmessages import RaftSend
 from tests.simulation import SimNode, Simulation
 
 TIMEOUT_SECONDS = 20.0
@@ -234,3 +238,29 @@
     )
     simulation.run(2.0)
     assert max(sent.values()) == 1
+
+
+def test_an_older_build_gets_an_entry_that_it_can_not_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    reply_append = Raft._reply_append
+
+    def reply(self: Raft, *arguments: object) -> None:
+        reply_append(self, *arguments)  # type: ignore[arg-type]
+        send = self._sends_after_sync.pop()
+        older = replace(send.message, reads_replacements=False)
+        self._sends_after_sync.append(RaftSend(older))
+
+    monkeypatch.setattr(Raft, "_reply_append", reply)
+    simulation = start_group()
+    leader = simulation.leader()
+    lost = next(name for name in simulation.control if name != leader)
+    simulation.kill(lost)
+    simulation.add_control_node("c9")
+    raft = simulation.nodes[leader].core.control.raft
+    counts = set()
+    while "c9" not in simulation.voters_of(leader):
+        simulation.run(0.01)
+        counts.add(len(raft.membership.voters()))
+        assert raft.replacement is None
+    assert counts == {2, 3}
