--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -65,6 +65,9 @@
 """A replica that has known no leader for longer logs which nodes it waits for."""
 
 AWAITED_INTERVAL_SECONDS = 5.0
+HANDOVER_SECONDS = 3.0
+"""Longest wait of a replica that leaves for another one to take its vote."""
+
 MAX_PENDING_REPLIES = 20_000
 PLATFORM_LIST_VALID_SECONDS = 5.0
 NEVER = float("inf")
@@ -149,6 +152,7 @@
         self._was_leader = False
         self._logged_voters = VoterSet(Membership())
         self._leader_since = now
+        self._leaving_at = NEVER
         self._now = now
         self._wall = 0.0
         self._current_at = -NEVER
@@ -240,6 +244,26 @@
         if self.raft.is_leader and not self.stopped:
             self.raft.transfer_leadership(now)
 
+    def begin_leaving(self, now: float) -> None:
+        """Hand over the leadership and the vote before a planned stop."""
+        self._leaving_at = now
+        self.transfer_leadership(now)
+
+    def has_left(self, now: float) -> bool:
+        """Return whether this replica may stop for good.
+
+        While it is a voter that another replica could replace, the group would bear one
+        lost disk less without it.
+        """
+        if self.stopped or now >= self._leaving_at + HANDOVER_SECONDS:
+            return True
+        members = self.raft.membership.members
+        own = self.raft.membership.find(self.raft.replica)
+        has_successor = self._settings.voters > 0 and any(not m.voter for m in members)
+        is_replaced = self.raft.replacement is not None
+        votes = own is not None and own.voter
+        return not (votes and (has_successor or is_replaced) and self.raft.leader)
+
     def unfenced_orders_from(self) -> float:
         """Return when orders may first be sent to engines that don't check fencing.
 
@@ -474,6 +498,8 @@
         )
 
     def _reconcile(self, now: float) -> None:
+        if now > self._leaving_at:
+            self.transfer_leadership(now)
         self._replicas.tick(now)
         self._apply_platform_list(now)
         self._send_freshness_report(now)
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -335,9 +335,11 @@
         return RoutesInForce(result.number, zlib.decompress(result.body))
 
     async def leave(self) -> None:
-        """Transfer leadership and announce that this node leaves."""
+        """Announce that this node leaves, and hand over its leadership and vote."""
         self.post(StopRequested())
         await asyncio.sleep(DRAIN_POLL_SECONDS)
+        while not self._core.has_left(self._clock.monotonic()):
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def _run(self, command: ReplaceRoutes | ReadRoutes) -> RoutesInForce | None:
         with contextlib.suppress(TimeoutError):
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -522,7 +522,11 @@
             return
         self._effects.append(log("stop-begins", linger=self.settings.linger))
         if self.control:
-            self.control.transfer_leadership(now)
+            self.control.begin_leaving(now)
+
+    def has_left(self, now: float) -> bool:
+        """Return whether the control group bears as much without this node."""
+        return self.control is None or self.control.has_left(now)
 
     def _tick_stop(self, now: float) -> None:
         """Stop the process once its requests have ended and it has deregistered.
@@ -531,6 +535,8 @@
         """
         if not self.lifecycle.is_leaving or self.settings.gateway:
             return
+        if not self.has_left(now):
+            return
         if not self.entry or self.lifecycle.may_end(now, len(self.entry.requests)):
             self._effects.append(StopProcess())
 
--- a/hawthornshelf/progress.py
+++ b/hawthornshelf/progress.py
@@ -84,10 +84,14 @@
             row = row._replace(next_index=max(hint, row.match_index) + 1)
         self._rows[reply.sender] = row
 
-    def find_caught_up(self, peers: Iterable[str], last_index: int) -> list[str]:
-        """Return the peers that have the whole log, the latest acknowledged first."""
-        complete = [p for p in peers if self.find(p).match_index == last_index]
-        return sorted(complete, key=lambda p: (-self.find(p).acked_sent_at, p))
+    def find_caught_up(self, peers: Iterable[str], index: int) -> list[str]:
+        """Return the peers that have the log up to an index, the longest log first."""
+        rows = {peer: self.find(peer) for peer in peers}
+        complete = [peer for peer, row in rows.items() if row.match_index >= index]
+        return sorted(
+            complete,
+            key=lambda p: (-rows[p].match_index, -rows[p].acked_sent_at, p),
+        )
 
     def quorum_contact(self, voters: Sequence[str], own: str) -> float:
         """Return the send time of the latest message that a quorum acknowledged."""
--- a/hawthornshelf/raft.py
+++ b/hawthornshelf/raft.py
@@ -237,13 +237,14 @@
         return index
 
     def transfer_leadership(self, now: float) -> bool:
-        """Revoke the lease and ask a voter with the whole log to start an election.
+        """Revoke the lease and ask the voter with the longest log to start an election.
 
-        Return False if this is not the leader or no other voter has the whole log.
+        Return False if this is not the leader or no other voter has all that is
+        committed. Others that have more of the log may refuse the vote.
         """
         staying = self.voter_set.quorum_groups()[-1]
         peers = [v for v in staying if v != self.replica]
-        caught_up = self._progress.find_caught_up(peers, self.last_index)
+        caught_up = self._progress.find_caught_up(peers, self.commit_index)
         if not self.is_leader or not caught_up:
             return False
         self._lease_revoked = True
--- a/tests/test_replaced_voters.py
+++ b/tests/test_replaced_voters.py
@@ -42,9 +42,14 @@
         self.replaced = ""
 
     def voters(self) -> set[str]:
-        """Return the nodes of the voters of the leader's membership."""
-        leader = self.simulation.leader()
-        return self.simulation.voters_of(leader) if leader else set()
+        """Return the nodes of the voters of the newest membership."""
+        cores = {
+            name: node.core.control
+            for name, node in self.simulation.nodes.items()
+            if node.core is not None and node.core.control is not None
+        }
+        newest = max(cores, key=lambda name: (cores[name].raft.last_index, name))
+        return self.simulation.voters_of(newest)
 
     def voter_ids(self) -> tuple[str, ...]:
         """Return the replica ids of the voters of the leader's membership."""
@@ -108,11 +113,16 @@
 
     def elect_spare(self) -> str:
         """Restart leaders until one of the later nodes leads, and return its name."""
-        while (leader := self.simulation.leader()) in self.simulation.control:
-            self.simulation.kill(leader)
-            self.simulation.start(leader)
+        simulation = self.simulation
+        while True:
+            simulation.run_until(simulation.leader, TIMEOUT_SECONDS, "leader")
+            leader = simulation.leader()
+            if leader not in simulation.control:
+                return leader
+            simulation.kill(leader)
+            simulation.run_until(simulation.leader, TIMEOUT_SECONDS, "next leader")
+            simulation.start(leader)
             self.run(CATCH_UP_SECONDS)
-        return leader
 
     def lose_disks(self, count: int) -> Outcome:
         """Lose disks of voters, kill all others, start all and read the routes."""
@@ -170,6 +180,35 @@
     assert outcome.read >= outcome.acknowledged > 0
 
 
+@pytest.mark.parametrize("delay", [0.0, 0.05, 0.3])
+@pytest.mark.parametrize("leads", [False, True])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_planned_stop_takes_a_vote_away_though_a_successor_is_there(
+    seed: int, leads: bool, delay: float
+) -> None:
+    """The machine is gone for good, and its successor had its time to catch up."""
+    group = Group(seed, losses=2)
+    simulation = group.simulation
+    leaver = group.elect_spare() if leads else max(group.voters())
+    stopped = simulation.nodes[leaver]
+    group.run(0.1)
+    simulation.stop(leaver)
+    simulation.run_until(lambda: stopped.stopped, GRACE_SECONDS, "stop", STEP_SECONDS)
+    stopped.control, stopped.disk = False, None
+    group.run(delay)
+    group.replaced = leaver
+    outcome = group.lose_disks(group.losses)
+    assert outcome.read >= outcome.acknowledged > 0
+
+
+def test_a_planned_stop_waits_for_a_successor_that_is_not_there() -> None:
+    group = Group(seed=1, losses=2, nodes=5)
+    stopped = group.simulation.nodes["c4"]
+    group.simulation.stop("c4")
+    seconds = group.simulation.run_until(lambda: stopped.stopped, 1.0, "stop")
+    assert seconds < 0.2
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_a_new_leader_removes_a_sound_voter_as_it_has_not_heard_of_a_lost_one(
     seed: int,
