Wait for a new leader's first replies, and not for a silent voter's time

Cause: a leader that had just been elected waited 1.5 s for replicas that it had not heard of, the former leader among them, before it replaced a voter: up to 5.5 s until five voters lived again after a wipe and a leader's death. Change: it waits for 0.5 s, in which its heartbeats reach whatever is up.

--- a/hawthornshelf/replicas.py
+++ b/hawthornshelf/replicas.py
@@ -11,6 +11,9 @@
 VOTER_SILENT_SECONDS = 1.5
 """A voter silent for longer is replaced by a learner that has caught up."""
 
+FIRST_REPLY_SECONDS = 0.5
+"""Time in which a new leader hears of each replica that is up, by its heartbeats."""
+
 LEARNER_SILENT_SECONDS = 6.0
 """A learner silent for longer is removed; it is admitted again when it returns."""
 
@@ -136,13 +139,15 @@
     def _replace(self, now: float, old: str, new: str) -> bool:
         """Replace a voter, in two changes if another build knows no replacement.
 
-        A replica that has said nothing yet is waited for; one that stays silent is not.
+        A replica that a new leader has not heard of is waited for, for a short time.
         """
         others = [r for r in self._raft.membership.replicas() if r != old]
         if not all(self._raft.may_read_replacement(r) for r in others):
             return self._propose_removal(old)
         if any(
-            not self._raft.has_heard(r) and not self._is_silent(now, r) for r in others
+            not self._raft.has_heard(r)
+            and now < self._raft.last_contact(r) + FIRST_REPLY_SECONDS
+            for r in others
         ):
             return False
         return self._raft.replace_voter(old, new) is not None
