--- a/scripts/trial_runs.py
+++ b/scripts/trial_runs.py
@@ -359,7 +359,8 @@
         name, now = engine.settings["name"], time.time()
         self.faults.append((now, f"engine {name} down for {seconds:.2f}"))
         engine.kills.append(now)
-        engine.process.kill()
+        with contextlib.suppress(ProcessLookupError):
+            engine.process.kill()
         await engine.process.wait()
         await asyncio.sleep(seconds)
         engine.process, engine.stops = await self._execute(engine.settings), 0
