Order the sends of a trial by their time, over all nodes

The check took the wrong run for the earlier one: it read the logs node by node, not by time, and an engine whose connect had failed kept its first place in the order. Change: logs by time; an engine that is asked again is the last one. What counts as an overlap is as before.

--- a/scripts/trial_runs.py
+++ b/scripts/trial_runs.py
@@ -420,6 +420,7 @@
         self.logs: list[str] = []
         for log in sorted(trial.folder.glob("*.log")):
             self.logs += log.read_text(errors="replace").splitlines()
+        self.logs.sort()
         self.runs: dict[str, list[dict[str, Any]]] = defaultdict(list)
         self.ends: dict[tuple[str, str], float] = {}
         for line in self.lines:
@@ -431,8 +432,9 @@
         self.order: dict[str, dict[str, int]] = defaultdict(dict)
         for line in filter(None, map(RESENT.search, self.logs)):
             sent = self.order[line[1]]
-            for name in (line[3], line[2]):
-                sent.setdefault(name, len(sent))
+            sent.setdefault(line[3], len(sent))
+            # An engine that was out of reach before may be the next one again.
+            sent[line[2]] = max(sent.values()) + 1
         self.relayed = {m[1] for line in self.logs if (m := pattern.search(line))}
         for request in trial.requests.values():
             if request.kind.runs_once:
