--- a/tests/forgettingdisk.py
+++ b/tests/forgettingdisk.py
@@ -8,7 +8,8 @@
 
 import itertools
 import os
-from collections.abc import Iterator
+import random
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 from typing import NamedTuple
 
@@ -40,13 +41,25 @@
 
     def outcomes(self) -> Iterator[bytes]:
         """Return what the file may hold after a loss of power."""
-        parts = [(w.data, b"", w.data[: len(w.data) // 2]) for w in self.writes]
+        parts = [_list_remains(write) for write in self.writes]
         for choice in itertools.product(*parts):
-            content = self.synced
-            for write, data in zip(self.writes, choice, strict=True):
-                if data:
-                    content = content[: write.offset].ljust(write.offset, b"\0") + data
-            yield content
+            yield self._apply(choice)
+
+    def draw_outcome(self, rng: random.Random) -> bytes:
+        """Return one of the contents that the file may have after a loss of power."""
+        return self._apply([rng.choice(_list_remains(w)) for w in self.writes])
+
+    def _apply(self, remains: Sequence[bytes]) -> bytes:
+        content = self.synced
+        for write, data in zip(self.writes, remains, strict=True):
+            if data:
+                content = content[: write.offset].ljust(write.offset, b"\0") + data
+        return content
+
+
+def _list_remains(write: _Write) -> tuple[bytes, ...]:
+    """Return what may be left of a write that was not synced."""
+    return (write.data, b"", write.data[: len(write.data) // 2])
 
 
 class ForgettingDisk:
@@ -162,6 +175,25 @@
                     seen.add(key)
                     yield files
 
+    def draw_outcome(self, rng: random.Random) -> Files:
+        """Return one content that the folder may have after a loss of power.
+
+        At half of the losses all that was not synced is gone.
+        """
+        keeps = rng.random() < 0.5
+        names = dict(self._durable)
+        for name, file in self._changes if keeps else ():
+            if rng.random() < 0.5:
+                continue
+            if file is None:
+                names.pop(name, None)
+            else:
+                names[name] = file
+        return {
+            name: file.draw_outcome(rng) if keeps else file.synced
+            for name, file in names.items()
+        }
+
 
 def attach(patch: pytest.MonkeyPatch, disk: ForgettingDisk) -> None:
     """Let the storage call a disk in place of the operating system."""
