--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -531,7 +531,7 @@
     def _tick_stop(self, now: float) -> None:
         """Stop the process once its requests have ended and it has deregistered.
 
-        A node without the entry role has neither, and stops once its vote is handed over.
+        A node without the entry role has neither. A voter hands its vote over before.
         """
         if not self.lifecycle.is_leaving or self.settings.gateway:
             return
