Send a slow request to a second runner, within limits

Cause: a runner that is slow for some tenths of a second sets the slowest answers of a service, though two others are idle. Change: with a hedge share above 0, a request that may run again and has waited longer than 95 % of the recent ones of its route goes to a second runner too; the first head that is not a failure wins. gateway.hedging decides (pure), gateway.race sends, gateway.legs is one of the two sends. The crash detector can forget a flight, so that a cancelled send is no evidence. With 0, the default, no task, metric or log field is added.

--- a/hawthornshelf/gateway/attempts.py
+++ b/hawthornshelf/gateway/attempts.py
@@ -1,6 +1,7 @@
 """Send one attempt of a request to one runner, and pass its response on."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from functools import partial
 
@@ -21,6 +22,7 @@
 )
 from hawthornshelf.gateway.flight import Flight
 from hawthornshelf.gateway.quarantine import Quarantine
+from hawthornshelf.gateway.race import SendRace, SendSteps
 from hawthornshelf.gateway.reachability import RunnerReachability
 from hawthornshelf.gateway.recorder import Recorder
 from hawthornshelf.gateway.retrygate import RetryGate
@@ -56,6 +58,7 @@
         recorder: Recorder,
         durations: RouteDurations,
         silence: SilenceLimits,
+        race: SendRace,
         find_engine: Callable[[str], EngineProfile | None],
         clock: Clock,
     ) -> None:
@@ -72,6 +75,7 @@
         self._recorder = recorder
         self._durations = durations
         self._silence = silence
+        self._race = race
         self._find_engine = find_engine
         self._clock = clock
         self._streams = StreamRelay(recorder)
@@ -144,23 +148,30 @@
         response: RunnerResponse | None = None
         backup = self._choose_backup(context, reservation)
         try:
-            with self._crashes.watch(context, state.runner) as flight:
-                with self._reachability.watch():
-                    attempt = self._make_attempt(context, state, backup)
-                    response = await self._await_headers(context, state, attempt)
-                self._reachability.record_answer()
+            with contextlib.ExitStack() as watches:
+                is_plain = reservation is None and copy is None
+                leg = self._race.open_leg(watches, context, state, is_plain)
+                if is_plain and self._may_hedge(context):
+                    steps = SendSteps(self._ask, self._record_unreached)
+                    leg = await self._race.run(context, leg, watches, steps)
+                    state = leg.state
+                    response = leg.response()
+                else:
+                    response = await self._ask(context, state, backup)
                 if response.not_run or not response.is_stream:
                     context.open_run = None
                 elif context.open_run is not None:
                     context.open_run = OpenRun(state.runner, has_begun=True)
                 if response.not_run:
-                    context.may_have_run = may_have_run
+                    context.may_have_run = may_have_run or context.lost_runs > 0
+                    self._race.record_failure(context)
                     self._recorder.record_refusal(context, state, response.status)
                     return False
                 context.runs += 1
                 context.source = None
                 context.response = response
                 context.backup = backup
+                flight = leg.flight
                 relayed = await self._relay_response(
                     context, state, response, reservation, flight
                 )
@@ -169,13 +180,16 @@
                 flight.has_run = response.status < 300 and (
                     flight.has_written or not response.is_stream
                 )
+                if response.status >= 500:
+                    self._race.record_failure(context)
                 return relayed
         except AttemptFailed as error:
             context.source = None
-            context.may_have_run = may_have_run or error.sent
+            context.may_have_run = may_have_run or error.sent or context.lost_runs > 0
             context.runs += error.sent and response is None
             if not error.sent:
                 context.open_run = None
+            self._race.record_failure(context)
             self._recorder.record_failure(context, state, error)
             if response is None:
                 self._record_unreached(context, error, state)
@@ -184,6 +198,19 @@
             if response is not None:
                 response.close()
 
+    async def _ask(
+        self,
+        context: RequestContext,
+        state: RunnerState,
+        backup: RunnerState | None = None,
+    ) -> RunnerResponse:
+        """Send an attempt and return its response once the headers are there."""
+        with self._reachability.watch():
+            attempt = self._make_attempt(context, state, backup)
+            response = await self._await_headers(context, state, attempt)
+        self._reachability.record_answer()
+        return response
+
     def _make_attempt(
         self,
         context: RequestContext,
@@ -230,9 +257,9 @@
             context,
             self._clock.monotonic(),
             lambda: state.answered_at,
-            lambda: self._has_alternative(context),
+            lambda: context.has_attempt_left and self._has_alternative(context),
         )
-        is_last = context.runs + 1 >= context.route.max_attempts
+        is_last = not context.has_attempt_left
         if not context.is_repeatable or context.trial or is_last or context.is_late:
             response = await self._client.send(attempt)
         else:
@@ -254,6 +281,11 @@
         except TimeoutError as error:
             raise RunnerSilent(attempt.runner.name) from error
 
+    def _may_hedge(self, context: RequestContext) -> bool:
+        """Return whether a send without a reservation may be hedged."""
+        is_plain = self._find_engine(context.service) is None
+        return is_plain and self._race.applies(context)
+
     def _may_outlast(self, context: RequestContext) -> bool:
         """Return whether a run may go on though its connection is gone.
 
--- a/hawthornshelf/gateway/budget.py
+++ b/hawthornshelf/gateway/budget.py
@@ -4,7 +4,7 @@
 from collections import deque
 from typing import NamedTuple
 
-__all__ = ["RetryBudget", "RetryLimits"]
+__all__ = ["RetryBudget", "RetryLimits", "SlidingWindow"]
 
 SAFETY_FACTOR = 0.6
 """Share of the fleet's allowance that nodes use, as their count may be wrong."""
@@ -24,7 +24,7 @@
     window: float = 10.0
 
 
-class _SlidingWindow:
+class SlidingWindow:
     """Count the events of the last `seconds`."""
 
     def __init__(self, seconds: float) -> None:
@@ -32,13 +32,16 @@
         self._times: deque[float] = deque()
 
     def add(self, now: float) -> None:
+        """Count an event; `now` in monotonic seconds."""
         self._times.append(now)
 
     def remove(self, at: float) -> None:
+        """Take back an event that was counted at a time."""
         with contextlib.suppress(ValueError):
             self._times.remove(at)
 
     def count(self, now: float) -> int:
+        """Return the number of events in the window that ends now."""
         while self._times and self._times[0] <= now - self._seconds:
             self._times.popleft()
         return len(self._times)
@@ -53,8 +56,8 @@
 
     def __init__(self, limits: RetryLimits = RetryLimits()) -> None:
         self._limits = limits
-        self._requests: dict[str, _SlidingWindow] = {}
-        self._extra_sends: dict[str, _SlidingWindow] = {}
+        self._requests: dict[str, SlidingWindow] = {}
+        self._extra_sends: dict[str, SlidingWindow] = {}
 
     def record_request(self, now: float, service: str) -> None:
         """Count a caller's request to a service."""
@@ -82,7 +85,7 @@
         """Take back an extra send that was counted at a time and did not take place."""
         self._find(self._extra_sends, service).remove(at)
 
-    def _find(self, windows: dict[str, _SlidingWindow], service: str) -> _SlidingWindow:
+    def _find(self, windows: dict[str, SlidingWindow], service: str) -> SlidingWindow:
         if service not in windows:
-            windows[service] = _SlidingWindow(self._limits.window)
+            windows[service] = SlidingWindow(self._limits.window)
         return windows[service]
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -10,6 +10,7 @@
     RunnerResponse,
     SecondRunRefused,
 )
+from hawthornshelf.gateway.hedging import HedgeLimit, RaceEnd
 from hawthornshelf.gateway.identity import (
     RequestDigests,
     digest_parts,
@@ -67,6 +68,10 @@
     `reserved_send` is the next send if the retry budget holds it already.
     `owes_event` tells whether a stream is known to have an event to come; `origin` is
     what wrote the events that the caller has, None while it has none.
+    `open_hedges` is 1 while a hedge and the first send are both unanswered, `lost_runs`
+    counts runs at runners whose answer is not used as another one is awaited or there.
+    `race_end` tells which send of a hedged request won, `hedge_limit` what forbade a
+    hedge; both are None for a request that had its answer in time.
     """
 
     inbound: InboundRequest
@@ -110,6 +115,10 @@
     is_open_elsewhere: bool = False
     is_suspect: bool = False
     trial: frozenset[bytes] = frozenset()
+    open_hedges: int = 0
+    lost_runs: int = 0
+    race_end: RaceEnd | None = None
+    hedge_limit: HedgeLimit | None = None
     _digests: RequestDigests | None = None
     _parts: tuple[bytes, ...] | None = None
 
@@ -170,6 +179,17 @@
         self.backup = None
         return may_have_run
 
+    @property
+    def has_attempt_left(self) -> bool:
+        """Return whether the route allows another run beside those that are open."""
+        return self.runs + self.open_hedges + 1 < self.route.max_attempts
+
+    def describe_hedge(self) -> dict[str, str]:
+        """Return which send won, or what forbade a hedge; empty for most requests."""
+        if self.race_end is not None:
+            return {"won": self.race_end.value}
+        return {"unhedged": self.hedge_limit.value} if self.hedge_limit else {}
+
     def may_pass_on(self, response: RunnerResponse) -> bool:
         """Return whether the caller may get a response as it is.
 
--- a/hawthornshelf/gateway/crashdetector.py
+++ b/hawthornshelf/gateway/crashdetector.py
@@ -133,16 +133,26 @@
         self.suspects_at[runner.name] += flight.is_suspect
         try:
             yield flight
-        except AttemptFailed as error:
+        except BaseException as error:
             self._on_failure(flight, error)
             raise
-        except BaseException:
-            self._lose(flight, broke=False)
-            raise
         else:
             self._on_answer(flight, key)
         finally:
-            self._forget(flight, key)
+            self.forget(flight)
+
+    def forget(self, flight: Flight) -> None:
+        """Watch a request no longer; its end says nothing of the runner from now on."""
+        key = flight.runner.key
+        flights = self._flights.get(key, set())
+        if flight not in flights:
+            return
+        flights.discard(flight)
+        if not flights:
+            del self._flights[key]
+        self.suspects_at[flight.runner.name] -= flight.is_suspect
+        if not self.suspects_at[flight.runner.name]:
+            del self.suspects_at[flight.runner.name]
 
     async def settle(self, runner: Runner) -> None:
         """Wait briefly until it is known whether a runner that broke has crashed."""
@@ -181,6 +191,8 @@
     # Flights
 
     def _on_answer(self, flight: Flight, key: str) -> None:
+        if flight not in self._flights.get(key, ()):
+            return
         now = self._clock.monotonic()
         self._heard[key] = now
         if not flight.is_answered:
@@ -201,14 +213,18 @@
             return False
         return self._table.clear(now, flight.context.digest())
 
-    def _on_failure(self, flight: Flight, error: AttemptFailed) -> None:
+    def _on_failure(self, flight: Flight, error: BaseException) -> None:
         match error:
+            case _ if flight not in self._flights.get(flight.runner.key, ()):
+                pass
             case ConnectionRefused():
                 self._on_refused(flight)
-            case RunnerSilent():
-                self._lose(flight, broke=False)
-            case _ if error.sent:
+            case AttemptFailed(sent=False):
+                pass
+            case AttemptFailed() if not isinstance(error, RunnerSilent):
                 self._lose(flight, broke=True)
+            case _:
+                self._lose(flight, broke=False)
 
     def _on_refused(self, flight: Flight) -> None:
         """Investigate a runner that refuses connections and may have lost requests."""
@@ -217,15 +233,6 @@
             now = self._clock.monotonic()
             self._start(self._open_case(key, flight.runner, now))
 
-    def _forget(self, flight: Flight, key: str) -> None:
-        flights = self._flights[key]
-        flights.discard(flight)
-        if not flights:
-            del self._flights[key]
-        self.suspects_at[flight.runner.name] -= flight.is_suspect
-        if not self.suspects_at[flight.runner.name]:
-            del self.suspects_at[flight.runner.name]
-
     def _lose(self, flight: Flight, broke: bool) -> None:
         """Record a request without a response.
 
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -24,6 +24,7 @@
     RunnerClient,
     RunNotEnded,
 )
+from hawthornshelf.gateway.hedging import HedgePolicy
 from hawthornshelf.gateway.loadprobe import LoadProbe
 from hawthornshelf.gateway.notices import NoticeRecorder
 from hawthornshelf.gateway.peerrelay import (
@@ -35,6 +36,7 @@
 from hawthornshelf.gateway.placement import Placer
 from hawthornshelf.gateway.prober import RunnerProber
 from hawthornshelf.gateway.quarantine import Quarantine, RequestBlocked
+from hawthornshelf.gateway.race import SendRace
 from hawthornshelf.gateway.ratelimiter import AskPermit, RateLimiter
 from hawthornshelf.gateway.reachability import RunnerReachability
 from hawthornshelf.gateway.recorder import Recorder
@@ -88,6 +90,7 @@
         choose_peer: ChoosePeer = choose_no_peer,
         request_view: Callable[[str], None] = lambda node: None,
         origins: StreamOrigins | None = None,
+        hedge_share: float = 0.0,
     ) -> None:
         self._limiter = RateLimiter(rate_limits, ask_permit, clock, rng)
         client.on_notice = NoticeRecorder(runners, self._limiter, clock).record
@@ -142,6 +145,20 @@
         self._retry_detectors: dict[str, RetryDetector] = {}
         self._index = RouteIndex()
         self._durations = RouteDurations()
+        self._hedges = HedgePolicy(hedge_share)
+        self._race = SendRace(
+            self._hedges,
+            runners,
+            self._limiter,
+            self._retries,
+            self._crashes,
+            self._quarantine,
+            self._reachability,
+            self._recorder,
+            metrics,
+            count_nodes,
+            clock,
+        )
         self._attempts = AttemptSender(
             client,
             runners,
@@ -156,6 +173,7 @@
             self._recorder,
             self._durations,
             self._silence,
+            self._race,
             lambda service: self._index.find_engine(service),
             clock,
         )
@@ -218,6 +236,7 @@
         names = {route.name for route in table.routes}
         self._durations.retain(names)
         self._silence.retain(names)
+        self._hedges.retain(names, {service.name for service in table.services})
         items = self._retry_detectors.items()
         self._retry_detectors = {
             name: detector for name, detector in items if name in names
@@ -273,7 +292,9 @@
     ) -> RequestContext:
         weights = [split.weight for split in route.splits]
         split = self._rng.choices(route.splits, weights)[0]
-        self._budget.record_request(self._clock.monotonic(), split.service)
+        now = self._clock.monotonic()
+        self._budget.record_request(now, split.service)
+        self._hedges.record_request(now, split.service)
         deadline = min(inbound.deadline, inbound.arrived_at + route.timeout)
         target_at = self._estimate_first_sent(inbound, route) + route.target
         return RequestContext(
@@ -438,11 +459,7 @@
             return await self._try_engine(context, prompt)
         excluded = self._exclude_runners(context, standing)
         state = await self._chooser.choose_plain(context, excluded)
-        state.in_flight += 1
-        try:
-            return await self._attempts.send(context, state, None)
-        finally:
-            state.in_flight -= 1
+        return await self._attempts.send(context, state, None)
 
     async def _resume_from_backup(
         self, context: RequestContext, backup: RunnerState
@@ -527,6 +544,7 @@
 
         A response that has started is broken off; else the caller gets an error.
         """
+        self._race.record_failure(context)
         if context.writer.headers_sent:
             context.writer.abort()
             self._recorder.record_end(context, outcome or "cut")
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -82,6 +82,7 @@
         limits: RetryLimits,
         poll_limits: ListPace,
         relay_client: RelayClient | None = None,
+        hedge_share: float = 0.0,
     ) -> None:
         super().__init__(settings, peer, None, clock, rng)
         self._codec = codec
@@ -114,6 +115,7 @@
             self._choose_peer,
             lambda node: self.post(ViewRequested(node)),
             self.origins,
+            hedge_share,
         )
         self._core.members.count_streams = self.runners.count_interactive_requests
         self.is_leaving = False
--- a/hawthornshelf/gateway/quarantine.py
+++ b/hawthornshelf/gateway/quarantine.py
@@ -78,6 +78,17 @@
         context.is_suspect = bool(standing.crashes)
         return standing
 
+    def is_clear(self, context: RequestContext) -> bool:
+        """Return whether a request is under no suspicion; count no trial."""
+        if not self._table.has_suspects:
+            return True
+        now, suspects = self._clock.monotonic(), context.suspects()
+        if any(c.suspects.intersection(suspects) for c in self._table.culprits(now)):
+            return False
+        digests = context.digests()
+        standing = self._table.unexplained(now, digests.content, digests.resource)
+        return not standing.crashes
+
     def _check_culprit(
         self,
         context: RequestContext,
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -330,6 +330,7 @@
             routes=context.route_number,
             relayed=context.inbound.relayed_runs is not None,
             reason=context.reason,
+            **context.describe_hedge(),
         )
 
     def record_unrouted(
--- a/hawthornshelf/gateway/retrygate.py
+++ b/hawthornshelf/gateway/retrygate.py
@@ -72,9 +72,18 @@
 
     def release(self, context: RequestContext) -> None:
         """Give back a reserved send that did not take place."""
-        reserved, context.reserved_send = context.reserved_send, None
+        reserved = self.take(context)
         if reserved is not None:
-            self._budget.give_back(reserved.service, reserved.at)
+            self.give_back(reserved)
+
+    def take(self, context: RequestContext) -> ReservedSend | None:
+        """Return the reserved send of a request, which stays counted, or None."""
+        reserved, context.reserved_send = context.reserved_send, None
+        return reserved
+
+    def give_back(self, reserved: ReservedSend) -> None:
+        """Take back a send that was counted and did not take place."""
+        self._budget.give_back(reserved.service, reserved.at)
 
     def _has_reserved(self, context: RequestContext) -> bool:
         reserved = context.reserved_send
--- a/hawthornshelf/metrics.py
+++ b/hawthornshelf/metrics.py
@@ -1,6 +1,6 @@
 """Count request outcomes and measure latencies per work class."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -75,6 +75,8 @@
         self._buckets: dict[tuple[int, str], _Bucket] = {}
         self._permits: dict[_PermitKey, int] = {}
         self._run_ends: dict[str, HdrHistogram] = {}
+        self._hedges: dict[str, int] = {}
+        self._hedge_refusals: dict[str, int] = {}
 
     def record(self, wall_time: float, request: RequestOutcome) -> None:
         """Count a request that ended at `wall_time`, in seconds since the epoch.
@@ -99,6 +101,19 @@
         key = _PermitKey(service, is_granted)
         self._permits[key] = self._permits.get(key, 0) + 1
 
+    def show_hedges(self, limits: Iterable[str]) -> None:
+        """Export the counters of hedges from now on, also while they are 0."""
+        self._hedges = {"sent": 0, "won": 0}
+        self._hedge_refusals = dict.fromkeys(limits, 0)
+
+    def count_hedge(self, outcome: str) -> None:
+        """Count a second send of a request that was still open; `sent` or `won`."""
+        self._hedges[outcome] += 1
+
+    def count_hedge_refusal(self, limit: str) -> None:
+        """Count a hedge that a limit forbade."""
+        self._hedge_refusals[limit] += 1
+
     def record_run_end(self, outcome: str, seconds: float) -> None:
         """Count what was found on the end of a run, and the seconds that it took."""
         if outcome not in self._run_ends:
@@ -119,7 +134,13 @@
         registry = CollectorRegistry()
         registry.register(
             _MetricsCollector(
-                self._outcomes, self._permits, self._run_ends, self._latencies, gauges
+                self._outcomes,
+                self._permits,
+                self._run_ends,
+                self._hedges,
+                self._hedge_refusals,
+                self._latencies,
+                gauges,
             )
         )
         return generate_latest(registry)
@@ -144,12 +165,16 @@
         outcomes: Mapping[_OutcomeKey, int],
         permits: Mapping[_PermitKey, int],
         run_ends: Mapping[str, HdrHistogram],
+        hedges: Mapping[str, int],
+        hedge_refusals: Mapping[str, int],
         latencies: Mapping[str, HdrHistogram],
         gauges: Mapping[str, float],
     ) -> None:
         self._outcomes = outcomes
         self._permits = permits
         self._run_ends = run_ends
+        self._hedges = hedges
+        self._hedge_refusals = hedge_refusals
         self._latencies = latencies
         self._gauges = gauges
 
@@ -161,6 +186,7 @@
         for key, count in self._outcomes.items():
             requests.add_metric([key.work, key.outcome], count)
         families = [requests, self._collect_permits(), *self._collect_run_ends()]
+        families += self._collect_hedges()
         return [*families, *self._collect_latencies(), *self._collect_gauges()]
 
     def _collect_permits(self) -> CounterMetricFamily:
@@ -192,6 +218,26 @@
                 waits.add_metric([outcome, str(quantile / 100)], value)
         return [counts, waits]
 
+    def _collect_hedges(self) -> list[Any]:
+        """Return the counters of hedges, none where no hedge may be sent."""
+        if not self._hedges:
+            return []
+        hedges = CounterMetricFamily(
+            "hawthornshelf_hedges",
+            "Second sends of requests that were still open, and those that won",
+            labels=["outcome"],
+        )
+        refusals = CounterMetricFamily(
+            "hawthornshelf_hedges_refused",
+            "Hedges that a limit forbade",
+            labels=["limit"],
+        )
+        for outcome, count in self._hedges.items():
+            hedges.add_metric([outcome], count)
+        for limit, count in self._hedge_refusals.items():
+            refusals.add_metric([limit], count)
+        return [hedges, refusals]
+
     def _collect_latencies(self) -> list[Any]:
         family = GaugeMetricFamily(
             "hawthornshelf_latency_seconds",
