Let the leader call the platform, with its term as the fencing number

Some calls to the platform are the duty of one node at a time.

A new term is now noticed also if the replica led in the one before, so the wait starts anew. Without the setting no effect arises and no byte changes.

--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -16,6 +16,7 @@
     RemoveNode,
     Result,
 )
+from hawthornshelf.duties import DutySettings, HandoverWait
 from hawthornshelf.effects import Effect, Send, log
 from hawthornshelf.engineorders import OrderReconciler
 from hawthornshelf.errors import MalformedMessage
@@ -23,6 +24,7 @@
     EngineStateRead,
     OrderEnded,
     Persisted,
+    PlatformCallEnded,
     PlatformListed,
     StorageLost,
 )
@@ -49,6 +51,7 @@
     SubmitReply,
     ViewUpdate,
 )
+from hawthornshelf.platformduties import PlatformDuties
 from hawthornshelf.raft import Raft, Timing
 from hawthornshelf.raftmessages import RaftMessage, RaftSend
 from hawthornshelf.replicas import ReplicaReconciler
@@ -88,6 +91,7 @@
     uses_platform: bool = False
     compact_entries: int = COMPACT_ENTRIES
     voters: int = 0
+    duties: DutySettings = DutySettings()
 
 
 class _TimestampedCommand(NamedTuple):
@@ -140,6 +144,10 @@
         self._control_nodes = control_nodes
         self._log_bytes = 0
         self._orders = OrderReconciler(self._propose_own, settings.order_timeout)
+        self._handover_wait = HandoverWait(
+            settings.timing.election, settings.clock_drift, settings.order_timeout
+        )
+        self._duties = PlatformDuties(settings.duties, self._handover_wait)
         self._status_of = status_of
         self._pending: dict[int, _PendingReply] = {}
         self._replica_nodes: dict[str, str] = {}
@@ -149,7 +157,7 @@
         self._heard: dict[str, tuple[str, float]] = {}
         self._awaited_due = now + AWAITED_AFTER_SECONDS
         self._reconcile_due = 0.0
-        self._was_leader = False
+        self._led_term = 0
         self._logged_voters = VoterSet(Membership())
         self._leader_since = now
         self._leaving_at = NEVER
@@ -184,7 +192,12 @@
         self,
         now: float,
         wall: float,
-        event: Persisted | StorageLost | EngineStateRead | OrderEnded | PlatformListed,
+        event: Persisted
+        | StorageLost
+        | EngineStateRead
+        | OrderEnded
+        | PlatformCallEnded
+        | PlatformListed,
     ) -> None:
         """Process an event that concerns this replica."""
         self._now, self._wall = now, wall
@@ -198,6 +211,8 @@
                 self._orders.on_engine_state(now, event)
             case OrderEnded():
                 self._effects.append(self._orders.on_order_ended(now, event))
+            case PlatformCallEnded():
+                self._effects.extend(self._duties.on_call_ended(now, event))
             case PlatformListed():
                 self._platform_list, self._platform_listed_at = event, now
 
@@ -210,6 +225,7 @@
         self.raft.tick(now)
         self._run_raft(now)
         self._handle_leadership_change(now)
+        self._duties.holder.observe(now)
         self._log_membership_change()
         self._log_awaited(now)
         if self.raft.is_ready and now >= self._reconcile_due:
@@ -267,12 +283,10 @@
     def unfenced_orders_from(self) -> float:
         """Return when orders may first be sent to engines that don't check fencing.
 
-        By then the lease of the previous leader has expired, with an allowance for
-        clock drift, and its last order has arrived or timed out. In monotonic seconds.
+        By then the last order of the previous leader has arrived or timed out. In
+        monotonic seconds.
         """
-        timing = self._settings.timing
-        wait = timing.election + self._settings.clock_drift
-        return self._leader_since + wait + self._settings.order_timeout
+        return self._handover_wait.ends_at(self._leader_since)
 
     @property
     def view_revision(self) -> int:
@@ -448,14 +462,17 @@
         return not is_settled and now >= self._hello_due
 
     def _handle_leadership_change(self, now: float) -> None:
-        if self.raft.is_leader == self._was_leader:
+        term = self.raft.term if self.raft.is_leader else 0
+        if term == self._led_term:
             return
-        self._was_leader = self.raft.is_leader
+        self._led_term = term
         if self.raft.is_leader:
             self._leader_since = now
             self._orders.reset()
+            self._effects.extend(self._duties.begin(now, term))
         else:
             self._pending.clear()
+            self._effects.extend(self._duties.end())
         self._log("leadership", leads=self.raft.is_leader, term=self.raft.term)
 
     def _log_membership_change(self) -> None:
--- a/hawthornshelf/effects.py
+++ b/hawthornshelf/effects.py
@@ -5,11 +5,13 @@
 from typing import NamedTuple
 
 from hawthornshelf.commands import Answer, PlaceOrder, Result
+from hawthornshelf.duties import DutyCall
 from hawthornshelf.limitrecords import Permit
 from hawthornshelf.log import Persist
 from hawthornshelf.messages import Message
 
 __all__ = [
+    "CallPlatform",
     "CancelAttempt",
     "CommandEnded",
     "Dispatch",
@@ -75,6 +77,19 @@
     not_after: float
 
 
+@dataclass(frozen=True, slots=True)
+class CallPlatform:
+    """Call the platform before `valid_until`, in monotonic seconds.
+
+    `holder` names this node, `fence` is the number of its term of duty.
+    """
+
+    call: DutyCall
+    holder: str
+    fence: int
+    valid_until: float
+
+
 @dataclass(frozen=True, slots=True)
 class Dispatch:
     """Send a request to an upstream before `not_after`, in monotonic seconds.
@@ -180,6 +195,7 @@
     | ReadEngineState
     | ReadLoad
     | SendOrder
+    | CallPlatform
     | Dispatch
     | CancelAttempt
     | SendChunk
--- a/hawthornshelf/events.py
+++ b/hawthornshelf/events.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from hawthornshelf.commands import Answer, Command
+from hawthornshelf.duties import CallOutcome, DutyCall
 from hawthornshelf.messages import Message
 
 __all__ = [
@@ -23,6 +24,7 @@
     "OrderEnded",
     "PermitRequested",
     "Persisted",
+    "PlatformCallEnded",
     "PlatformListed",
     "ReplicaChangeRequested",
     "RequestArrived",
@@ -129,6 +131,14 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformCallEnded:
+    """Report the end of a call to the platform."""
+
+    call: DutyCall
+    outcome: CallOutcome
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReported:
     """Report an engine's load, or None if it could not be read.
@@ -248,6 +258,7 @@
     | PlatformListed
     | EngineStateRead
     | OrderEnded
+    | PlatformCallEnded
     | LoadReported
     | RequestArrived
     | CallerDisconnected
--- a/hawthornshelf/gateway/contract.py
+++ b/hawthornshelf/gateway/contract.py
@@ -2,10 +2,11 @@
 
 from abc import ABC, abstractmethod
 
+from hawthornshelf.duties import CallOutcome, DutyCall
 from hawthornshelf.gateway.routes import RouteTable
 from hawthornshelf.gateway.runners import RunnerList
 
-__all__ = ["RouteCodec", "RunnerSource"]
+__all__ = ["DutyClient", "RouteCodec", "RunnerSource"]
 
 
 class RouteCodec(ABC):
@@ -25,3 +26,17 @@
     @abstractmethod
     async def read(self) -> RunnerList:
         """Return the whole list; raise HawthornshelfError if reading it fails."""
+
+
+class DutyClient(ABC):
+    """Make the calls to the platform that are the duty of one node."""
+
+    @abstractmethod
+    async def call(
+        self, call: DutyCall, holder: str, fence: int, valid_until: float
+    ) -> CallOutcome:
+        """Make a call once and return its outcome; raise no error of the connection.
+
+        The call must be written before `valid_until`, in monotonic seconds. `holder`
+        names this node, `fence` is the number of its term of duty.
+        """
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -9,10 +9,17 @@
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
+from hawthornshelf.duties import CallOutcome
+from hawthornshelf.effects import CallPlatform, Effect
 from hawthornshelf.errors import HawthornshelfError
-from hawthornshelf.events import PermitRequested, StopRequested, ViewRequested
+from hawthornshelf.events import (
+    PermitRequested,
+    PlatformCallEnded,
+    StopRequested,
+    ViewRequested,
+)
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
-from hawthornshelf.gateway.contract import RouteCodec, RunnerSource
+from hawthornshelf.gateway.contract import DutyClient, RouteCodec, RunnerSource
 from hawthornshelf.gateway.exchange import RunnerClient
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.peerrelay import Peer, RelayClient
@@ -298,6 +305,7 @@
         rng: random.Random,
         codec: RouteCodec,
         transport: Transport | None = None,
+        duty_client: DutyClient | None = None,
     ) -> None:
         super().__init__(
             settings,
@@ -309,6 +317,39 @@
             transport=transport,
         )
         self._codec = codec
+        self._duty_client = duty_client
+        self._duty_calls: set[asyncio.Task[None]] = set()
+
+    def perform_effect(self, effect: Effect) -> None:
+        """Start a call to the platform."""
+        match effect:
+            case CallPlatform() if self._duty_client is not None:
+                task = asyncio.create_task(
+                    self._call_platform(self._duty_client, effect)
+                )
+                self._duty_calls.add(task)
+                task.add_done_callback(self._duty_calls.discard)
+            case CallPlatform(call):
+                write_log("duty-client-missing", level="error")
+                self.post(PlatformCallEnded(call, CallOutcome.FAILED))
+
+    async def _call_platform(self, client: DutyClient, effect: CallPlatform) -> None:
+        outcome = CallOutcome.FAILED
+        try:
+            outcome = await client.call(
+                effect.call, effect.holder, effect.fence, effect.valid_until
+            )
+        except Exception as error:
+            # Without its end the call would block its matter for seconds.
+            write_log("duty-call-failed", level="error", reason=repr(error))
+        self.post(PlatformCallEnded(effect.call, outcome))
+
+    async def stop_peers(self) -> None:
+        """End the calls to the platform, and stop all that other nodes need."""
+        for task in self._duty_calls:
+            task.cancel()
+        await asyncio.gather(*self._duty_calls, return_exceptions=True)
+        await super().stop_peers()
 
     async def replace_routes(self, body: bytes) -> RoutesInForce | None:
         """Commit a route document; return None if it may or may not be committed.
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -14,6 +14,7 @@
 from hawthornshelf.controlcontact import ControlContact
 from hawthornshelf.crashgossip import CrashGossip
 from hawthornshelf.departures import DepartureTable
+from hawthornshelf.duties import DutySettings
 from hawthornshelf.effects import (
     CommandEnded,
     Effect,
@@ -30,6 +31,7 @@
     OrderEnded,
     PermitRequested,
     Persisted,
+    PlatformCallEnded,
     PlatformListed,
     ReplicaChangeRequested,
     RequestArrived,
@@ -113,6 +115,7 @@
     voters: int = 0
     gateway: bool = False
     named_by_address: bool = False
+    duties: DutySettings = DutySettings()
 
 
 class NodeCore:
@@ -193,7 +196,13 @@
                 self._receive(now, wall, sender, message)
             case RequestArrived():
                 self._on_request(now, event)
-            case Persisted() | StorageLost() | EngineStateRead() | OrderEnded():
+            case (
+                Persisted()
+                | StorageLost()
+                | EngineStateRead()
+                | OrderEnded()
+                | PlatformCallEnded()
+            ):
                 if self.control:
                     self.control.handle(now, wall, event)
             case PlatformListed():
@@ -585,6 +594,7 @@
             timing=self.settings.timing,
             uses_platform=self.settings.uses_platform,
             compact_entries=self.settings.compact_entries,
+            duties=self.settings.duties,
         )
         return ControlCore(
             settings, recovered, rng, now, self.members.status, self.control_nodes
--- a/tests/southernveil/test_boundary.py
+++ b/tests/southernveil/test_boundary.py
@@ -8,9 +8,9 @@
 FOLDER = Path(hawthornshelf.__file__).parent
 PLATFORM_NAMES = re.compile(
     r"X-(Answer-Stamp|Expect-|Kv-|Token-Counts|Prompt-Prefix|Not-Executed|Stage"
-    r"|Deadline-Ms|Request-Id|Request-Priority|Pin-Ms)|Kv-Fetch|KvHandle|Config\.(Get"
+    r"|Deadline-Ms|Request-Id|Request-Priority|Pin-Ms|Duty-Holder|Fence-Token)|Kv-Fetch|KvHandle|Config\.(Get"
     r"|Replace)|HAWTHORNSHELF_BOOT|PathPrefix|TimeoutMs|SloMs|ColdLeftMs|PageToken"
-    r"|TrafficSplit|MaxAttempts|southernveil|readyz",
+    r"|DutyPerS|LeaseMs|ThawMs|ReportWindowS|UsageLateS|UsageOff|TrafficSplit|MaxAttempts|southernveil|readyz",
 )
 
 
--- a/tests/southernveil/test_settings.py
+++ b/tests/southernveil/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 from southernveil.settings import read_settings
 
+from hawthornshelf.duties import Duty, DutySettings
 from tests.southernveil.fakes import make_settings
 
 PORTS = [8144, 8140, 8146, 8143, 7660]
@@ -38,3 +39,45 @@
     with pytest.raises(ExceptionGroup) as caught:
         read_settings(path)
     assert [error.name for error in caught.value.exceptions] == ["file"]
+
+
+def test_no_duty_is_performed_unless_the_platform_gives_it(tmp_path: Path) -> None:
+    settings = make_settings(tmp_path, "127.0.0.1", "control", PORTS, "10.200.0.4:8142")
+    assert settings.duties == DutySettings(holder="front-127.0.0.1")
+
+
+def write_duties(tmp_path: Path, cloud: str, bounds: str) -> Path:
+    make_settings(tmp_path, "127.0.0.1", "control", PORTS, "10.200.0.4:8142")
+    path = tmp_path / "control-127.0.0.1.toml"
+    text = path.read_text().replace("[Cloud]\n", f"[Cloud]\n{cloud}\n")
+    path.write_text(text.replace("[Bounds]\n", f"[Bounds]\n{bounds}\n"))
+    return path
+
+
+def test_duties_and_their_limits_are_decoded(tmp_path: Path) -> None:
+    path = write_duties(
+        tmp_path,
+        'Duties = ["usage", "autoscale"]\nDutyPerS = 20',
+        "Fencing = true\nLeaseMs = 4000\nThawMs = 200\nReportWindowS = 6\n"
+        "UsageLateS = 12\nUsageOff = 0.05",
+    )
+    assert read_settings(path).duties == DutySettings(
+        frozenset({Duty.USAGE, Duty.ENGINES}),
+        "front-127.0.0.1",
+        20,
+        True,
+        4.0,
+        0.2,
+        6,
+        12,
+    )
+
+
+def test_an_unknown_duty_and_a_rate_of_zero_are_reported(tmp_path: Path) -> None:
+    path = write_duties(
+        tmp_path, 'Duties = ["usage", "billing"]\nDutyPerS = 0', "ReportWindowS = 0"
+    )
+    with pytest.raises(ExceptionGroup) as caught:
+        read_settings(path)
+    names = {error.name for error in caught.value.exceptions}
+    assert names == {"Cloud.Duties", "Cloud.DutyPerS", "Bounds.ReportWindowS"}
