Report requests by workspace, from counts that the group commits

Each entry node counts the requests that began to run, in windows of true time, and sends grow-only totals once a second to the leader and to one more replica. Only what a replica has not confirmed is sent: of 85 workspaces most have no new request within a second. A node that the leader can't hear sends through a replica.

The leader closes a window once all live entry nodes are complete, or at 0.6 of the time until the report is due, and commits the sums before it reports them; the first decision for a window is final. The time is a reading of the wall clock plus monotonic time, corrected by a thousandth at most, and the leader's is bounded by the median of the nodes'.

A holder whose calls have failed for 2.5 s hands its leadership over, at most every 20 s: cut off from the platform alone it made windows late.

--- a/hawthornshelf/commands.py
+++ b/hawthornshelf/commands.py
@@ -7,6 +7,7 @@
 from hawthornshelf.configuration import Configuration
 from hawthornshelf.crashrecords import CrashRow
 from hawthornshelf.origins import Origin, OriginRow
+from hawthornshelf.usagerecords import WorkspaceCount
 
 __all__ = [
     "COMMAND_TYPES",
@@ -25,12 +26,14 @@
     "Command",
     "ConfigurationAccepted",
     "ConfigurationConflict",
+    "DecideUsageReport",
     "Done",
     "DrainReason",
     "DrainUpstream",
     "EndTrial",
     "FindOrigin",
     "FinishOrder",
+    "FinishUsageReport",
     "JoinNode",
     "LiftQuarantine",
     "NotFound",
@@ -52,8 +55,10 @@
     "Result",
     "RetireBuild",
     "RoutesInForce",
+    "StartUsageReports",
     "TrialGranted",
     "TrialRefused",
+    "UsageReportDecided",
 ]
 
 
@@ -277,6 +282,28 @@
     digests: tuple[bytes, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class StartUsageReports:
+    """Begin reports with a window, or leave out the windows before it."""
+
+    window: int
+
+
+@dataclass(frozen=True, slots=True)
+class DecideUsageReport:
+    """Decide the counts that are reported for a window, unless they are decided."""
+
+    window: int
+    counts: tuple[WorkspaceCount, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FinishUsageReport:
+    """Mark the report for a window as received."""
+
+    window: int
+
+
 Command = (
     RecordQuarantine
     | LiftQuarantine
@@ -301,6 +328,9 @@
     | ClearSuspects
     | OpenTrial
     | EndTrial
+    | StartUsageReports
+    | DecideUsageReport
+    | FinishUsageReport
 )
 
 
@@ -426,6 +456,14 @@
     origin: Origin | None
 
 
+@dataclass(frozen=True, slots=True)
+class UsageReportDecided:
+    """Return the counts that were decided first for a window."""
+
+    window: int
+    counts: tuple[WorkspaceCount, ...]
+
+
 Result = (
     Done
     | OriginFound
@@ -444,6 +482,7 @@
     | OrderPlaced
     | TrialGranted
     | TrialRefused
+    | UsageReportDecided
 )
 
 COMMAND_TYPES: tuple[type, ...] = (*Command.__args__, *Result.__args__)
--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -49,9 +49,10 @@
     ReplicaChanged,
     Submit,
     SubmitReply,
+    UsageCounts,
     ViewUpdate,
 )
-from hawthornshelf.platformduties import PlatformDuties
+from hawthornshelf.platformduties import DutyFacts, PlatformDuties
 from hawthornshelf.raft import Raft, Timing
 from hawthornshelf.raftmessages import RaftMessage, RaftSend
 from hawthornshelf.replicas import ReplicaReconciler
@@ -131,6 +132,7 @@
         now: float,
         status_of: StatusOf = lambda node: None,
         control_nodes: Callable[[], Iterable[str]] = tuple,
+        duty_facts: DutyFacts = DutyFacts(),
     ) -> None:
         self._settings = settings
         self.raft = Raft(recovered, settings.timing, rng, now)
@@ -147,7 +149,9 @@
         self._handover_wait = HandoverWait(
             settings.timing.election, settings.clock_drift, settings.order_timeout
         )
-        self._duties = PlatformDuties(settings.duties, self._handover_wait)
+        self._duties = PlatformDuties(
+            settings.duties, self._handover_wait, duty_facts, self._propose_own, now
+        )
         self._status_of = status_of
         self._pending: dict[int, _PendingReply] = {}
         self._replica_nodes: dict[str, str] = {}
@@ -183,6 +187,12 @@
                 self._on_change_replica(sender, message)
             case AskControl():
                 self._on_ask_control(now, sender, message)
+            case UsageCounts():
+                leader = self.leader_node()
+                for node, reply in self._duties.receive(
+                    now, self.state, message, leader
+                ):
+                    self._send(node, reply)
             case _ if isinstance(message, RaftMessage):
                 self._replica_nodes[message.sender] = sender
                 self._heard[message.sender] = sender, now
@@ -225,7 +235,7 @@
         self.raft.tick(now)
         self._run_raft(now)
         self._handle_leadership_change(now)
-        self._duties.holder.observe(now)
+        self._duties.observe(now, wall)
         self._log_membership_change()
         self._log_awaited(now)
         if self.raft.is_ready and now >= self._reconcile_due:
@@ -515,7 +525,8 @@
         )
 
     def _reconcile(self, now: float) -> None:
-        if now > self._leaving_at:
+        self._effects.extend(self._duties.check_handover(now))
+        if now > self._leaving_at or self._duties.holder.wants_handover(now):
             self.transfer_leadership(now)
         self._replicas.tick(now)
         self._apply_platform_list(now)
@@ -525,6 +536,7 @@
             now, self.state, lease_until, self.unfenced_orders_from()
         )
         self._effects.extend(effects)
+        self._effects.extend(self._duties.tick(now, self.state, lease_until))
 
     def _apply_platform_list(self, now: float) -> None:
         """Drain leaving upstreams, and remove dead nodes whose VM is not listed."""
--- a/hawthornshelf/duties.py
+++ b/hawthornshelf/duties.py
@@ -43,6 +43,18 @@
 matter until the next change of the holder.
 """
 
+UNREACHED_SECONDS = 2.5
+"""Time of failed calls after which another node should hold the duties.
+
+It leaves time for the next holder's wait and call before a report is due.
+"""
+
+MIN_TENURE_SECONDS = 20.0
+"""Shortest time that a node leads before it hands the duties over.
+
+While the platform is down for all nodes, the leader changes this often at most.
+"""
+
 NEVER = float("inf")
 
 
@@ -157,6 +169,8 @@
         self._matters: dict[_Matter, _MatterRow] = {}
         self._next_call_at = -NEVER
         self._observed_at = NEVER
+        self._began_at = NEVER
+        self._unreached_since = NEVER
         self.fence = 0
         self.starts_at = NEVER
 
@@ -165,11 +179,12 @@
         wait_ends_at = self._wait.ends_at(now)
         self.starts_at = max(wait_ends_at, now + self._settings.lease)
         self.fence = term
+        self._began_at, self._unreached_since = now, NEVER
         self._matters.clear()
 
     def end(self) -> None:
         """Give the duties up."""
-        self.starts_at = NEVER
+        self.starts_at = self._unreached_since = NEVER
         self._matters.clear()
 
     def observe(self, now: float) -> None:
@@ -201,6 +216,10 @@
         row = self._matters.get(matter)
         if row is None:
             return
+        if outcome is not CallOutcome.FAILED:
+            self._unreached_since = NEVER
+        elif self._unreached_since == NEVER:
+            self._unreached_since = now
         match outcome:
             case CallOutcome.DONE:
                 row = _MatterRow()
@@ -214,6 +233,11 @@
                     self._next_call_at = max(self._next_call_at, resumes_at)
         self._matters[matter] = row
 
+    def wants_handover(self, now: float) -> bool:
+        """Return whether another node should lead, as no call has succeeded lately."""
+        has_led = now >= self._began_at + MIN_TENURE_SECONDS
+        return has_led and now >= self._unreached_since + UNREACHED_SECONDS
+
 
 def _find_matter(call: DutyCall) -> _Matter:
     match call:
--- a/hawthornshelf/membership.py
+++ b/hawthornshelf/membership.py
@@ -112,10 +112,14 @@
             r for r in self.rows() if r.entry and r.serving and r.status is alive
         )
 
+    def live_entries(self) -> tuple[str, ...]:
+        """Return the names of the entry nodes that are not dead."""
+        dead = MemberStatus.DEAD
+        return tuple(r.node for r in self.rows() if r.entry and r.status is not dead)
+
     def live_entry_count(self) -> int:
         """Return the number of entry nodes that are not dead, at least 1."""
-        dead = MemberStatus.DEAD
-        return max(1, sum(r.entry and r.status is not dead for r in self.rows()))
+        return max(1, len(self.live_entries()))
 
     def known_entry_count(self) -> int:
         """Return the number of known entry nodes, dead ones included, at least 1.
--- a/hawthornshelf/messages.py
+++ b/hawthornshelf/messages.py
@@ -9,6 +9,7 @@
 from hawthornshelf.limitrecords import Permit, RateLimitRow
 from hawthornshelf.raftmessages import RaftMessage
 from hawthornshelf.state import SharedView
+from hawthornshelf.usagerecords import WindowCounts
 from hawthornshelf.wire import Codec
 
 __all__ = [
@@ -36,6 +37,8 @@
     "ReplicaChanged",
     "Submit",
     "SubmitReply",
+    "UsageCounts",
+    "UsageProgress",
     "ViewNews",
     "ViewUpdate",
 ]
@@ -272,6 +275,36 @@
     age: float
 
 
+@dataclass(frozen=True, slots=True)
+class UsageCounts:
+    """Carry a node's totals of requests by window and workspace.
+
+    They are those of one process (`incarnation`), complete up to `as_of` in seconds
+    since 1970. They changed after version `since` and bring the receiver to `version`.
+    With `relay` they go to a replica that forwards them to the leader.
+    """
+
+    node: str
+    incarnation: str
+    as_of: float
+    windows: tuple[WindowCounts, ...]
+    version: int = 0
+    since: int = 0
+    relay: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class UsageProgress:
+    """Confirm totals up to a version, and name the last window that is decided.
+
+    `leader` is the node believed to be the leader, if any.
+    """
+
+    decided: int
+    version: int
+    leader: str
+
+
 Message = (
     RaftMessage
     | Hello
@@ -295,6 +328,8 @@
     | AskControl
     | ControlWord
     | LeaderWord
+    | UsageCounts
+    | UsageProgress
 )
 
 CODEC = Codec((*Message.__args__, *COMMAND_TYPES))
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -14,7 +14,7 @@
 from hawthornshelf.controlcontact import ControlContact
 from hawthornshelf.crashgossip import CrashGossip
 from hawthornshelf.departures import DepartureTable
-from hawthornshelf.duties import DutySettings
+from hawthornshelf.duties import Duty, DutySettings
 from hawthornshelf.effects import (
     CommandEnded,
     Effect,
@@ -65,15 +65,19 @@
     ReplicaChanged,
     Submit,
     SubmitReply,
+    UsageCounts,
+    UsageProgress,
     ViewNews,
     ViewUpdate,
 )
 from hawthornshelf.permitexchange import Outgoing, PermitExchange
+from hawthornshelf.platformduties import DutyFacts
 from hawthornshelf.raft import Timing
 from hawthornshelf.raftmessages import RaftMessage
 from hawthornshelf.rendezvous import order_nodes
 from hawthornshelf.state import SharedView
 from hawthornshelf.submission import Submitter
+from hawthornshelf.usagesender import UsageSender
 
 __all__ = ["NodeCore", "NodeSettings"]
 
@@ -145,6 +149,13 @@
         self._permits = PermitExchange(self.members)
         self.rate_limits = self._permits.limits
         self.departures = DepartureTable()
+        self.has_workspaces = False
+        self.usage: UsageSender | None = None
+        takes_requests = settings.entry or settings.gateway
+        if takes_requests and Duty.USAGE in settings.duties.duties:
+            self.usage = UsageSender(
+                settings.node, settings.incarnation, settings.duties, rng
+            )
         if recovered is not None:
             self.control = self._make_control(recovered, rng, now)
         if settings.entry:
@@ -171,6 +182,8 @@
     def step(self, now: float, wall: float, events: Sequence[Event]) -> list[Effect]:
         """Process events, run the work that is due and return the effects."""
         self._wall = wall
+        if self.usage is not None:
+            self.usage.time.observe(now, wall)
         for event in events:
             self._handle(now, wall, event)
         self._run_immediate(now, wall)
@@ -268,7 +281,10 @@
                 self.departures.merge(now, departures)
             case PullView(revision) if self.view.revision > revision:
                 self._send(sender, ViewUpdate(self.view))
-            case Hello() | Submit() | ChangeReplica() | AskControl():
+            case UsageProgress():
+                if self.usage is not None:
+                    self.usage.on_progress(now, sender, message)
+            case Hello() | Submit() | ChangeReplica() | AskControl() | UsageCounts():
                 if self.control:
                     self.control.receive(now, wall, sender, message)
             case _ if isinstance(message, RaftMessage) and self.control:
@@ -445,6 +461,8 @@
             self._tick_entry(now)
         if self.entry or self.settings.gateway:
             self._poll_control(now)
+        if self.usage is not None:
+            self._exchange(self.usage.tick(now, self.control_nodes()))
         self._tick_submissions(now)
         self._tick_replica_changes(now)
         self._tick_stop(now)
@@ -597,7 +615,13 @@
             duties=self.settings.duties,
         )
         return ControlCore(
-            settings, recovered, rng, now, self.members.status, self.control_nodes
+            settings,
+            recovered,
+            rng,
+            now,
+            self.members.status,
+            self.control_nodes,
+            DutyFacts(self.members.live_entries, lambda: self.has_workspaces),
         )
 
 
--- a/hawthornshelf/state.py
+++ b/hawthornshelf/state.py
@@ -14,12 +14,14 @@
     Command,
     ConfigurationAccepted,
     ConfigurationConflict,
+    DecideUsageReport,
     Done,
     DrainReason,
     DrainUpstream,
     EndTrial,
     FindOrigin,
     FinishOrder,
+    FinishUsageReport,
     JoinNode,
     LiftQuarantine,
     NotFound,
@@ -41,11 +43,14 @@
     Result,
     RetireBuild,
     RoutesInForce,
+    StartUsageReports,
+    UsageReportDecided,
 )
 from hawthornshelf.configuration import Configuration
 from hawthornshelf.origins import BuildRow, OriginRow, OriginTable
 from hawthornshelf.quarantines import QuarantineRow, QuarantineTable
 from hawthornshelf.suspects import SuspectRow, SuspectTable, TrialRow
+from hawthornshelf.usagerecords import UsageRecords, UsageSnapshot
 
 __all__ = [
     "ChangeRow",
@@ -62,6 +67,7 @@
 MAX_CHANGE_OUTCOMES = 50_000
 MAX_HISTORY = 500
 NO_ROUTES = RoutesInForce(0, b"")
+NO_USAGE = UsageSnapshot()
 
 
 class ChangeRow(NamedTuple):
@@ -147,6 +153,7 @@
     builds: tuple[BuildRow, ...] = ()
     origins: tuple[OriginRow, ...] = ()
     quarantines: tuple[QuarantineRow, ...] = ()
+    usage: UsageSnapshot = NO_USAGE
 
 
 class SharedState:
@@ -167,6 +174,7 @@
         self.routes = NO_ROUTES
         self.origins = OriginTable()
         self.quarantines = QuarantineTable()
+        self.usage = UsageRecords()
 
     def apply(
         self, term: int, index: int, timestamp: float, command: Command
@@ -198,6 +206,8 @@
                 return self._apply_origins(index, command)
             case RecordQuarantine() | LiftQuarantine():
                 return self._apply_quarantine(index, command)
+            case StartUsageReports() | DecideUsageReport() | FinishUsageReport():
+                return self._apply_usage(index, command)
             case JoinNode():
                 self.nodes[command.node] = NodeRow(command.node, command.incarnation)
                 return Done(index)
@@ -249,7 +259,11 @@
             self.origins.builds(),
             self.origins.origins(),
             self.quarantines.rows(),
+            self.usage.snapshot(),
         )
+        if snapshot.usage == NO_USAGE:
+            # Builds that know no usage reports read snapshots that hold none.
+            return msgspec.msgpack.encode(snapshot[:-1])
         return msgspec.msgpack.encode(snapshot)
 
     @classmethod
@@ -273,6 +287,7 @@
         state.routes = snapshot.routes
         state.origins = OriginTable(snapshot.builds, snapshot.origins)
         state.quarantines = QuarantineTable(snapshot.quarantines)
+        state.usage = UsageRecords(snapshot.usage)
         return state
 
     def _apply_shared(self, index: int, command: Command) -> Result:
@@ -329,6 +344,24 @@
             self.revision = index
         return Done(index)
 
+    def _apply_usage(
+        self,
+        index: int,
+        command: StartUsageReports | DecideUsageReport | FinishUsageReport,
+    ) -> Result:
+        match command:
+            case StartUsageReports(window):
+                self.usage.start(window)
+            case DecideUsageReport(window, counts):
+                report = self.usage.decide(window, counts)
+                if report is None:
+                    return NotFound(f"usage window {window}")
+                return UsageReportDecided(report.window, report.counts)
+            case FinishUsageReport(window):
+                if not self.usage.finish(window):
+                    return NotFound(f"usage window {window}")
+        return Done(index)
+
     def _propose(self, index: int, command: ProposeConfiguration) -> Result:
         digest = _digest_proposal(command)
         if command.change_id not in self.outcomes:
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -18,7 +18,9 @@
     Result,
 )
 from hawthornshelf.configuration import Configuration
+from hawthornshelf.duties import DutySettings
 from hawthornshelf.effects import (
+    CallPlatform,
     CancelAttempt,
     CommandEnded,
     Dispatch,
@@ -52,6 +54,7 @@
 from hawthornshelf.messages import CODEC
 from hawthornshelf.node import NodeCore, NodeSettings
 from hawthornshelf.storage import MemoryStorage
+from tests.dutyplatform import DutyPlatform
 from tests.upstreams import FakeEngine, FakeService
 
 __all__ = ["Operation", "CallerRequest", "SimNode", "Simulation"]
@@ -69,7 +72,8 @@
 
     Each start and each kill increments `epoch`, so that events for an earlier process
     are dropped. `backlog` has the actions of a frozen node; `versions` are the
-    configuration versions that the running process has had.
+    configuration versions that the running process has had. `wall_offset` is the error
+    of the wall clock.
     """
 
     name: str
@@ -84,6 +88,7 @@
     versions: list[int] = field(default_factory=list)
     synced_at: float = 0.0
     log_lines: list[LogLine] = field(default_factory=list)
+    wall_offset: float = 0.0
 
 
 class Operation(NamedTuple):
@@ -141,6 +146,9 @@
         self.requests: dict[str, CallerRequest] = {}
         self.platform_states: dict[str, str] = {}
         self.uses_platform = False
+        self.duties = DutySettings()
+        self.has_workspaces = False
+        self.platform = DutyPlatform(self)
         self.control = {f"c{n}": f"sim:c{n}" for n in range(control)}
         for name in self.control:
             self.nodes[name] = SimNode(name, entry=True, control=True)
@@ -185,9 +193,11 @@
             bootstrap=not self.voters or is_first,
             voters=self.voters,
             named_by_address=self.voters > 0,
+            duties=self.duties._replace(holder=name),
         )
         rng = random.Random(self.rng.random())
         node.core = NodeCore(settings, recovered, rng, self.now)
+        node.core.has_workspaces = self.has_workspaces
         node.versions = []
         self._tick(name, node.epoch)
 
@@ -342,7 +352,7 @@
         node = self.nodes[name]
         if node.epoch != epoch or node.core is None:
             return
-        self._run_on_node(name, epoch, lambda: self._step(name, []))
+        self.run_on_node(name, epoch, lambda: self._step(name, []))
         seconds = TICK_SECONDS * self.rng.uniform(0.9, 1.1)
         self.schedule(seconds, lambda: self._tick(name, epoch))
         if (
@@ -362,26 +372,27 @@
 
     def _post(self, name: str, event: Event) -> None:
         epoch = self.nodes[name].epoch
-        self._run_on_node(name, epoch, lambda: self._step(name, [event]))
+        self.run_on_node(name, epoch, lambda: self._step(name, [event]))
 
     def post_later(self, name: str, epoch: int, event: Event, seconds: float) -> None:
         """Pass an event to a node later, unless it is killed before that."""
         action = lambda: self._step(name, [event])  # noqa: E731
-        self.schedule(seconds, lambda: self._run_on_node(name, epoch, action))
+        self.schedule(seconds, lambda: self.run_on_node(name, epoch, action))
 
-    def _run_on_node(self, name: str, epoch: int, action: Callable[[], None]) -> None:
+    def run_on_node(self, name: str, epoch: int, action: Callable[[], None]) -> None:
         node = self.nodes[name]
         if node.epoch != epoch or node.core is None:
             return
         if node.frozen:
-            node.backlog.append(lambda: self._run_on_node(name, epoch, action))
+            node.backlog.append(lambda: self.run_on_node(name, epoch, action))
             return
         action()
 
     def _step(self, name: str, events: list[Event]) -> None:
         node = self.nodes[name]
         assert node.core is not None
-        effects = node.core.step(self.now, self.now, events)
+        wall = self.now + node.wall_offset
+        effects = node.core.step(self.now, wall, events)
         version = node.core.view.version
         if not node.versions or node.versions[-1] != version:
             node.versions.append(version)
@@ -405,6 +416,8 @@
                 self._read_engine(node, upstream)
             case SendOrder():
                 self._send_order(node, effect)
+            case CallPlatform():
+                self.platform.call(node.name, effect)
             case CommandEnded(request, result):
                 node_name, command, invoked_at = self.pending_operations.pop(request)
                 self.operations.append(
@@ -433,7 +446,7 @@
         def deliver() -> None:
             if frozenset((sender, target)) not in self.cut_links:
                 event = MessageReceived(sender, CODEC.decode(data))
-                self._run_on_node(target, epoch, lambda: self._step(target, [event]))
+                self.run_on_node(target, epoch, lambda: self._step(target, [event]))
 
         self.schedule(delay, deliver)
 
@@ -467,7 +480,7 @@
             upstream.start_attempt(self, node.name, epoch, effect, event)
 
         delay = self.rng.uniform(0.0005, 0.003)
-        self.schedule(delay, lambda: self._run_on_node(node.name, epoch, write))
+        self.schedule(delay, lambda: self.run_on_node(node.name, epoch, write))
 
     def _read_load(self, node: SimNode, upstream: str) -> None:
         engine = self.engines.get(upstream)
@@ -516,4 +529,4 @@
                 self.post_later(node.name, epoch, ended, 0.002)
 
         delay = self.rng.uniform(0.001, 0.003)
-        self.schedule(delay, lambda: self._run_on_node(node.name, epoch, write))
+        self.schedule(delay, lambda: self.run_on_node(node.name, epoch, write))
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -124,6 +124,21 @@
     assert holder.start(4.3, FOREVER, REPORT)
 
 
+def test_a_holder_whose_calls_keep_failing_hands_over_but_not_at_once() -> None:
+    """A node that reaches its group and not the platform would report nothing."""
+    holder = make_holder()
+    for at in (15.0, 16.5, 17.8):
+        assert holder.start(at, FOREVER, REPORT)
+        holder.record_end(at, REPORT, CallOutcome.FAILED)
+    assert not holder.wants_handover(19.9)
+    assert holder.wants_handover(20.0)
+    assert holder.start(20.5, FOREVER, REPORT)
+    holder.record_end(20.5, REPORT, CallOutcome.LIMITED)
+    assert not holder.wants_handover(40.0)
+    holder.end()
+    assert not holder.wants_handover(60.0)
+
+
 def test_a_resumed_process_reads_waiting_messages_before_it_calls() -> None:
     holder = make_holder()
     holder.observe(3.9)
