Count the requests of workspaces at the node that their callers asked

`RequestUsage` counts a stream with its first event, and a plain request at the time when it went to the runner that accepted it, however often it is sent, relayed or resumed; the node that a relay goes to doesn't count it. `RequestContext.workspace` is None until workspaces are in force, and nothing is counted then.

`ControlNode` performs `CallPlatform` through `DutyCaller`, and reads from the route document whether it names workspaces.

--- a/hawthornshelf/gateway/attempts.py
+++ b/hawthornshelf/gateway/attempts.py
@@ -23,6 +23,7 @@
 from hawthornshelf.gateway.quarantine import Quarantine
 from hawthornshelf.gateway.reachability import RunnerReachability
 from hawthornshelf.gateway.recorder import Recorder
+from hawthornshelf.gateway.requestusage import RequestUsage
 from hawthornshelf.gateway.retrygate import RetryGate
 from hawthornshelf.gateway.routes import EngineProfile, RetryPolicy
 from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
@@ -58,6 +59,7 @@
         silence: SilenceLimits,
         find_engine: Callable[[str], EngineProfile | None],
         clock: Clock,
+        usage: RequestUsage,
     ) -> None:
         self._client = client
         self._runners = runners
@@ -74,6 +76,7 @@
         self._silence = silence
         self._find_engine = find_engine
         self._clock = clock
+        self._usage = usage
         self._streams = StreamRelay(recorder)
 
     async def prefill(
@@ -147,7 +150,9 @@
             with self._crashes.watch(context, state.runner) as flight:
                 with self._reachability.watch():
                     attempt = self._make_attempt(context, state, backup)
+                    self._usage.hand_over(context)
                     response = await self._await_headers(context, state, attempt)
+                self._usage.settle(context, response)
                 self._reachability.record_answer()
                 if response.not_run or not response.is_stream:
                     context.open_run = None
@@ -172,6 +177,7 @@
                 return relayed
         except AttemptFailed as error:
             context.source = None
+            self._usage.settle_failure(context, error)
             context.may_have_run = may_have_run or error.sent
             context.runs += error.sent and response is None
             if not error.sent:
@@ -181,6 +187,7 @@
                 self._record_unreached(context, error, state)
             return False
         finally:
+            self._usage.settle(context, response)
             if response is not None:
                 response.close()
 
@@ -323,6 +330,7 @@
     def _record_first_event(
         self, context: RequestContext, runner: Runner, reservation: Reservation | None
     ) -> None:
+        self._usage.begin(context)
         self._continuer.begin(context, Origin(context.service, runner.build))
         self._record_first_byte(context, reservation)
 
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -67,6 +67,9 @@
     `reserved_send` is the next send if the retry budget holds it already.
     `owes_event` tells whether a stream is known to have an event to come; `origin` is
     what wrote the events that the caller has, None while it has none.
+    `workspace` names that of the caller; it is empty for an anonymous one, None if no
+    workspaces are in force. `usage_hold` is the number of the request among those that
+    may be refused yet, 0 for none; `is_counted` tells whether the usage counts it.
     """
 
     inbound: InboundRequest
@@ -110,6 +113,9 @@
     is_open_elsewhere: bool = False
     is_suspect: bool = False
     trial: frozenset[bytes] = frozenset()
+    workspace: str | None = None
+    usage_hold: int = 0
+    is_counted: bool = False
     _digests: RequestDigests | None = None
     _parts: tuple[bytes, ...] | None = None
 
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -38,6 +38,7 @@
 from hawthornshelf.gateway.ratelimiter import AskPermit, RateLimiter
 from hawthornshelf.gateway.reachability import RunnerReachability
 from hawthornshelf.gateway.recorder import Recorder
+from hawthornshelf.gateway.requestusage import RequestUsage
 from hawthornshelf.gateway.retrydetector import RetryDetector
 from hawthornshelf.gateway.retrygate import RetryGate
 from hawthornshelf.gateway.routegate import RouteGate
@@ -54,6 +55,7 @@
 from hawthornshelf.gateway.streamorigins import StreamOrigins
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.ratelimits import RateLimitTable
+from hawthornshelf.usagesender import UsageSender
 
 __all__ = ["Forwarder"]
 
@@ -88,7 +90,9 @@
         choose_peer: ChoosePeer = choose_no_peer,
         request_view: Callable[[str], None] = lambda node: None,
         origins: StreamOrigins | None = None,
+        usage: UsageSender | None = None,
     ) -> None:
+        request_usage = RequestUsage(usage, clock)
         self._limiter = RateLimiter(rate_limits, ask_permit, clock, rng)
         client.on_notice = NoticeRecorder(runners, self._limiter, clock).record
         self._runners = runners
@@ -110,6 +114,7 @@
             self._continuer,
             self._silence,
             clock,
+            request_usage,
         )
         self._releaser = CacheReleaser(client, runners, self._limiter)
         self._stopper = RunStopper(
@@ -158,6 +163,7 @@
             self._silence,
             lambda service: self._index.find_engine(service),
             clock,
+            request_usage,
         )
         self._limits: set[asyncio.Timeout] = set()
         self._ends_at = float("inf")
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -9,17 +9,12 @@
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
-from hawthornshelf.duties import CallOutcome
 from hawthornshelf.effects import CallPlatform, Effect
 from hawthornshelf.errors import HawthornshelfError
-from hawthornshelf.events import (
-    PermitRequested,
-    PlatformCallEnded,
-    StopRequested,
-    ViewRequested,
-)
+from hawthornshelf.events import PermitRequested, StopRequested, ViewRequested
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
 from hawthornshelf.gateway.contract import DutyClient, RouteCodec, RunnerSource
+from hawthornshelf.gateway.dutycalls import DutyCaller
 from hawthornshelf.gateway.exchange import RunnerClient
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.peerrelay import Peer, RelayClient
@@ -121,6 +116,7 @@
             self._choose_peer,
             lambda node: self.post(ViewRequested(node)),
             self.origins,
+            self._core.usage,
         )
         self._core.members.count_streams = self.runners.count_interactive_requests
         self.is_leaving = False
@@ -139,7 +135,7 @@
         """Return the current values for the metrics."""
         now = self._clock.monotonic()
         counts = self._core.crashes.counts(now)
-        return {
+        gauges = {
             "open_requests": float(self.forwarder.open_requests),
             "runner_crashes_known": float(len(self._core.crashes)),
             "suspect_requests": float(counts.suspects),
@@ -154,6 +150,9 @@
             "control_word_age_seconds": min(self._core.staleness(now), MAX_AGE_SECONDS),
             "streams_remembered": float(self.origins.stream_count),
         }
+        if self._core.usage is not None:
+            gauges["usage_requests_too_late"] = float(self._core.usage.counter.late)
+        return gauges
 
     def is_ready(self) -> bool:
         """Return whether this node should get new requests."""
@@ -317,38 +316,31 @@
             transport=transport,
         )
         self._codec = codec
-        self._duty_client = duty_client
-        self._duty_calls: set[asyncio.Task[None]] = set()
+        self._duty_caller = DutyCaller(duty_client, self.post)
+        self._route_number = 0
 
     def perform_effect(self, effect: Effect) -> None:
         """Start a call to the platform."""
-        match effect:
-            case CallPlatform() if self._duty_client is not None:
-                task = asyncio.create_task(
-                    self._call_platform(self._duty_client, effect)
-                )
-                self._duty_calls.add(task)
-                task.add_done_callback(self._duty_calls.discard)
-            case CallPlatform(call):
-                write_log("duty-client-missing", level="error")
-                self.post(PlatformCallEnded(call, CallOutcome.FAILED))
-
-    async def _call_platform(self, client: DutyClient, effect: CallPlatform) -> None:
-        outcome = CallOutcome.FAILED
+        if isinstance(effect, CallPlatform):
+            self._duty_caller.start(effect)
+
+    def on_step(self) -> None:
+        """Note whether the route document in force names workspaces."""
+        routes = self._core.view.routes
+        has_duties = bool(self.node_settings.duties.duties)
+        if not has_duties or routes.number <= self._route_number:
+            return
+        self._route_number = routes.number
         try:
-            outcome = await client.call(
-                effect.call, effect.holder, effect.fence, effect.valid_until
-            )
-        except Exception as error:
-            # Without its end the call would block its matter for seconds.
-            write_log("duty-call-failed", level="error", reason=repr(error))
-        self.post(PlatformCallEnded(effect.call, outcome))
+            table = self._codec.decode(zlib.decompress(routes.body))
+        except (ExceptionGroup, zlib.error) as error:
+            write_log("routes-unreadable", level="error", reason=str(error))
+            return
+        self._core.has_workspaces = getattr(table, "workspaces", None) is not None
 
     async def stop_peers(self) -> None:
-        """End the calls to the platform, and stop all that other nodes need."""
-        for task in self._duty_calls:
-            task.cancel()
-        await asyncio.gather(*self._duty_calls, return_exceptions=True)
+        """Stop the calls to the platform, and all that other nodes need."""
+        await self._duty_caller.stop()
         await super().stop_peers()
 
     async def replace_routes(self, body: bytes) -> RoutesInForce | None:
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -19,6 +19,7 @@
 from hawthornshelf.gateway.flight import Flight
 from hawthornshelf.gateway.reachability import RunnerReachability
 from hawthornshelf.gateway.recorder import Recorder
+from hawthornshelf.gateway.requestusage import RequestUsage
 from hawthornshelf.gateway.retrygate import RetryGate
 from hawthornshelf.gateway.routegate import RouteGate
 from hawthornshelf.gateway.runners import Runner
@@ -111,6 +112,7 @@
         continuer: StreamContinuer,
         silence: SilenceLimits,
         clock: Clock,
+        usage: RequestUsage,
     ) -> None:
         self._client = client
         self._choose_peer = choose_peer
@@ -122,6 +124,7 @@
         self._silence = silence
         self._streams = StreamRelay(recorder)
         self._clock = clock
+        self._usage = usage
         self.relayed = 0
 
     def applies(self, context: RequestContext) -> bool:
@@ -168,19 +171,23 @@
         self.relayed += 1
         response: RunnerResponse | None = None
         try:
+            self._usage.hand_over(context)
             response = await self._ask(context, peer)
+            self._usage.settle(context, response)
             self._recorder.record_relay_response(context, peer.node, response)
             if response.not_run:
                 context.may_have_run = may_have_run
             context.response = response
             return await self._pass_on(context, peer, response)
         except AttemptFailed as error:
+            self._usage.settle_failure(context, error)
             context.may_have_run = may_have_run or error.sent
             context.runs += error.sent
             context.is_open_elsewhere = error.sent and context.route.is_generation
             self._recorder.record_relay_failure(context, peer.node, error)
             return False
         finally:
+            self._usage.settle(context, response)
             if response is not None:
                 response.close()
 
@@ -283,6 +290,7 @@
         self, context: RequestContext, peer: Peer, response: RunnerResponse
     ) -> None:
         """Record the first event; what wrote it is unknown if the peer doesn't tell."""
+        self._usage.begin(context)
         unknown = Origin(context.service, f"?{peer.node}")
         self._continuer.begin(context, response.origin or unknown)
         self._record_first(context)
--- a/tests/shellfleet.py
+++ b/tests/shellfleet.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from hawthornshelf.duties import DutySettings
 from hawthornshelf.errors import CallFailed
 from hawthornshelf.gateway import node as gateway
-from hawthornshelf.gateway.contract import RouteCodec
+from hawthornshelf.gateway.contract import DutyClient, RouteCodec
 from hawthornshelf.gateway.routes import RouteTable
 from hawthornshelf.log import RecoveredState
 from hawthornshelf.node import NodeSettings
@@ -19,7 +20,7 @@
 from hawthornshelf.storage import DiskStorage
 from tests.gateway.load import VirtualClock, run_in_virtual_time
 
-__all__ = ["CONTACT_SECONDS", "Change", "ShellFleet", "SimDisk"]
+__all__ = ["CONTACT_SECONDS", "Change", "NumberCodec", "ShellFleet", "SimDisk"]
 
 CONTACT_SECONDS = 3.0
 """The platform's time after a disturbance until a node is held to its bounds."""
@@ -65,7 +66,7 @@
         pass
 
 
-class _NumberCodec(RouteCodec):
+class NumberCodec(RouteCodec):
     """Read documents that are a number, and maybe some padding after a space."""
 
     def decode(self, body: bytes) -> RouteTable:
@@ -86,6 +87,7 @@
         self.blocked: Callable[[str, str], bool] = lambda source, target: False
         self.bytes_per_second: dict[str, float] = {}
         self.opened = 0
+        self.on_data: Callable[[str, str, bytes], None] = lambda s, t, data: None
 
     def silence(self, share: float, rng: random.Random, names: Iterable[str]) -> None:
         """Let a share of the connections of some addresses go silent for good."""
@@ -96,6 +98,7 @@
 
     async def transfer(self, connection: "_SimConnection", data: bytes) -> None:
         """Wait until data has passed the slower of the links of both ends."""
+        self.on_data(connection.source, connection.target, data)
         ends = (connection.source, connection.target)
         rates = [self.bytes_per_second.get(end, float("inf")) for end in ends]
         await asyncio.sleep(len(data) / min(rates))
@@ -192,6 +195,9 @@
     padding: bytes = b""
     compact_entries: int = 200
     changes: list[Change] = field(default_factory=list)
+    duties: DutySettings = DutySettings()
+    duty_client: DutyClient | None = None
+    codec: RouteCodec = field(default_factory=NumberCodec)
 
     def __post_init__(self) -> None:
         self.clock = VirtualClock()
@@ -228,8 +234,9 @@
             self.disks[name],
             self.clock,
             random.Random(f"{self.seed}/{name}"),
-            _NumberCodec(),
+            self.codec,
             _SimTransport(self.network, name),
+            self.duty_client,
         )
         self.controls[name] = shell
         await shell.start_peers()
@@ -282,6 +289,7 @@
             voters=self.voters,
             gateway=is_entry,
             named_by_address=True,
+            duties=self.duties._replace(holder=f"name of {name}"),
         )
 
     async def change(self) -> Change:
