--- a/hawthornshelf/gateway/attempts.py
+++ b/hawthornshelf/gateway/attempts.py
@@ -25,6 +25,7 @@
 from hawthornshelf.gateway.race import SendRace, SendSteps
 from hawthornshelf.gateway.reachability import RunnerReachability
 from hawthornshelf.gateway.recorder import Recorder
+from hawthornshelf.gateway.requestusage import RequestUsage
 from hawthornshelf.gateway.retrygate import RetryGate
 from hawthornshelf.gateway.routes import EngineProfile, RetryPolicy
 from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
@@ -61,6 +62,7 @@
         race: SendRace,
         find_engine: Callable[[str], EngineProfile | None],
         clock: Clock,
+        usage: RequestUsage,
     ) -> None:
         self._client = client
         self._runners = runners
@@ -78,6 +80,7 @@
         self._race = race
         self._find_engine = find_engine
         self._clock = clock
+        self._usage = usage
         self._streams = StreamRelay(recorder)
 
     async def prefill(
@@ -151,6 +154,7 @@
             with contextlib.ExitStack() as watches:
                 is_plain = reservation is None and copy is None
                 leg = self._race.open_leg(watches, context, state, is_plain)
+                self._usage.hand_over(context)
                 if is_plain and self._may_hedge(context):
                     steps = SendSteps(self._ask, self._record_unreached)
                     leg = await self._race.run(context, leg, watches, steps)
@@ -158,6 +162,7 @@
                     response = leg.response()
                 else:
                     response = await self._ask(context, state, backup)
+                self._usage.settle(context, response)
                 if response.not_run or not response.is_stream:
                     context.open_run = None
                 elif context.open_run is not None:
@@ -185,6 +190,7 @@
                 return relayed
         except AttemptFailed as error:
             context.source = None
+            self._usage.settle_failure(context, error)
             context.may_have_run = may_have_run or error.sent or context.lost_runs > 0
             context.runs += error.sent and response is None
             if not error.sent:
@@ -195,6 +201,7 @@
                 self._record_unreached(context, error, state)
             return False
         finally:
+            self._usage.settle(context, response)
             if response is not None:
                 response.close()
 
@@ -355,6 +362,7 @@
     def _record_first_event(
         self, context: RequestContext, runner: Runner, reservation: Reservation | None
     ) -> None:
+        self._usage.begin(context)
         self._continuer.begin(context, Origin(context.service, runner.build))
         self._record_first_byte(context, reservation)
 
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -72,6 +72,9 @@
     counts runs at runners whose answer is not used as another one is awaited or there.
     `race_end` tells which send of a hedged request won, `hedge_limit` what forbade a
     hedge; both are None for a request that had its answer in time.
+    `workspace` names that of the caller; it is empty for an anonymous one, None if no
+    workspaces are in force. `usage_hold` is the number of the request among those that
+    may be refused yet, 0 for none; `is_counted` tells whether the usage counts it.
     """
 
     inbound: InboundRequest
@@ -119,6 +122,9 @@
     lost_runs: int = 0
     race_end: RaceEnd | None = None
     hedge_limit: HedgeLimit | None = None
+    workspace: str | None = None
+    usage_hold: int = 0
+    is_counted: bool = False
     _digests: RequestDigests | None = None
     _parts: tuple[bytes, ...] | None = None
 
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -40,6 +40,7 @@
 from hawthornshelf.gateway.ratelimiter import AskPermit, RateLimiter
 from hawthornshelf.gateway.reachability import RunnerReachability
 from hawthornshelf.gateway.recorder import Recorder
+from hawthornshelf.gateway.requestusage import RequestUsage
 from hawthornshelf.gateway.retrydetector import RetryDetector
 from hawthornshelf.gateway.retrygate import RetryGate
 from hawthornshelf.gateway.routegate import RouteGate
@@ -56,6 +57,7 @@
 from hawthornshelf.gateway.streamorigins import StreamOrigins
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.ratelimits import RateLimitTable
+from hawthornshelf.usagesender import UsageSender
 
 __all__ = ["Forwarder"]
 
@@ -91,7 +93,9 @@
         request_view: Callable[[str], None] = lambda node: None,
         origins: StreamOrigins | None = None,
         hedge_share: float = 0.0,
+        usage: UsageSender | None = None,
     ) -> None:
+        request_usage = RequestUsage(usage, clock)
         self._limiter = RateLimiter(rate_limits, ask_permit, clock, rng)
         client.on_notice = NoticeRecorder(runners, self._limiter, clock).record
         self._runners = runners
@@ -113,6 +117,7 @@
             self._continuer,
             self._silence,
             clock,
+            request_usage,
         )
         self._releaser = CacheReleaser(client, runners, self._limiter)
         self._stopper = RunStopper(
@@ -176,6 +181,7 @@
             self._race,
             lambda service: self._index.find_engine(service),
             clock,
+            request_usage,
         )
         self._limits: set[asyncio.Timeout] = set()
         self._ends_at = float("inf")
