--- a/tests/southernveil/test_relay.py
+++ b/tests/southernveil/test_relay.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field, replace
 
 import aiohttp
+import eliot
 import pytest
 from southernveil.headers import ORIGIN_HEADER, RELAY_HEADER, ROUTES_HEADER
 from southernveil.runnerclient import HttpRelayClient, make_session
@@ -286,3 +287,53 @@
             assert caller.status in (502, 504)
 
     run(check())
+
+
+@dataclass
+class BrokenPeer(RawRunner):
+    """Answer each request with bytes that are no HTTP."""
+
+    heads: list[bytes] = field(default_factory=list)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(b"HTTP/1.1 abc\r\nno header\r\n\r\n")
+            await writer.drain()
+        writer.close()
+
+
+def test_an_answer_that_is_no_http_brings_no_credential_into_log_or_answer() -> None:
+    """The library's error for such an answer shows the headers of its request."""
+
+    async def check() -> None:
+        broken = BrokenPeer("peer", [])
+        server = await asyncio.start_server(broken.serve, "127.0.0.1", 0)
+        peer = Peer("peer", f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        lost = [LostRunner(f"lost{number}", []) for number in range(3)]
+        lines: list[str] = []
+
+        def add(message: object) -> None:
+            lines.append(repr(message))
+
+        async with start_forwarder(SAFE_ROUTE, *lost, peer=peer) as forwarder:
+            for listed in forwarder._runners.staying():
+                await forwarder._prober.probe_reachability(listed)
+            inbound = make_inbound()
+            credential = Header("Authorization", "Bearer secret")
+            head = (Header("Host", "h"), *inbound.headers, credential)
+            caller = Caller()
+            eliot.add_destinations(add)
+            try:
+                await forwarder.serve(replace(inbound, headers=head), caller)
+            finally:
+                eliot.remove_destination(add)
+        server.close()
+        assert caller.status in (502, 503)
+        assert any(b"secret" in head for head in broken.heads)
+        assert "relay-failed" in "".join(lines)
+        assert "secret" not in "".join(lines) + caller.reason
+
+    run(check())
