Identify callers by API keys where the route document names workspaces

Cause: the system could not tell whose a request is, so it could neither refuse strangers nor order, count or limit by workspace.

Change: a route document may have Tenants with their keys, and routes with AllowAnonymous. The entry node that takes a request decides by its document: 401 without Retry-After for a missing or unknown key, after 503 (no document, or a newer one known) and 404. Runners get exactly one X-Tenant and never the key, on each way that builds an Attempt; a relay carries the caller's headers and the other node decides again. A workspace's priority replaces that of the route in the request's copy of it. An invalid document is refused with all faults by position.

--- a/hawthornshelf/commands.py
+++ b/hawthornshelf/commands.py
@@ -1,6 +1,6 @@
 """Define the commands of the replicated state machine and their results."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
@@ -215,7 +215,7 @@
     """
 
     number: int
-    body: bytes
+    body: bytes = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -416,7 +416,7 @@
     """Represent the current route document; number 0 means that there is none."""
 
     number: int
-    body: bytes
+    body: bytes = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/hawthornshelf/gateway/attempts.py
+++ b/hawthornshelf/gateway/attempts.py
@@ -199,6 +199,7 @@
             context.last_event_id or context.inbound.resume_after,
             context.source,
             backup.runner.address if backup else "",
+            context.workspace,
         )
 
     def _choose_backup(
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -67,6 +67,8 @@
     `reserved_send` is the next send if the retry budget holds it already.
     `owes_event` tells whether a stream is known to have an event to come; `origin` is
     what wrote the events that the caller has, None while it has none.
+    `workspace` is the caller's, empty for an anonymous one, None where no workspaces
+    are in force.
     """
 
     inbound: InboundRequest
@@ -110,9 +112,17 @@
     is_open_elsewhere: bool = False
     is_suspect: bool = False
     trial: frozenset[bytes] = frozenset()
+    workspace: str | None = None
     _digests: RequestDigests | None = None
     _parts: tuple[bytes, ...] | None = None
 
+    def log_fields(self) -> dict[str, str]:
+        """Return what names the request in a log line, with its workspace if any."""
+        fields = {"request": self.inbound.request_id}
+        if self.workspace is not None:
+            fields["workspace"] = self.workspace
+        return fields
+
     def digests(self) -> RequestDigests:
         """Return the digests of the request, computed once."""
         if self._digests is None:
--- a/hawthornshelf/gateway/crashdetector.py
+++ b/hawthornshelf/gateway/crashdetector.py
@@ -189,7 +189,7 @@
         if self._table.complete(now, flight.proven()) or self._clear(now, flight):
             write_log(
                 "suspect-cleared",
-                request=context.inbound.request_id,
+                **context.log_fields(),
                 content=context.digest().hex(),
                 parts=len(context.part_digests()) if flight.has_run else 0,
                 runner=flight.runner.name,
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -86,10 +86,11 @@
     """Represent a complete request of a caller; times are monotonic seconds.
 
     `resume_after` is the id of the last event that the caller has received. `caller`
-    is the credential that the caller sent, empty if it sent none. `resumes` is the id
-    of the request that brought the first event, as the caller says. `relayed_runs` is
-    None unless another node relayed the request: then it is what that node says of the
-    attempts that are left out. This one makes one attempt, whatever it says.
+    is the credential that the caller sent, empty if it sent none, or the name of its
+    workspace where such are in force; `key` is the API key in the credential. `resumes`
+    is the id of the request that brought the first event, as the caller says.
+    `relayed_runs` is None unless another node relayed the request: then it is what that
+    node says of the attempts left out. This one makes one attempt, whatever it says.
     `relayed_routes` is the number of the newest route document that the other node
     knows of, 0 if it does not say; `relayed_origin` is what wrote the events that the
     caller has, and `relayed_runners` names runners that may still work on the request.
@@ -99,18 +100,19 @@
     method: str
     target: str
     host: str
-    headers: tuple[Header, ...]
-    body: bytes
+    headers: tuple[Header, ...] = field(repr=False)
+    body: bytes = field(repr=False)
     arrived_at: float
     deadline: float
     prompt: Prompt | None = None
     resume_after: str = ""
-    caller: str = ""
+    caller: str = field(default="", repr=False)
     resumes: str = ""
     relayed_runs: int | None = None
     relayed_routes: int = 0
     relayed_origin: Origin | None = None
     relayed_runners: frozenset[str] = frozenset()
+    key: str = field(default="", repr=False)
 
     @property
     def path(self) -> str:
@@ -131,7 +133,8 @@
 
     `priority` orders the queue of an engine: 0 goes first, 9 last. `source` is a KV
     cache to continue from. `backup`, if given, is the address of another engine that
-    is to keep a copy of the run's KV cache as it grows.
+    is to keep a copy of the run's KV cache as it grows. `workspace` is the caller's,
+    empty for an anonymous caller; None passes the caller's headers on unchanged.
     """
 
     inbound: InboundRequest
@@ -141,6 +144,7 @@
     resume_after: str = ""
     source: KvCacheHandle | None = None
     backup: str = ""
+    workspace: str | None = None
 
 
 class AttemptFailed(HawthornshelfError):
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -24,6 +24,11 @@
     RunnerClient,
     RunNotEnded,
 )
+from hawthornshelf.gateway.identification import (
+    CallerKnown,
+    CallerUnknown,
+    identify_caller,
+)
 from hawthornshelf.gateway.loadprobe import LoadProbe
 from hawthornshelf.gateway.notices import NoticeRecorder
 from hawthornshelf.gateway.peerrelay import (
@@ -162,7 +167,9 @@
         self._limits: set[asyncio.Timeout] = set()
         self._ends_at = float("inf")
         self._has_ended = False
+        self._loaded_at = float("-inf")
         self.open_requests = 0
+        self.unknown_callers = 0
         self.is_closed = False
 
     @property
@@ -214,6 +221,7 @@
     def load(self, table: RouteTable) -> None:
         """Apply a newer route table; requests in flight keep the old one."""
         self._index = RouteIndex(table)
+        self._loaded_at = self._clock.monotonic()
         self._routes.load(table.number)
         names = {route.name for route in table.routes}
         self._durations.retain(names)
@@ -256,10 +264,14 @@
         if route is None:
             await self._refuse_unrouted(inbound, writer, 404, "no route")
             return
-        if not self._ends_in_time(inbound, route):
-            await self._refuse_unrouted(inbound, writer, 503, "this node stops")
-            return
-        await self._run_request(self._make_context(inbound, route, writer))
+        match identify_caller(self._index.workspaces, route, inbound):
+            case CallerUnknown(reason):
+                self.unknown_callers += 1
+                await self._refuse_unrouted(inbound, writer, 401, reason)
+            case CallerKnown(inbound, route) if not self._ends_in_time(inbound, route):
+                await self._refuse_unrouted(inbound, writer, 503, "this node stops")
+            case CallerKnown() as caller:
+                await self._run_request(self._make_context(caller, writer))
 
     def _ends_in_time(self, inbound: InboundRequest, route: Route) -> bool:
         """Return whether a request ends before this node does."""
@@ -269,8 +281,9 @@
         return may_end_in_time(now, self._ends_at, deadline, duration)
 
     def _make_context(
-        self, inbound: InboundRequest, route: Route, writer: ResponseWriter
+        self, caller: CallerKnown, writer: ResponseWriter
     ) -> RequestContext:
+        inbound, route = caller.inbound, caller.route
         weights = [split.weight for split in route.splits]
         split = self._rng.choices(route.splits, weights)[0]
         self._budget.record_request(self._clock.monotonic(), split.service)
@@ -287,6 +300,7 @@
             tried=set(inbound.relayed_runners),
             runs=_count_missing_attempts(inbound, route),
             owes_event=route.is_generation and not inbound.resume_after,
+            workspace=caller.workspace,
         )
 
     def _estimate_first_sent(self, inbound: InboundRequest, route: Route) -> float:
@@ -308,7 +322,8 @@
         route_number: int = 0,
     ) -> None:
         number = self._index.table.number
-        self._recorder.record_unrouted(inbound.request_id, status, reason, number)
+        age = self._clock.monotonic() - self._loaded_at
+        self._recorder.record_unrouted(inbound.request_id, status, reason, number, age)
         retry_after = 0.0
         if status == 503:
             is_stopping = self._ends_at < float("inf") or self.is_closed
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -141,6 +141,7 @@
             "rate_limited_runners": float(self._core.rate_limits.count),
             "reaches_runners": float(self.forwarder.reaches_runners),
             "relayed_requests": float(self.forwarder.relayed_requests),
+            "unknown_callers": float(self.forwarder.unknown_callers),
             "leaving_runners": float(len(self._core.departures)),
             "routes_number": float(self._route_number),
             "lost_peers": float(self.count_lost_peers()),
--- a/hawthornshelf/gateway/quarantine.py
+++ b/hawthornshelf/gateway/quarantine.py
@@ -104,7 +104,7 @@
         context.trial = culprit.suspects
         write_log(
             "suspect-tried",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             suspects=",".join(sorted(digest.hex() for digest in shared)),
             of=len(culprit.suspects),
             crashes=",".join(standing.crashes),
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -48,7 +48,7 @@
             state.down_until = max(state.down_until, now + BUSY_SECONDS)
         write_log(
             "attempt-refused",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             runner=state.runner.name,
             status=status,
             attempt=context.sends,
@@ -61,7 +61,7 @@
         """Record that a runner chosen earlier is leaving and gets no more work."""
         write_log(
             "runner-left",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             runner=state.runner.name,
             attempt=context.sends,
             list_age=self._list_age(),
@@ -74,7 +74,7 @@
         self._runners.record_error(self._clock.monotonic(), state)
         write_log(
             "attempt-failed",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             runner=state.runner.name,
             status=status,
             attempt=context.sends,
@@ -87,7 +87,7 @@
         context.reason = f"status {response.status} without a word that it has not run"
         write_log(
             "response-withheld",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             peer=peer,
             status=response.status,
             attempt=context.sends,
@@ -101,7 +101,7 @@
         context.reason = f"{error.step}: {error.reason}"
         write_log(
             "attempt-failed",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             runner=state.runner.name,
             step=error.step,
             reason=error.reason,
@@ -121,7 +121,7 @@
         """Record that a request goes to one more runner, and on what ground."""
         write_log(
             "request-resent",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             runner=state.runner.name,
             attempt=context.sends,
             **self._describe_ground(context),
@@ -140,7 +140,7 @@
         self._metrics.record_run_end(end, seconds)
         write_log(
             "run-settled",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             runner=runner.name,
             boot=runner.boot,
             outcome=end,
@@ -164,7 +164,7 @@
         """Record that a request goes to another node, and on what ground."""
         write_log(
             "request-relayed",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             peer=peer,
             attempt=context.sends,
             number=len(context.peers),
@@ -181,7 +181,7 @@
         """Record what another node answered, and whether that means not run."""
         write_log(
             "relay-answered",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             peer=peer,
             status=response.status,
             not_run=response.not_run,
@@ -195,7 +195,7 @@
         context.reason = f"{error.step}: {error.reason}"
         write_log(
             "relay-failed",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             peer=peer,
             step=error.step,
             reason=error.reason,
@@ -210,7 +210,7 @@
         origin = context.origin
         write_log(
             "stream-continued",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             resumes=context.inbound.resumes[:MAX_LOGGED_ID],
             outcome=continuation.name.lower(),
             service=origin.service if origin is not None else "",
@@ -234,7 +234,7 @@
         if standing.crashes:
             write_log(
                 "suspect-sent",
-                request=context.inbound.request_id,
+                **context.log_fields(),
                 content=context.digest().hex(),
                 resource=context.digests().resource.hex(),
                 runner=state.runner.name,
@@ -246,7 +246,7 @@
         """Record that a request may not run now."""
         write_log(
             "request-blocked",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             content=context.digest().hex(),
             resource=context.digests().resource.hex(),
             outcome=blocked.outcome,
@@ -269,7 +269,7 @@
         write_log(
             "request-error",
             level="error",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             runner=context.last_runner,
             reason=context.reason,
         )
@@ -308,7 +308,7 @@
         waited = context.reserved_at - arrived if context.reserved_at else 0.0
         write_log(
             "request-ended",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             route=context.route.name,
             outcome=outcome,
             status=status,
@@ -333,15 +333,19 @@
         )
 
     def record_unrouted(
-        self, request: str, status: int, reason: str, routes: int
+        self, request: str, status: int, reason: str, routes: int, age: float
     ) -> None:
-        """Record a request that was refused before it was routed."""
+        """Record a request that was refused before it was routed.
+
+        `age` is for how long the route document `routes` is in force here, in seconds.
+        """
         write_log(
             "request-refused",
             request=request,
             status=status,
             reason=reason,
             routes=routes,
+            routes_age=round(age, 3),
         )
 
     def _describe_ground(self, context: RequestContext) -> dict[str, str | float]:
--- a/hawthornshelf/gateway/routes.py
+++ b/hawthornshelf/gateway/routes.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from hawthornshelf.errors import DeclarationError
+from hawthornshelf.workspaces import Workspace, WorkspaceIndex, check_workspaces
 
 __all__ = [
     "CallerLimits",
@@ -68,7 +69,8 @@
 
     `timeout` limits a request, `target` is the objective for its first byte or token,
     and `max_attempts` limits its runs. `stall_limit` is the longest pause between two
-    events that callers of a stream wait for.
+    events that callers of a stream wait for. `allows_anonymous` lets callers without a
+    known API key in, where workspaces are in force.
     """
 
     name: str
@@ -83,6 +85,7 @@
     resumable: bool = False
     is_generation: bool = False
     stall_limit: float = 2.0
+    allows_anonymous: bool = False
 
 
 class CallerLimits(NamedTuple):
@@ -95,12 +98,16 @@
 
 
 class RouteTable(NamedTuple):
-    """Store the routes and services of one route document with its number."""
+    """Store the routes and services of one route document with its number.
+
+    `workspaces` is None if the document has none: then callers need no API key.
+    """
 
     number: int = 0
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceSpec, ...] = ()
     limits: CallerLimits = CallerLimits()
+    workspaces: tuple[Workspace, ...] | None = None
 
 
 def check_table(table: RouteTable) -> list[DeclarationError]:
@@ -114,6 +121,7 @@
         if (route.host, route.prefix) in places:
             faults.append(DeclarationError(path, "host and prefix are taken"))
         places.add((route.host, route.prefix))
+    faults.extend(check_workspaces(table.workspaces or ()))
     return faults
 
 
@@ -141,6 +149,9 @@
 
     def __init__(self, table: RouteTable = RouteTable()) -> None:
         self.table = table
+        self.workspaces = (
+            None if table.workspaces is None else WorkspaceIndex(table.workspaces)
+        )
         self._hosts: dict[str, dict[str, Route]] = {}
         self._health_paths = {
             service.name: service.health_path
--- a/tests/southernveil/fakes.py
+++ b/tests/southernveil/fakes.py
@@ -158,7 +158,8 @@
 
     `copies` are the KV cache handles, apart from its own, that the runner accepts;
     `rate_limit` is what its answers name, if anything; `disconnected` is set when a
-    caller closes the connection of a hanging request.
+    caller closes the connection of a hanging request. `heads` are the headers of all
+    calls as they came, also of those that are no request of a caller.
     """
 
     name: str = "i-1"
@@ -169,6 +170,7 @@
     disconnected: asyncio.Event = field(default_factory=asyncio.Event)
     copies: set[str] = field(default_factory=set)
     rate_limit: str = ""
+    heads: list[tuple[tuple[str, str], ...]] = field(default_factory=list)
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return this runner's entry in the platform's list."""
@@ -187,6 +189,7 @@
         return entry
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.heads.append(tuple(request.headers.items()))
         body = await request.read()
         if request.raw_path == "/hawthornshelf/report":
             report = {"Running": 12, "Waiting": 1, "Stage": self.stage, "Busy": False}
--- a/tests/southernveil/test_boundary.py
+++ b/tests/southernveil/test_boundary.py
@@ -10,7 +10,7 @@
     r"X-(Answer-Stamp|Expect-|Kv-|Token-Counts|Prompt-Prefix|Not-Executed|Stage"
     r"|Deadline-Ms|Request-Id|Request-Priority|Pin-Ms)|Kv-Fetch|KvHandle|Config\.(Get"
     r"|Replace)|HAWTHORNSHELF_BOOT|PathPrefix|TimeoutMs|SloMs|ColdLeftMs|PageToken"
-    r"|TrafficSplit|MaxAttempts|southernveil|readyz",
+    r"|X-Tenant|ApiKeys|AllowAnonymous|\bTenants\b|TrafficSplit|MaxAttempts|southernveil|readyz",
 )
 
 
--- a/tests/southernveil/test_headers.py
+++ b/tests/southernveil/test_headers.py
@@ -1,5 +1,10 @@
 import pytest
-from southernveil.headers import decode_origin, decode_rate_limit, encode_origin
+from southernveil.headers import (
+    decode_key,
+    decode_origin,
+    decode_rate_limit,
+    encode_origin,
+)
 
 from hawthornshelf.origins import Origin
 
@@ -36,3 +41,23 @@
     assert text.isascii() and text.isprintable()
     assert decode_origin(text) == origin
     assert decode_origin("") is decode_origin("v1") is None
+
+
+@pytest.mark.parametrize(
+    ("credential", "key"),
+    [
+        ("Bearer k", "k"),
+        ("bEARER   k", "k"),
+        ("Bearer k l", "k l"),
+        ("Bearer Bearer k", "Bearer k"),
+        ("", ""),
+        ("Bearer", ""),
+        ("Bearer ", ""),
+        ("Bearer\tk", ""),
+        (" Bearer k", ""),
+        ("Basic k", ""),
+        ("k", ""),
+    ],
+)
+def test_a_key_is_what_follows_the_scheme_bearer(credential: str, key: str) -> None:
+    assert decode_key(credential) == key
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -30,6 +30,15 @@
 ]
 
 
+def test_a_request_of_an_unknown_caller_is_shown_with_the_reason() -> None:
+    line = (
+        f"{HEAD} event=request-refused request=5b1d status=401 "
+        'reason="the API key is unknown" routes=9 routes_age=41.2 node=a-1'
+    )
+    trace = explain_request("5b1d", [line])
+    assert trace.conclusion == "refused at a-1 with 401: the API key is unknown"
+
+
 def test_a_refused_request_is_shown_with_the_events_of_its_node() -> None:
     trace = explain_request("7fc6", REFUSED)
     assert trace.conclusion == (
