--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -128,6 +128,13 @@
     _digests: RequestDigests | None = None
     _parts: tuple[bytes, ...] | None = None
 
+    def log_fields(self) -> dict[str, str]:
+        """Return what names the request in a log line, with its workspace if any."""
+        fields = {"request": self.inbound.request_id}
+        if self.workspace is not None:
+            fields["workspace"] = self.workspace
+        return fields
+
     def digests(self) -> RequestDigests:
         """Return the digests of the request, computed once."""
         if self._digests is None:
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -146,6 +146,7 @@
             "rate_limited_runners": float(self._core.rate_limits.count),
             "reaches_runners": float(self.forwarder.reaches_runners),
             "relayed_requests": float(self.forwarder.relayed_requests),
+            "unknown_callers": float(self.forwarder.unknown_callers),
             "leaving_runners": float(len(self._core.departures)),
             "routes_number": float(self._route_number),
             "lost_peers": float(self.count_lost_peers()),
@@ -338,7 +339,7 @@
         except (ExceptionGroup, zlib.error) as error:
             write_log("routes-unreadable", level="error", reason=str(error))
             return
-        self._core.has_workspaces = getattr(table, "workspaces", None) is not None
+        self._core.has_workspaces = table.workspaces is not None
 
     async def stop_peers(self) -> None:
         """Stop the calls to the platform, and all that other nodes need."""
