Read the hedge share of the platform's entry role

Cause: the limit on hedges is for operators to set. The product's own serve does not forward by routes, so a flag there would do nothing. The setting is declared with the others in hawthornshelf.settings.

--- a/hawthornshelf/settings.py
+++ b/hawthornshelf/settings.py
@@ -8,11 +8,21 @@
 
 from hawthornshelf.errors import SettingError
 
-__all__ = ["SETTINGS", "Setting", "SettingValue", "Settings", "read_settings"]
+__all__ = [
+    "HEDGE_SHARE",
+    "SETTINGS",
+    "Setting",
+    "SettingValue",
+    "Settings",
+    "read_setting",
+    "read_settings",
+]
 
 ENVIRONMENT_PREFIX = "HAWTHORNSHELF_"
 NAME_CHARACTERS = frozenset("abcdefghijklmnopqrstuvwxyz0123456789-")
 MAX_NAME_LENGTH = 63
+MAX_HEDGE_SHARE = 0.2
+"""Highest share of hedges: what they add to the load of runners stays below a fifth."""
 
 
 class Settings(NamedTuple):
@@ -89,6 +99,20 @@
     return Settings(**fields), values
 
 
+def read_setting(
+    setting: Setting, flags: Mapping[str, str | None], environment: Mapping[str, str]
+) -> Any:
+    """Return the value of one setting; raise SettingError, which names its origin."""
+    value = _resolve_value(setting, flags, environment)
+    try:
+        return setting.parse(value.text)
+    except ValueError as error:
+        name = setting.name
+        if value.origin == setting.variable:
+            name = f"{name} ({setting.variable})"
+        raise SettingError(name, value.display_text(), setting.allowed) from error
+
+
 def _resolve_value(
     setting: Setting, flags: Mapping[str, str | None], environment: Mapping[str, str]
 ) -> SettingValue:
@@ -172,6 +196,13 @@
     return parse
 
 
+def _parse_hedge_share(text: str) -> float:
+    share = float(text)
+    if not 0.0 <= share <= MAX_HEDGE_SHARE:
+        raise ValueError(text)
+    return share
+
+
 def _parse_folder(text: str) -> Path | None:
     return Path(text) if text else None
 
@@ -268,3 +299,12 @@
         "seed", _parse_seed, "a whole number from 0", "0", "random seed, 0 for any"
     ),
 )
+
+HEDGE_SHARE = Setting(
+    "hedge-share",
+    _parse_hedge_share,
+    f"0 to {MAX_HEDGE_SHARE}",
+    "0",
+    "most requests of a service that go to a second runner too, as a share; 0 is off",
+)
+"""Setting of processes that forward by a route document; `serve` has no use for it."""
--- a/tests/southernveil/test_hedges.py
+++ b/tests/southernveil/test_hedges.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import random
+from pathlib import Path
 
 from aiohttp import web
+from southernveil.program import EntryProcess
 from southernveil.runnerclient import HttpRunnerClient, make_session
 
 from hawthornshelf.clock import SystemClock
@@ -23,7 +25,7 @@
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.ratelimits import RateLimitTable
 from tests.gateway.fakes import Caller, grant_permit
-from tests.southernveil.fakes import FakeRunner
+from tests.southernveil.fakes import FakeRunner, make_settings
 
 CLOCK = SystemClock()
 ROUTE = Route(
@@ -97,3 +99,16 @@
             runner.stop()
 
     asyncio.run(play())
+
+
+def test_an_entry_process_ignores_its_hedge_share(tmp_path: Path) -> None:
+    ports = [8144, 8140, 8146, 8143, 7660]
+    settings = make_settings(tmp_path, "127.0.0.1", "entry", ports, "127.0.0.1:1")
+
+    async def export(share: float) -> str:
+        process = EntryProcess(settings, CLOCK, share)
+        await process._session.close()
+        return process.node.metrics.export({}).decode()
+
+    assert "hawthornshelf_hedges_total" in asyncio.run(export(0.05))
+    assert "hedge" not in asyncio.run(export(0.0))
