--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -172,7 +172,7 @@
         assert hedges <= share * requests
 
 
-@pytest.mark.parametrize("nodes", [1, 3])
+@pytest.mark.parametrize("nodes", [1, 3, 24])
 @pytest.mark.parametrize("rate", [700.0, 900.0])
 def test_hedges_go_to_a_service_that_has_more_to_do_than_it_can(
     rate: float, nodes: int
