--- /dev/null
+++ b/hawthornshelf/serviceloads.py
@@ -0,0 +1,178 @@
+"""Measure the load offered to a service from the totals that entry nodes send.
+
+Answers changing load that no single node sees: each node counts what its callers
+offered and what became of it, and the holder of the duty adds the rates up.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from typing import NamedTuple
+
+__all__ = ["LoadLedger", "ServiceDemand", "ServiceLoad"]
+
+RATE_WINDOW_SECONDS = 3.0
+"""Time over which rates are measured; shorter ones vary too much at few prompts."""
+
+MAX_AGE_SECONDS = 3.0
+"""Totals that came longer ago are stale and left out."""
+
+KNOWN_SECONDS = 10.0
+"""A node that sent totals within this time counts as one whose totals are missing."""
+
+MAX_REPORTS_PER_NODE = 16
+"""Reports kept of a node; at one a second a window needs four."""
+
+
+class ServiceLoad(NamedTuple):
+    """Store what one node counted for a service since it started.
+
+    Requests that come again after a refusal are left out of the totals. `offered`,
+    `on_time`, `late` and `refused` count long prompts; a prompt is late if its first
+    token came after its target or not at all. `prompt_tokens` are those of offered
+    prompts that no cache held. `prefill_seconds` is the time to first token of
+    `prefill_tokens` of them. `short_offered` and `short_refused` count interactive
+    requests. `streams` of those and `long_streams` of long prompts are at engines now;
+    `waiting` long prompts have no engine yet.
+    """
+
+    service: str
+    data_centre: str
+    offered: int = 0
+    on_time: int = 0
+    late: int = 0
+    refused: int = 0
+    prompt_tokens: int = 0
+    prefill_tokens: int = 0
+    prefill_seconds: float = 0.0
+    short_offered: int = 0
+    short_refused: int = 0
+    streams: int = 0
+    long_streams: int = 0
+    waiting: int = 0
+
+
+class ServiceDemand(NamedTuple):
+    """Store the load of a service over all nodes; rates are per second.
+
+    `fresh_share` is the share of the known nodes whose totals are fresh.
+    `data_centres` are those of the nodes. The other fields add up `ServiceLoad`.
+    """
+
+    fresh_share: float = 0.0
+    data_centres: tuple[str, ...] = ()
+    offered: float = 0.0
+    on_time: float = 0.0
+    late: float = 0.0
+    refused: float = 0.0
+    prompt_tokens: float = 0.0
+    prefill_tokens: float = 0.0
+    prefill_seconds: float = 0.0
+    short_offered: float = 0.0
+    short_refused: float = 0.0
+    streams: int = 0
+    long_streams: int = 0
+    waiting: int = 0
+
+
+class _Report(NamedTuple):
+    """Store the totals of a node as of its own time, in seconds."""
+
+    as_of: float
+    loads: dict[str, ServiceLoad]
+
+
+class _NodeReports:
+    """Store the recent reports of one run of a node."""
+
+    def __init__(self, incarnation: str) -> None:
+        self.incarnation = incarnation
+        self.received_at = 0.0
+        self.reports: deque[_Report] = deque(maxlen=MAX_REPORTS_PER_NODE)
+
+    def add(self, now: float, report: _Report) -> None:
+        if self.reports and report.as_of <= self.reports[-1].as_of:
+            return
+        self.received_at = now
+        self.reports.append(report)
+        first_needed = report.as_of - RATE_WINDOW_SECONDS
+        while len(self.reports) > 2 and self.reports[1].as_of <= first_needed:
+            self.reports.popleft()
+
+
+class LoadLedger:
+    """Keep the newest totals of each entry node and compute rates from them."""
+
+    def __init__(self) -> None:
+        self._nodes: dict[str, _NodeReports] = {}
+
+    def record(
+        self,
+        now: float,
+        node: str,
+        incarnation: str,
+        as_of: float,
+        loads: Iterable[ServiceLoad],
+    ) -> None:
+        """Record a node's totals as of a time of its own clock, in seconds.
+
+        Totals that are older than the newest ones, or repeated, have no effect.
+        """
+        reports = self._nodes.get(node)
+        if reports is None or reports.incarnation != incarnation:
+            reports = self._nodes[node] = _NodeReports(incarnation)
+        reports.add(now, _Report(as_of, {load.service: load for load in loads}))
+
+    def measure(self, now: float, service: str) -> ServiceDemand:
+        """Return the load of a service by the fresh totals of all nodes."""
+        for node, reports in list(self._nodes.items()):
+            if now > reports.received_at + KNOWN_SECONDS:
+                del self._nodes[node]
+        fresh = [
+            reports
+            for reports in self._nodes.values()
+            if now <= reports.received_at + MAX_AGE_SECONDS
+        ]
+        if not fresh:
+            return ServiceDemand()
+        demand = ServiceDemand(fresh_share=len(fresh) / len(self._nodes))
+        places: set[str] = set()
+        for reports in fresh:
+            load = reports.reports[-1].loads.get(service)
+            if load is not None:
+                places.add(load.data_centre)
+                demand = _add(demand, reports.reports, load)
+        return demand._replace(data_centres=tuple(sorted(places)))
+
+
+def _add(
+    demand: ServiceDemand, reports: deque[_Report], last: ServiceLoad
+) -> ServiceDemand:
+    """Return the sum of a demand and that of one node."""
+    first = reports[0].loads.get(
+        last.service, ServiceLoad(last.service, last.data_centre)
+    )
+    seconds = reports[-1].as_of - reports[0].as_of
+    weight = 1.0 / seconds if seconds > 0 else 0.0
+
+    def rate(newer: float, older: float) -> float:
+        return max(0.0, newer - older) * weight
+
+    return demand._replace(
+        offered=demand.offered + rate(last.offered, first.offered),
+        on_time=demand.on_time + rate(last.on_time, first.on_time),
+        late=demand.late + rate(last.late, first.late),
+        refused=demand.refused + rate(last.refused, first.refused),
+        prompt_tokens=demand.prompt_tokens
+        + rate(last.prompt_tokens, first.prompt_tokens),
+        prefill_tokens=demand.prefill_tokens
+        + rate(last.prefill_tokens, first.prefill_tokens),
+        prefill_seconds=demand.prefill_seconds
+        + rate(last.prefill_seconds, first.prefill_seconds),
+        short_offered=demand.short_offered
+        + rate(last.short_offered, first.short_offered),
+        short_refused=demand.short_refused
+        + rate(last.short_refused, first.short_refused),
+        streams=demand.streams + last.streams,
+        long_streams=demand.long_streams + last.long_streams,
+        waiting=demand.waiting + last.waiting,
+    )
