Count offered load at entry nodes, and read the limits of a service's engines

Cause: the decision on a fleet's size needs what callers offered, also where it was refused, and the limits, prices and kinds of engines, of which nothing was decoded. Change: `LoadCounter` counts generation requests of the node's own callers: offered, on time, late, refused, tokens, seconds of prefill, open. `Autoscale` becomes `ServiceSpec.scaling`, checked with the rest of a document; `Spot` and `leaves_ms` become `Runner.is_spot` and `Runner.leaves_in`. Nothing is sent or ordered yet. The whole suite was not run.

--- a/hawthornshelf/enginegroups.py
+++ b/hawthornshelf/enginegroups.py
@@ -1,9 +1,21 @@
 """Describe the engines of a service by data centre and kind, and their limits."""
 
+from collections.abc import Iterator
 from typing import NamedTuple
 
-__all__ = ["DataCentrePrice", "EngineCount", "EngineGroup", "EngineKey", "EngineLimits"]
+__all__ = [
+    "DataCentrePrice",
+    "EngineCount",
+    "EngineGroup",
+    "EngineKey",
+    "EngineLimits",
+    "check_limits",
+]
 
+MAX_ENGINES = 1000
+"""Largest maximum of a data centre; the decision takes time in proportion to it."""
+
+MAX_BOOT_SECONDS = 600.0
 UNKNOWN_PRICE = 1.0
 """Price of an engine where no data centre has one."""
 
@@ -46,6 +58,19 @@
         return price * self.spot_price if key.is_spot else price
 
 
+def check_limits(limits: EngineLimits) -> Iterator[str]:
+    """Yield every fault of the limits of a service's engines."""
+    if not 0 <= limits.min_engines <= limits.max_engines:
+        yield "the minimum is negative or above the maximum"
+    if limits.max_engines > MAX_ENGINES:
+        yield f"the maximum is above {MAX_ENGINES}"
+    if not 0 < limits.boot_seconds <= MAX_BOOT_SECONDS:
+        yield f"the boot time is not above 0 and up to {MAX_BOOT_SECONDS:g} s"
+    prices = (limits.spot_price, *(price.price for price in limits.prices))
+    if not all(0 <= price < float("inf") for price in prices):
+        yield "a price is negative or not a number"
+
+
 class EngineCount(NamedTuple):
     """Count the listed engines of one data centre and kind.
 
--- a/hawthornshelf/fleetneed.py
+++ b/hawthornshelf/fleetneed.py
@@ -194,8 +194,8 @@
     `long` and `short` are the engines that long and interactive requests need.
     """
     long_share = _share_on_time(demand.on_time, demand.late + demand.refused)
-    short_served = demand.short_offered - demand.short_refused
-    short_share = _share_on_time(short_served, demand.short_refused)
+    short_served = demand.short_offered - demand.short_missed
+    short_share = _share_on_time(short_served, demand.short_missed)
     work = long + short
     done = long * long_share + short * short_share
     if work <= 0 or done >= (1.0 - SHORT_SHARE) * work:
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -54,6 +54,7 @@
 from hawthornshelf.gateway.streamorigins import StreamOrigins
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.ratelimits import RateLimitTable
+from hawthornshelf.serviceloads import ServiceLoad
 
 __all__ = ["Forwarder"]
 
@@ -185,6 +186,10 @@
         """Return how many requests were sent to other nodes."""
         return self._relay.relayed
 
+    def measure_load(self, data_centre: str) -> tuple[ServiceLoad, ...]:
+        """Return what this node, which is in a data centre, counted of each service."""
+        return self._recorder.loads.rows(data_centre, self._scheduler.count_waiting)
+
     async def check_reachability(self) -> None:
         """Probe some runners if it is unclear whether this node reaches any."""
         await self._prober.check_reachability()
@@ -259,7 +264,9 @@
         if not self._ends_in_time(inbound, route):
             await self._refuse_unrouted(inbound, writer, 503, "this node stops")
             return
-        await self._run_request(self._make_context(inbound, route, writer))
+        context = self._make_context(inbound, route, writer)
+        with self._recorder.loads.watch(context):
+            await self._run_request(context)
 
     def _ends_in_time(self, inbound: InboundRequest, route: Route) -> bool:
         """Return whether a request ends before this node does."""
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -4,6 +4,7 @@
 from hawthornshelf.crashrecords import Standing
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.exchange import AttemptFailed, RunnerResponse
+from hawthornshelf.gateway.loadcounter import LoadCounter
 from hawthornshelf.gateway.quarantine import RequestBlocked
 from hawthornshelf.gateway.runners import Runner, RunnerState, RunnerTable
 from hawthornshelf.logs import write_log
@@ -30,6 +31,7 @@
         self._runners = runners
         self._metrics = metrics
         self._clock = clock
+        self.loads = LoadCounter()
 
     def record_refusal(
         self, context: RequestContext, state: RunnerState, status: int
@@ -287,6 +289,8 @@
     def record_event(self, context: RequestContext) -> None:
         """Record one event of a stream, to measure the longest pause between two."""
         context.events += 1
+        if context.events == 1:
+            self.loads.record_first_token(context)
         now = self._clock.monotonic()
         if context.last_event_at:
             pause = now - context.last_event_at
@@ -297,6 +301,7 @@
         self, context: RequestContext, outcome: str, status: int = 0
     ) -> None:
         """Record the end of a request in the metrics and the log."""
+        self.loads.record_end(context, outcome)
         arrived = context.inbound.arrived_at
         seconds = self._clock.monotonic() - arrived
         wall = self._clock.now().timestamp()
--- a/hawthornshelf/gateway/routes.py
+++ b/hawthornshelf/gateway/routes.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from hawthornshelf.enginegroups import EngineLimits, check_limits
 from hawthornshelf.errors import DeclarationError
 
 __all__ = [
@@ -48,12 +49,16 @@
 
 
 class ServiceSpec(NamedTuple):
-    """Describe a service; plain services have no engine profile."""
+    """Describe a service; plain services have no engine profile.
+
+    `scaling` limits the engines that are ordered for it, None if none are.
+    """
 
     name: str
     health_path: str = "/"
     max_connections: int = 0
     engine: EngineProfile | None = None
+    scaling: EngineLimits | None = None
 
 
 class Split(NamedTuple):
@@ -114,6 +119,11 @@
         if (route.host, route.prefix) in places:
             faults.append(DeclarationError(path, "host and prefix are taken"))
         places.add((route.host, route.prefix))
+    for position, service in enumerate(table.services):
+        if service.scaling is not None:
+            path = f"services[{position}].scaling"
+            reasons = check_limits(service.scaling)
+            faults.extend(DeclarationError(path, reason) for reason in reasons)
     return faults
 
 
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -73,7 +73,9 @@
     """Describe one runner as the platform lists it.
 
     `boot` identifies one start of the runner; 0 means that the list does not say it.
-    `build` is the version of its software, not of the weights that it serves.
+    `build` is the version of its software, not of the weights that it serves. A spot
+    engine may be taken back by the platform: it is leaving then, and gone in
+    `leaves_in` seconds from when the list was read, None if the list doesn't tell.
     """
 
     name: str
@@ -85,6 +87,8 @@
     stage: Stage = Stage.MIXED
     boot: int = 0
     build: str = ""
+    is_spot: bool = False
+    leaves_in: float | None = None
 
     @property
     def key(self) -> str:
--- a/hawthornshelf/gateway/scheduler.py
+++ b/hawthornshelf/gateway/scheduler.py
@@ -135,6 +135,10 @@
         queue = self._queues.setdefault(service, AdmissionQueue())
         queue.record_late(self._clock.monotonic(), seconds)
 
+    def count_waiting(self, service: str) -> int:
+        """Return how many long prompts of a service wait for an engine."""
+        return len(self._queues.get(service, ()))
+
     def dispatch_waiting(self, service: str) -> None:
         """Place as many waiting requests as the engines have room for."""
         now = self._clock.monotonic()
--- a/hawthornshelf/serviceloads.py
+++ b/hawthornshelf/serviceloads.py
@@ -30,9 +30,10 @@
     `on_time`, `late` and `refused` count long prompts; a prompt is late if its first
     token came after its target or not at all. `prompt_tokens` are those of offered
     prompts that no cache held. `prefill_seconds` is the time to first token of
-    `prefill_tokens` of them. `short_offered` and `short_refused` count interactive
-    requests. `streams` of those and `long_streams` of long prompts are at engines now;
-    `waiting` long prompts have no engine yet.
+    `prefill_tokens` of them. `short_offered` counts interactive requests,
+    `short_missed` those that were refused or late. `streams` of those and
+    `long_streams` of long prompts are at engines now; `waiting` long prompts have no
+    engine yet.
     """
 
     service: str
@@ -45,7 +46,7 @@
     prefill_tokens: int = 0
     prefill_seconds: float = 0.0
     short_offered: int = 0
-    short_refused: int = 0
+    short_missed: int = 0
     streams: int = 0
     long_streams: int = 0
     waiting: int = 0
@@ -68,7 +69,7 @@
     prefill_tokens: float = 0.0
     prefill_seconds: float = 0.0
     short_offered: float = 0.0
-    short_refused: float = 0.0
+    short_missed: float = 0.0
     streams: int = 0
     long_streams: int = 0
     waiting: int = 0
@@ -170,8 +171,7 @@
         + rate(last.prefill_seconds, first.prefill_seconds),
         short_offered=demand.short_offered
         + rate(last.short_offered, first.short_offered),
-        short_refused=demand.short_refused
-        + rate(last.short_refused, first.short_refused),
+        short_missed=demand.short_missed + rate(last.short_missed, first.short_missed),
         streams=demand.streams + last.streams,
         long_streams=demand.long_streams + last.long_streams,
         waiting=demand.waiting + last.waiting,
--- a/tests/southernveil/test_manifest.py
+++ b/tests/southernveil/test_manifest.py
@@ -5,7 +5,8 @@
 import pytest
 from southernveil.manifest import ManifestCodec
 
-from tests.southernveil.fakes import PLAIN_SERVICE, make_manifest
+from hawthornshelf.enginegroups import DataCentrePrice, EngineLimits
+from tests.southernveil.fakes import ENGINE_SERVICE, PLAIN_SERVICE, make_manifest
 
 WHOLE = json.dumps(make_manifest(2)).encode()
 DEEP_LEVELS = (1_500, 100_000)
@@ -65,3 +66,42 @@
 def test_a_manifest_cut_short_is_refused(size: int) -> None:
     assert is_refused(WHOLE[:size])
     assert not is_refused(WHOLE)
+
+
+def scale(**fields: object) -> bytes:
+    """Return a manifest with a service whose engines are ordered."""
+    services = [
+        {"Name": PLAIN_SERVICE},
+        {"Name": ENGINE_SERVICE, "Engine": {"Slots": 8}, "Autoscale": fields},
+    ]
+    return json.dumps(make_manifest(2, Services=services)).encode()
+
+
+def test_the_limits_of_a_services_engines_are_decoded() -> None:
+    table = ManifestCodec().decode(
+        scale(Min=1, Max=8, BootS=5, SpotPrice=0.2, ZonePrices={"z-b": 2, "z-a": 1.5})
+    )
+    assert table.services[0].scaling is None
+    prices = (DataCentrePrice("z-a", 1.5), DataCentrePrice("z-b", 2.0))
+    assert table.services[1].scaling == EngineLimits(1, 8, 5.0, 0.2, prices)
+    plain = ManifestCodec().decode(scale(Min=0, Max=4)).services[1].scaling
+    assert plain == EngineLimits(0, 4, 4.0, 0.15, ())
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"Min": -1, "Max": 2},
+        {"Min": 3, "Max": 2},
+        {"Min": 0, "Max": 10**9},
+        {"Min": 0, "Max": 2, "BootS": 0},
+        {"Min": 0, "Max": 2, "BootS": 1e9},
+        {"Min": 0, "Max": 2, "SpotPrice": -0.1},
+        {"Min": 0, "Max": 2, "ZonePrices": {"z-a": -1}},
+        {"Min": 0},
+    ],
+)
+def test_limits_of_engines_that_no_fleet_can_keep_are_refused(
+    fields: dict[str, object],
+) -> None:
+    assert is_refused(scale(**fields))
--- a/tests/southernveil/test_runnersource.py
+++ b/tests/southernveil/test_runnersource.py
@@ -40,6 +40,22 @@
     assert decode_runner({**ENTRY, "born": 1789256658049}).boot == 1789256658049
 
 
+def test_spot_engines_and_the_time_until_they_leave_are_decoded() -> None:
+    runner = decode_runner({**ENTRY, "Spot": True, "leaves_ms": 2500})
+    assert runner.is_spot and runner.leaves_in == 2.5
+    plain = decode_runner(ENTRY)
+    assert not plain.is_spot and plain.leaves_in is None
+
+
+@pytest.mark.parametrize("value", [None, "soon", -1, True, 1e30, [1]])
+def test_an_odd_time_until_an_engine_leaves_does_not_hide_the_engine(
+    value: object,
+) -> None:
+    runner = decode_runner({**ENTRY, "Spot": value, "leaves_ms": value})
+    assert runner.leaves_in is None
+    assert runner.is_spot is (value is True)
+
+
 @pytest.mark.parametrize("version", [None, "", 3, ["v1"]])
 def test_runners_whose_version_is_not_told_share_no_build(version: object) -> None:
     one = decode_runner({**ENTRY, "Version": version})
