Order engines as the leader of the control group

Cause: decisions on the size of a fleet were made nowhere and reached no one. Change: entry nodes send the load of services with `Autoscale` in `UsageCounts.loads` each second, if they have the duty `autoscale`. A new holder repeats what has no known outcome. Nothing is ordered without the duty, without limits or on stale counts. `fleet-decided` logs each change, and GET /metrics of the operator's address shows desired, ordered and present.

--- a/hawthornshelf/commands.py
+++ b/hawthornshelf/commands.py
@@ -32,6 +32,7 @@
     "DrainUpstream",
     "EndTrial",
     "FindOrigin",
+    "FinishFleetOrder",
     "FinishOrder",
     "FinishUsageReport",
     "JoinNode",
@@ -39,6 +40,7 @@
     "NotFound",
     "OpenClaim",
     "OpenTrial",
+    "OrderFleet",
     "OrderPlaced",
     "OriginFound",
     "PlaceOrder",
@@ -304,6 +306,35 @@
     window: int
 
 
+@dataclass(frozen=True, slots=True)
+class OrderFleet:
+    """Decide how many engines of a service a data centre is to run, and why.
+
+    Spot engines are decided on separately.
+    """
+
+    service: str
+    data_centre: str
+    is_spot: bool
+    desired: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class FinishFleetOrder:
+    """Record the outcome of an order of engines, unless a newer one replaced it.
+
+    `number` is the log index of the order. `is_refused` means that the platform had no
+    engine to give.
+    """
+
+    service: str
+    data_centre: str
+    is_spot: bool
+    number: int
+    is_refused: bool = False
+
+
 Command = (
     RecordQuarantine
     | LiftQuarantine
@@ -331,6 +362,8 @@
     | StartUsageReports
     | DecideUsageReport
     | FinishUsageReport
+    | OrderFleet
+    | FinishFleetOrder
 )
 
 
--- a/hawthornshelf/control.py
+++ b/hawthornshelf/control.py
@@ -21,13 +21,16 @@
 from hawthornshelf.engineorders import OrderReconciler
 from hawthornshelf.errors import MalformedMessage
 from hawthornshelf.events import (
+    EnginesListed,
     EngineStateRead,
     OrderEnded,
     Persisted,
     PlatformCallEnded,
     PlatformListed,
+    ScalingLoaded,
     StorageLost,
 )
+from hawthornshelf.fleetorders import FleetReconciler
 from hawthornshelf.log import (
     EntryKind,
     LogEntry,
@@ -152,6 +155,7 @@
         self._duties = PlatformDuties(
             settings.duties, self._handover_wait, duty_facts, self._propose_own, now
         )
+        self.fleet = FleetReconciler(settings.duties, self._propose_own)
         self._status_of = status_of
         self._pending: dict[int, _PendingReply] = {}
         self._replica_nodes: dict[str, str] = {}
@@ -189,6 +193,7 @@
                 self._on_ask_control(now, sender, message)
             case UsageCounts():
                 leader = self.leader_node()
+                self.fleet.receive(now, message)
                 for node, reply in self._duties.receive(
                     now, self.state, message, leader
                 ):
@@ -207,6 +212,8 @@
         | EngineStateRead
         | OrderEnded
         | PlatformCallEnded
+        | ScalingLoaded
+        | EnginesListed
         | PlatformListed,
     ) -> None:
         """Process an event that concerns this replica."""
@@ -223,6 +230,10 @@
                 self._effects.append(self._orders.on_order_ended(now, event))
             case PlatformCallEnded():
                 self._effects.extend(self._duties.on_call_ended(now, event))
+                ended = self.fleet.on_call_ended(now, self.state, event)
+                self._effects.extend(ended)
+            case ScalingLoaded() | EnginesListed():
+                self.fleet.load(event)
             case PlatformListed():
                 self._platform_list, self._platform_listed_at = event, now
 
@@ -298,6 +309,12 @@
         """
         return self._handover_wait.ends_at(self._leader_since)
 
+    def orders_engines(self, now: float) -> bool:
+        """Return whether this replica holds the duty to order engines."""
+        if not self.fleet.is_on or self.stopped or not self.raft.is_ready:
+            return False
+        return self._duties.holder.starts_at <= now < self.raft.lease_until()
+
     @property
     def view_revision(self) -> int:
         """Return the revision of the view, 0 while the state may be an old one.
@@ -480,6 +497,7 @@
             self._leader_since = now
             self._orders.reset()
             self._effects.extend(self._duties.begin(now, term))
+            self.fleet.reset()
         else:
             self._pending.clear()
             self._effects.extend(self._duties.end())
@@ -537,6 +555,14 @@
         )
         self._effects.extend(effects)
         self._effects.extend(self._duties.tick(now, self.state, lease_until))
+        if self.orders_engines(now):
+            self._effects.extend(
+                self.fleet.tick(
+                    now,
+                    self.state,
+                    lambda call: self._duties.call(now, lease_until, call),
+                )
+            )
 
     def _apply_platform_list(self, now: float) -> None:
         """Drain leaving upstreams, and remove dead nodes whose VM is not listed."""
--- a/hawthornshelf/enginegroups.py
+++ b/hawthornshelf/enginegroups.py
@@ -26,6 +26,11 @@
     data_centre: str
     is_spot: bool
 
+    @property
+    def name(self) -> str:
+        """Return the name of the engines in logs."""
+        return f"{self.data_centre}/spot" if self.is_spot else self.data_centre
+
 
 class DataCentrePrice(NamedTuple):
     """Store the price of an engine in a data centre, per second."""
--- a/hawthornshelf/events.py
+++ b/hawthornshelf/events.py
@@ -5,6 +5,7 @@
 
 from hawthornshelf.commands import Answer, Command
 from hawthornshelf.duties import CallOutcome, DutyCall
+from hawthornshelf.enginegroups import EngineCount, EngineLimits
 from hawthornshelf.messages import Message
 
 __all__ = [
@@ -17,6 +18,7 @@
     "CommandRequested",
     "EngineState",
     "EngineStateRead",
+    "EnginesListed",
     "Event",
     "LoadReport",
     "LoadReported",
@@ -28,6 +30,9 @@
     "PlatformListed",
     "ReplicaChangeRequested",
     "RequestArrived",
+    "ScalingLoaded",
+    "ServiceEngines",
+    "ServiceScaling",
     "StopRequested",
     "StorageLost",
     "ViewRequested",
@@ -139,6 +144,40 @@
     outcome: CallOutcome
 
 
+class ServiceScaling(NamedTuple):
+    """Store the limits of a service's engines."""
+
+    service: str
+    limits: EngineLimits
+
+
+@dataclass(frozen=True, slots=True)
+class ScalingLoaded:
+    """Report the services of a route document whose engines are to be ordered."""
+
+    number: int
+    services: tuple[ServiceScaling, ...]
+
+
+class ServiceEngines(NamedTuple):
+    """Count a service's listed engines of one data centre and kind."""
+
+    service: str
+    engines: EngineCount
+
+
+@dataclass(frozen=True, slots=True)
+class EnginesListed:
+    """Report the engines that the platform listed; `read_at` in monotonic seconds."""
+
+    services: tuple[ServiceEngines, ...]
+    read_at: float
+
+    def of_service(self, service: str) -> list[EngineCount]:
+        """Return the counts of a service's engines."""
+        return [row.engines for row in self.services if row.service == service]
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReported:
     """Report an engine's load, or None if it could not be read.
@@ -259,6 +298,8 @@
     | EngineStateRead
     | OrderEnded
     | PlatformCallEnded
+    | ScalingLoaded
+    | EnginesListed
     | LoadReported
     | RequestArrived
     | CallerDisconnected
--- a/hawthornshelf/fleetneed.py
+++ b/hawthornshelf/fleetneed.py
@@ -5,7 +5,6 @@
 """
 
 import math
-import statistics
 from typing import NamedTuple
 
 from hawthornshelf.enginegroups import EngineLimits
@@ -32,8 +31,8 @@
 MIN_COST_TOKENS = 2000.0
 """Prompt tokens per second from which a second's cost of a token counts as measured."""
 
-COST_QUANTILES = 4
-"""The cost of a token is the lowest quartile of the recent ones.
+COST_QUANTILE = 0.25
+"""The cost of a token is this quantile of the recent ones.
 
 Time to first token holds the wait at the engine, which is least while load is low.
 """
@@ -149,9 +148,7 @@
 def _estimate_cost(cost: float, samples: tuple[NeedSample, ...]) -> float:
     """Return the seconds of prefill per token without a wait, 0 if unknown."""
     costs = [sample.cost for sample in samples if sample.cost] + [cost] * bool(cost)
-    if len(costs) < COST_QUANTILES:
-        return min(costs, default=0.0)
-    return statistics.quantiles(costs, n=COST_QUANTILES)[0]
+    return sorted(costs)[int(COST_QUANTILE * len(costs))] if costs else 0.0
 
 
 def _need_of_prompts(demand: ServiceDemand, limits: EngineLimits, cost: float) -> float:
--- a/hawthornshelf/fleetsizing.py
+++ b/hawthornshelf/fleetsizing.py
@@ -264,7 +264,7 @@
             missing = min(missing, allowed - self._total())
             if missing > 0:
                 self._set(key, group.desired + missing)
-                self._words.append(f"up {missing} {_name(key)}")
+                self._words.append(f"up {missing} {key.name}")
 
     def step_down(self) -> None:
         """Give up one engine, the dearest, if enough of those present are left."""
@@ -290,7 +290,7 @@
         self.groups[key] = self.groups[key]._replace(
             given_up=given_up, given_up_at=self._now
         )
-        self._words.append(f"down 1 {_name(key)} ({cause})")
+        self._words.append(f"down 1 {key.name} ({cause})")
 
     def _set(self, key: EngineKey, desired: int) -> None:
         group = self.groups[key]
@@ -305,7 +305,3 @@
     def _in_data_centre(self, place: str) -> int:
         groups = self.groups.items()
         return sum(g.desired for key, g in groups if key.data_centre == place)
-
-
-def _name(key: EngineKey) -> str:
-    return f"{key.data_centre}{'/spot' if key.is_spot else ''}"
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -9,13 +9,22 @@
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
+from hawthornshelf.duties import Duty
 from hawthornshelf.effects import CallPlatform, Effect
 from hawthornshelf.errors import HawthornshelfError
-from hawthornshelf.events import PermitRequested, StopRequested, ViewRequested
+from hawthornshelf.events import (
+    PermitRequested,
+    ScalingLoaded,
+    ServiceScaling,
+    StopRequested,
+    ViewRequested,
+)
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
 from hawthornshelf.gateway.contract import DutyClient, RouteCodec, RunnerSource
 from hawthornshelf.gateway.dutycalls import DutyCaller
+from hawthornshelf.gateway.enginelister import EngineLister
 from hawthornshelf.gateway.exchange import RunnerClient
+from hawthornshelf.gateway.fleetgauges import make_fleet_gauges
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.peerrelay import Peer, RelayClient
 from hawthornshelf.gateway.polling import ListPace, poll_interval
@@ -24,11 +33,12 @@
 from hawthornshelf.limitrecords import Permit
 from hawthornshelf.logs import write_log
 from hawthornshelf.membership import MembershipTable
-from hawthornshelf.metrics import Metrics
+from hawthornshelf.metrics import LabelledGauge, Metrics
 from hawthornshelf.node import NodeSettings
 from hawthornshelf.nodeshell import NodeShell, PeerSettings, keep_running
 from hawthornshelf.origins import BuildRow
 from hawthornshelf.peertransport import Transport
+from hawthornshelf.serviceloads import ServiceLoad
 from hawthornshelf.storage import DiskStorage
 
 __all__ = [
@@ -116,9 +126,12 @@
             self._choose_peer,
             lambda node: self.post(ViewRequested(node)),
             self.origins,
-            self._core.usage,
+            self._core.usage if Duty.USAGE in settings.duties.duties else None,
         )
         self._core.members.count_streams = self.runners.count_interactive_requests
+        self._scaled_services: frozenset[str] = frozenset()
+        if self._core.usage is not None and Duty.ENGINES in settings.duties.duties:
+            self._core.usage.measure_loads = self._measure_loads
         self.is_leaving = False
 
     async def start(self) -> None:
@@ -218,6 +231,9 @@
             write_log("routes-unreadable", level="error", reason=str(error))
             return
         self.forwarder.load(table)
+        self._scaled_services = frozenset(
+            service.name for service in table.services if service.scaling is not None
+        )
         write_log("routes-in-force", number=routes.number, routes=len(table.routes))
 
     def count_nodes(self, now: float) -> int:
@@ -237,6 +253,11 @@
         permit: Permit = await self._await_result(request, event)
         return permit
 
+    def _measure_loads(self) -> tuple[ServiceLoad, ...]:
+        """Return what this node counted of the services whose engines are ordered."""
+        loads = self.forwarder.measure_load(self.node_settings.data_centre)
+        return tuple(load for load in loads if load.service in self._scaled_services)
+
     def _estimate_interactive_requests(self) -> float:
         return self._core.members.estimate_streams(self._clock.monotonic())
 
@@ -305,6 +326,7 @@
         codec: RouteCodec,
         transport: Transport | None = None,
         duty_client: DutyClient | None = None,
+        source: RunnerSource | None = None,
     ) -> None:
         super().__init__(
             settings,
@@ -318,25 +340,64 @@
         self._codec = codec
         self._duty_caller = DutyCaller(duty_client, self.post)
         self._route_number = 0
+        self._source = source
+        self.metrics = Metrics()
 
     def perform_effect(self, effect: Effect) -> None:
         """Start a call to the platform."""
         if isinstance(effect, CallPlatform):
             self._duty_caller.start(effect)
 
+    @property
+    def orders_engines(self) -> bool:
+        """Return whether this node may hold the duty to order engines."""
+        return Duty.ENGINES in self.node_settings.duties.duties
+
+    def fleet_gauges(self) -> list[LabelledGauge]:
+        """Return what this node knows of the fleets, none unless it holds the duty."""
+        control = self._core.control
+        if control is None or not self._holds_engine_duty():
+            return []
+        return list(make_fleet_gauges(control.fleet.gauges(control.state)))
+
+    async def start_peers(self) -> None:
+        """Start what all nodes do, and to read the list of engines if that is due."""
+        await super().start_peers()
+        if self.orders_engines and self._source is not None:
+            lister = EngineLister(self._source, self._holds_engine_duty, self.post)
+            self._tasks.append(asyncio.create_task(keep_running(lister.run)))
+
     def on_step(self) -> None:
-        """Note whether the route document in force names workspaces."""
-        routes = self._core.view.routes
-        has_duties = bool(self.node_settings.duties.duties)
-        if not has_duties or routes.number <= self._route_number:
+        """Apply what the duties need of a newer route document."""
+        routes, control = self._core.view.routes, self._core.control
+        if not self.node_settings.duties.duties:
+            return
+        lacks_scaling = (
+            control is not None
+            and control.fleet.is_on
+            and control.fleet.scaling_number < routes.number
+        )
+        if routes.number <= self._route_number and not lacks_scaling:
             return
         self._route_number = routes.number
+        services: tuple[ServiceScaling, ...] = ()
         try:
             table = self._codec.decode(zlib.decompress(routes.body))
         except (ExceptionGroup, zlib.error) as error:
             write_log("routes-unreadable", level="error", reason=str(error))
-            return
-        self._core.has_workspaces = getattr(table, "workspaces", None) is not None
+        else:
+            self._core.has_workspaces = getattr(table, "workspaces", None) is not None
+            services = tuple(
+                ServiceScaling(service.name, service.scaling)
+                for service in table.services
+                if service.scaling is not None
+            )
+        if lacks_scaling:
+            self.post(ScalingLoaded(routes.number, services))
+
+    def _holds_engine_duty(self) -> bool:
+        control = self._core.control
+        return control is not None and control.orders_engines(self._clock.monotonic())
 
     async def stop_peers(self) -> None:
         """Stop the calls to the platform, and all that other nodes need."""
--- a/hawthornshelf/messages.py
+++ b/hawthornshelf/messages.py
@@ -8,6 +8,7 @@
 from hawthornshelf.crashrecords import CrashRow, RowSummary
 from hawthornshelf.limitrecords import Permit, RateLimitRow
 from hawthornshelf.raftmessages import RaftMessage
+from hawthornshelf.serviceloads import ServiceLoad
 from hawthornshelf.state import SharedView
 from hawthornshelf.usagerecords import WindowCounts
 from hawthornshelf.wire import Codec
@@ -281,7 +282,9 @@
 
     They are those of one process (`incarnation`), complete up to `as_of` in seconds
     since 1970. They changed after version `since` and bring the receiver to `version`.
-    With `relay` they go to a replica that forwards them to the leader.
+    With `relay` they go to a replica that forwards them to the leader. `loads` are the
+    totals of services whose engines are ordered, as of `loads_at` in seconds of the
+    node's monotonic clock, 0 if the node measures none.
     """
 
     node: str
@@ -291,6 +294,8 @@
     version: int = 0
     since: int = 0
     relay: bool = False
+    loads: tuple[ServiceLoad, ...] = ()
+    loads_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hawthornshelf/metrics.py
+++ b/hawthornshelf/metrics.py
@@ -1,6 +1,6 @@
 """Count request outcomes and measure latencies per work class."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -8,7 +8,13 @@
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector, CollectorRegistry
 
-__all__ = ["RequestOutcome", "Metrics", "OutcomeBucket", "new_histogram"]
+__all__ = [
+    "LabelledGauge",
+    "Metrics",
+    "OutcomeBucket",
+    "RequestOutcome",
+    "new_histogram",
+]
 
 MIN_LATENCY_US = 1
 MAX_LATENCY_US = 600_000_000
@@ -46,6 +52,14 @@
     is_server_error: bool = False
 
 
+class LabelledGauge(NamedTuple):
+    """Store the current value of a metric for some labels."""
+
+    name: str
+    labels: Mapping[str, str]
+    value: float
+
+
 class OutcomeBucket(NamedTuple):
     """Represent the outcomes of one work class in one minute since the epoch.
 
@@ -114,12 +128,19 @@
             for (minute, work), bucket in self._buckets.items()
         ]
 
-    def export(self, gauges: Mapping[str, float]) -> bytes:
+    def export(
+        self, gauges: Mapping[str, float], labelled: Iterable[LabelledGauge] = ()
+    ) -> bytes:
         """Return all metrics in the Prometheus text format."""
         registry = CollectorRegistry()
         registry.register(
             _MetricsCollector(
-                self._outcomes, self._permits, self._run_ends, self._latencies, gauges
+                self._outcomes,
+                self._permits,
+                self._run_ends,
+                self._latencies,
+                gauges,
+                tuple(labelled),
             )
         )
         return generate_latest(registry)
@@ -146,12 +167,14 @@
         run_ends: Mapping[str, HdrHistogram],
         latencies: Mapping[str, HdrHistogram],
         gauges: Mapping[str, float],
+        labelled: tuple[LabelledGauge, ...] = (),
     ) -> None:
         self._outcomes = outcomes
         self._permits = permits
         self._run_ends = run_ends
         self._latencies = latencies
         self._gauges = gauges
+        self._labelled = labelled
 
     def collect(self) -> list[Any]:
         """Return the metric families for the Prometheus client library."""
@@ -161,7 +184,8 @@
         for key, count in self._outcomes.items():
             requests.add_metric([key.work, key.outcome], count)
         families = [requests, self._collect_permits(), *self._collect_run_ends()]
-        return [*families, *self._collect_latencies(), *self._collect_gauges()]
+        gauges = [*self._collect_gauges(), *self._collect_labelled()]
+        return [*families, *self._collect_latencies(), *gauges]
 
     def _collect_permits(self) -> CounterMetricFamily:
         family = CounterMetricFamily(
@@ -211,3 +235,13 @@
             family.add_metric([], value)
             families.append(family)
         return families
+
+    def _collect_labelled(self) -> list[Any]:
+        families: dict[str, GaugeMetricFamily] = {}
+        for name, labels, value in self._labelled:
+            if name not in families:
+                families[name] = GaugeMetricFamily(
+                    f"hawthornshelf_{name}", name.replace("_", " "), labels=[*labels]
+                )
+            families[name].add_metric([*labels.values()], value)
+        return [*families.values()]
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -14,7 +14,7 @@
 from hawthornshelf.controlcontact import ControlContact
 from hawthornshelf.crashgossip import CrashGossip
 from hawthornshelf.departures import DepartureTable
-from hawthornshelf.duties import Duty, DutySettings
+from hawthornshelf.duties import DutySettings
 from hawthornshelf.effects import (
     CommandEnded,
     Effect,
@@ -25,6 +25,7 @@
 from hawthornshelf.entry import EntryCore, EntryEvent
 from hawthornshelf.events import (
     CommandRequested,
+    EnginesListed,
     EngineStateRead,
     Event,
     MessageReceived,
@@ -35,6 +36,7 @@
     PlatformListed,
     ReplicaChangeRequested,
     RequestArrived,
+    ScalingLoaded,
     StopRequested,
     StorageLost,
     ViewRequested,
@@ -152,7 +154,7 @@
         self.has_workspaces = False
         self.usage: UsageSender | None = None
         takes_requests = settings.entry or settings.gateway
-        if takes_requests and Duty.USAGE in settings.duties.duties:
+        if takes_requests and settings.duties.duties:
             self.usage = UsageSender(
                 settings.node, settings.incarnation, settings.duties, rng
             )
@@ -215,6 +217,8 @@
                 | EngineStateRead()
                 | OrderEnded()
                 | PlatformCallEnded()
+                | ScalingLoaded()
+                | EnginesListed()
             ):
                 if self.control:
                     self.control.handle(now, wall, event)
--- a/hawthornshelf/platformduties.py
+++ b/hawthornshelf/platformduties.py
@@ -1,6 +1,7 @@
 """Perform the duties of the control group's leader towards the platform."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import NamedTuple
 
 from hawthornshelf.duties import (
@@ -15,7 +16,7 @@
 )
 from hawthornshelf.effects import CallPlatform, Effect, log
 from hawthornshelf.events import PlatformCallEnded
-from hawthornshelf.messages import UsageCounts
+from hawthornshelf.messages import UsageCounts, UsageProgress
 from hawthornshelf.permitexchange import Outgoing
 from hawthornshelf.state import SharedState
 from hawthornshelf.usagereporter import Propose, UsageReporter
@@ -102,10 +103,19 @@
     def receive(
         self, now: float, state: SharedState, message: UsageCounts, leader: str
     ) -> list[Outgoing]:
-        """Add a node's totals of requests, and return the messages that follow."""
-        if self._usage is None:
+        """Add a node's totals of requests, and return the messages that follow.
+
+        Without reports on usage, they tell the node who leads, and the leader its load.
+        """
+        if self._usage is not None:
+            return self._usage.receive(now, state.usage, message, leader)
+        if not self.is_on:
             return []
-        return self._usage.receive(now, state.usage, message, leader)
+        progress = UsageProgress(0, message.version, leader)
+        outgoing = [Outgoing(message.node, progress)]
+        if message.relay and leader:
+            outgoing.append(Outgoing(leader, replace(message, relay=False)))
+        return outgoing
 
     def tick(self, now: float, state: SharedState, lease_until: float) -> list[Effect]:
         """Decide what is to be called, and call; only a leader may do so."""
--- a/hawthornshelf/state.py
+++ b/hawthornshelf/state.py
@@ -20,6 +20,7 @@
     DrainUpstream,
     EndTrial,
     FindOrigin,
+    FinishFleetOrder,
     FinishOrder,
     FinishUsageReport,
     JoinNode,
@@ -27,6 +28,7 @@
     NotFound,
     OpenClaim,
     OpenTrial,
+    OrderFleet,
     OrderPlaced,
     OriginFound,
     PlaceOrder,
@@ -47,6 +49,7 @@
     UsageReportDecided,
 )
 from hawthornshelf.configuration import Configuration
+from hawthornshelf.fleetrecords import FleetOrderRow, FleetTable
 from hawthornshelf.origins import BuildRow, OriginRow, OriginTable
 from hawthornshelf.quarantines import QuarantineRow, QuarantineTable
 from hawthornshelf.suspects import SuspectRow, SuspectTable, TrialRow
@@ -154,6 +157,7 @@
     origins: tuple[OriginRow, ...] = ()
     quarantines: tuple[QuarantineRow, ...] = ()
     usage: UsageSnapshot = NO_USAGE
+    fleet: tuple[FleetOrderRow, ...] = ()
 
 
 class SharedState:
@@ -175,6 +179,7 @@
         self.origins = OriginTable()
         self.quarantines = QuarantineTable()
         self.usage = UsageRecords()
+        self.fleet = FleetTable()
 
     def apply(
         self, term: int, index: int, timestamp: float, command: Command
@@ -208,6 +213,8 @@
                 return self._apply_quarantine(index, command)
             case StartUsageReports() | DecideUsageReport() | FinishUsageReport():
                 return self._apply_usage(index, command)
+            case OrderFleet() | FinishFleetOrder():
+                return self._apply_fleet(index, command)
             case JoinNode():
                 self.nodes[command.node] = NodeRow(command.node, command.incarnation)
                 return Done(index)
@@ -260,11 +267,14 @@
             self.origins.origins(),
             self.quarantines.rows(),
             self.usage.snapshot(),
+            self.fleet.rows(),
         )
-        if snapshot.usage == NO_USAGE:
-            # Builds that know no usage reports read snapshots that hold none.
+        # Builds that know no duties read snapshots that hold nothing of them.
+        if snapshot.fleet:
+            return msgspec.msgpack.encode(snapshot)
+        if snapshot.usage != NO_USAGE:
             return msgspec.msgpack.encode(snapshot[:-1])
-        return msgspec.msgpack.encode(snapshot)
+        return msgspec.msgpack.encode(snapshot[:-2])
 
     @classmethod
     def load(cls, data: bytes) -> "SharedState":
@@ -288,6 +298,7 @@
         state.origins = OriginTable(snapshot.builds, snapshot.origins)
         state.quarantines = QuarantineTable(snapshot.quarantines)
         state.usage = UsageRecords(snapshot.usage)
+        state.fleet = FleetTable(snapshot.fleet)
         return state
 
     def _apply_shared(self, index: int, command: Command) -> Result:
@@ -362,6 +373,17 @@
                     return NotFound(f"usage window {window}")
         return Done(index)
 
+    def _apply_fleet(
+        self, index: int, command: OrderFleet | FinishFleetOrder
+    ) -> Result:
+        match command:
+            case OrderFleet():
+                self.fleet.place(index, command)
+            case FinishFleetOrder():
+                if not self.fleet.finish(command):
+                    return NotFound(command.service)
+        return Done(index)
+
     def _propose(self, index: int, command: ProposeConfiguration) -> Result:
         digest = _digest_proposal(command)
         if command.change_id not in self.outcomes:
--- a/hawthornshelf/usagesender.py
+++ b/hawthornshelf/usagesender.py
@@ -6,11 +6,13 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 from hawthornshelf.duties import DutySettings
 from hawthornshelf.messages import UsageCounts, UsageProgress
 from hawthornshelf.permitexchange import Outgoing
+from hawthornshelf.serviceloads import ServiceLoad
 from hawthornshelf.steadytime import SteadyTime
 from hawthornshelf.usage import UsageCounter
 
@@ -21,8 +23,18 @@
 """Time without an answer of the leader after which a replica forwards to it."""
 
 
+class _Loads(NamedTuple):
+    """Store totals of load and the monotonic time of their measurement."""
+
+    rows: tuple[ServiceLoad, ...] = ()
+    at: float = 0.0
+
+
 class UsageSender:
-    """Hold a node's counter and clock, and send what replicas don't know yet."""
+    """Hold a node's counter and clock, and send what replicas don't know yet.
+
+    `measure_loads` returns the node's totals of the services whose engines are ordered.
+    """
 
     def __init__(
         self, node: str, incarnation: str, settings: DutySettings, rng: random.Random
@@ -34,6 +46,7 @@
         self._leader = ""
         self._leader_heard_at = float("-inf")
         self._confirmed: dict[str, int] = {}
+        self.measure_loads: Callable[[], tuple[ServiceLoad, ...]] | None = None
         self.time = SteadyTime()
         self.counter = UsageCounter(settings.report_window)
 
@@ -54,19 +67,27 @@
         as_of = self.counter.complete_until(self.time.at(now))
         others = [node for node in control_nodes if node != self._leader]
         self._turn += 1
+        loads = _Loads()
+        if self.measure_loads is not None:
+            loads = _Loads(self.measure_loads(), now)
         outgoing = []
         if self._leader in control_nodes:
-            outgoing.append(self._make(self._leader, self._leader, as_of))
+            outgoing.append(self._make(self._leader, self._leader, as_of, loads))
         if others:
             other = others[self._turn % len(others)]
             is_silent = now > self._leader_heard_at + SILENCE_SECONDS
             relays = bool(outgoing) and is_silent
             knows = self._leader if relays else other
-            outgoing.append(self._make(other, knows, as_of, relays))
+            outgoing.append(self._make(other, knows, as_of, loads, relays))
         return outgoing
 
     def _make(
-        self, target: str, knows: str, as_of: float, relays: bool = False
+        self,
+        target: str,
+        knows: str,
+        as_of: float,
+        loads: _Loads,
+        relays: bool = False,
     ) -> Outgoing:
         """Return a message with the totals that the replica `knows` may lack."""
         since = self._confirmed.get(knows, 0)
@@ -78,5 +99,6 @@
             self.counter.version,
             since,
             relays,
+            *loads,
         )
         return Outgoing(target, message)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,11 +4,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hawthornshelf.commands import OpenClaim, ProposeConfiguration
+from hawthornshelf.commands import OpenClaim, OrderFleet, ProposeConfiguration
 from hawthornshelf.errors import MalformedMessage
 from hawthornshelf.log import EntryKind, LogEntry, Member, Membership, Snapshot
-from hawthornshelf.messages import CODEC, MemberRow, MemberStatus, Ping, ViewUpdate
+from hawthornshelf.messages import (
+    CODEC,
+    MemberRow,
+    MemberStatus,
+    Ping,
+    UsageCounts,
+    ViewUpdate,
+)
 from hawthornshelf.raftmessages import Append, InstallSnapshot
+from hawthornshelf.serviceloads import ServiceLoad
 from hawthornshelf.state import SharedView
 from hawthornshelf.wire import Envelope
 from tests.chaos import configuration_of, make_simulation
@@ -23,6 +31,8 @@
     ViewUpdate(SharedView(4, 2, configuration_of(make_simulation(0)))),
     ProposeConfiguration("id", 1, "op", configuration_of(make_simulation(0))),
     OpenClaim("w", "k", "d", "a"),
+    OrderFleet("s", "dc", True, 4, "load"),
+    UsageCounts("e", "i", 5.0, (), loads=(ServiceLoad("s", "dc", 7),), loads_at=2.5),
 )
 
 
