--- a/hawthornshelf/fleetorders.py
+++ b/hawthornshelf/fleetorders.py
@@ -77,6 +77,7 @@
         self._scaling = ScalingLoaded(0, ())
         self._listed = EnginesListed((), float("-inf"))
         self._plans: dict[str, FleetPlan] = {}
+        self._demands: dict[str, ServiceDemand] = {}
         self._decided_at: dict[str, float] = {}
         self._repeats: dict[_Place, int] = {}
         self._proposals: dict[_Place, _Proposal] = {}
@@ -194,7 +195,7 @@
         previous = self._plans.get(service)
         if previous is None:
             previous = _resume(now, state.fleet.of_service(service))
-        demand = self._ledger.measure(now, service)
+        demand = self._demands[service] = self._ledger.measure(now, service)
         plan = decide_fleet(
             now,
             demand,
@@ -284,7 +285,7 @@
         if self._logged.get(service) == key:
             return
         self._logged[service] = key
-        demand: ServiceDemand = self._ledger.measure(now, service)
+        demand = self._demands[service]
         yield log(
             "fleet-decided",
             service=service,
--- a/hawthornshelf/serviceloads.py
+++ b/hawthornshelf/serviceloads.py
@@ -135,44 +135,45 @@
         ]
         if not fresh:
             return ServiceDemand()
-        demand = ServiceDemand(fresh_share=len(fresh) / len(self._nodes))
+        rates = [0.0] * len(_totals(ServiceLoad(service, "")))
+        streams = long_streams = waiting = 0
         places: set[str] = set()
         for reports in fresh:
             load = reports.reports[-1].loads.get(service)
             if load is not None:
                 places.add(load.data_centre)
-                demand = _add(demand, reports.reports, load)
-        return demand._replace(data_centres=tuple(sorted(places)))
+                _add_rates(rates, reports.reports, load)
+                streams += load.streams
+                long_streams += load.long_streams
+                waiting += load.waiting
+        fresh_share = len(fresh) / len(self._nodes)
+        data_centres = tuple(sorted(places))
+        return ServiceDemand._make(
+            (fresh_share, data_centres, *rates, streams, long_streams, waiting)
+        )
+
+
+def _totals(load: ServiceLoad) -> tuple[float, ...]:
+    """Return the totals of a row, in the order of the rates of a demand."""
+    return (
+        load.offered,
+        load.on_time,
+        load.late,
+        load.refused,
+        load.prompt_tokens,
+        load.prefill_tokens,
+        load.prefill_seconds,
+        load.short_offered,
+        load.short_missed,
+    )
 
 
-def _add(
-    demand: ServiceDemand, reports: deque[_Report], last: ServiceLoad
-) -> ServiceDemand:
-    """Return the sum of a demand and that of one node."""
-    first = reports[0].loads.get(
-        last.service, ServiceLoad(last.service, last.data_centre)
-    )
+def _add_rates(rates: list[float], reports: deque[_Report], last: ServiceLoad) -> None:
+    """Add what a node's totals grew by each second."""
     seconds = reports[-1].as_of - reports[0].as_of
-    weight = 1.0 / seconds if seconds > 0 else 0.0
-
-    def rate(newer: float, older: float) -> float:
-        return max(0.0, newer - older) * weight
-
-    return demand._replace(
-        offered=demand.offered + rate(last.offered, first.offered),
-        on_time=demand.on_time + rate(last.on_time, first.on_time),
-        late=demand.late + rate(last.late, first.late),
-        refused=demand.refused + rate(last.refused, first.refused),
-        prompt_tokens=demand.prompt_tokens
-        + rate(last.prompt_tokens, first.prompt_tokens),
-        prefill_tokens=demand.prefill_tokens
-        + rate(last.prefill_tokens, first.prefill_tokens),
-        prefill_seconds=demand.prefill_seconds
-        + rate(last.prefill_seconds, first.prefill_seconds),
-        short_offered=demand.short_offered
-        + rate(last.short_offered, first.short_offered),
-        short_missed=demand.short_missed + rate(last.short_missed, first.short_missed),
-        streams=demand.streams + last.streams,
-        long_streams=demand.long_streams + last.long_streams,
-        waiting=demand.waiting + last.waiting,
-    )
+    if seconds <= 0:
+        return
+    first = reports[0].loads.get(last.service, ServiceLoad(last.service, ""))
+    totals = zip(_totals(last), _totals(first), strict=True)
+    for index, (newer, older) in enumerate(totals):
+        rates[index] += max(0.0, newer - older) / seconds
