--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -62,6 +62,7 @@
 from hawthornshelf.gateway.streamorigins import StreamOrigins
 from hawthornshelf.metrics import Metrics
 from hawthornshelf.ratelimits import RateLimitTable
+from hawthornshelf.serviceloads import ServiceLoad
 from hawthornshelf.usagesender import UsageSender
 
 __all__ = ["Forwarder"]
@@ -216,6 +217,10 @@
         """Return how many requests were sent to other nodes."""
         return self._relay.relayed
 
+    def measure_load(self, data_centre: str) -> tuple[ServiceLoad, ...]:
+        """Return what this node, which is in a data centre, counted of each service."""
+        return self._recorder.loads.rows(data_centre, self._scheduler.count_waiting)
+
     async def check_reachability(self) -> None:
         """Probe some runners if it is unclear whether this node reaches any."""
         await self._prober.check_reachability()
@@ -296,7 +301,9 @@
             case CallerKnown(inbound, route) if not self._ends_in_time(inbound, route):
                 await self._refuse_unrouted(inbound, writer, 503, "this node stops")
             case CallerKnown() as caller:
-                await self._run_request(self._make_context(caller, writer))
+                context = self._make_context(caller, writer)
+                with self._recorder.loads.watch(context):
+                    await self._run_request(context)
 
     def _ends_in_time(self, inbound: InboundRequest, route: Route) -> bool:
         """Return whether a request ends before this node does."""
