Share and lend engines where one class of requests fills its own

Cause: all nodes sent interactive requests to the same few engines, as many as gossip asked for, which does not count requests at mixed engines. Long prompts filled the engines left to them in the same way. Two sends to full engines spent a node's share of the retry budget, so callers were refused while other engines had free slots. Change: engines with fewer than 16 slots serve all classes. Others are lent to the other class for 10 s after this node found one full. A node asks engines for their load before a first send where a refusal is likely, or where its budget allows no other send. Prefixes keep their owners while those have room. A prompt is tried at lent engines before it is rejected. Without a refusal, engines with many slots are chosen as before.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -119,7 +119,9 @@
         self._rng = rng
         placer = Placer(runners, rng, count_interactive_requests)
         probe = LoadProbe(client, rng, self._limiter.is_limited)
-        self._scheduler = EngineScheduler(placer, probe, clock)
+        self._scheduler = EngineScheduler(
+            placer, probe, clock, self._retries.may_resend
+        )
         self._prober = RunnerProber(
             client,
             runners,
--- a/hawthornshelf/gateway/loadprobe.py
+++ b/hawthornshelf/gateway/loadprobe.py
@@ -8,7 +8,7 @@
 from hawthornshelf.gateway.runners import Runner, RunnerState
 from hawthornshelf.logs import write_log
 
-__all__ = ["LoadProbe"]
+__all__ = ["MIN_ENGINES", "LoadProbe"]
 
 PROBE_TIMEOUT_SECONDS = 0.05
 """Longest wait for a load report; an engine responds within milliseconds."""
@@ -44,12 +44,24 @@
         pair = self._rng.sample(states, 2)
         loads = await asyncio.gather(*(self._read_load(state) for state in pair))
         known = [
-            (load / state.runner.slots, number)
+            (max(load, state.in_flight) / state.runner.slots, number)
             for number, (state, load) in enumerate(zip(pair, loads, strict=True))
             if load is not None
         ]
         return pair[min(known)[1]] if known else None
 
+    async def find_full(self, states: Sequence[RunnerState]) -> frozenset[str]:
+        """Return the names of the engines whose slots are all taken.
+
+        An engine whose load is unknown counts as one with room.
+        """
+        loads = await asyncio.gather(*(self._read_load(state) for state in states))
+        return frozenset(
+            state.runner.name
+            for state, load in zip(states, loads, strict=True)
+            if load is not None and max(load, state.in_flight) >= state.runner.slots
+        )
+
     async def _read_load(self, state: RunnerState) -> int | None:
         """Return the load that an engine reports, or None.
 
--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -11,7 +11,7 @@
 from hawthornshelf.gateway.exchange import Prompt
 from hawthornshelf.gateway.runners import RunnerState, RunnerTable, Stage
 
-__all__ = ["Engines", "Placement", "Placer", "estimate_ttft", "is_long"]
+__all__ = ["Engines", "Placement", "Placer", "estimate_ttft", "find_owners", "is_long"]
 
 LONG_PROMPT_TOKENS = 1024
 """From this size on, a prompt's prefill delays the tokens of the rest of the batch."""
@@ -19,6 +19,19 @@
 INTERACTIVE_SHARE = 0.2
 """Minimum share of the decoding engines that is kept for interactive requests."""
 
+MIN_RESERVED_SLOTS = 16
+"""Engines with fewer slots serve all classes of requests.
+
+To keep a whole one for a class would refuse the other class while slots are idle.
+"""
+
+MAX_LENT_USE = 0.5
+"""Use of the interactive engines up to which they are lent to long prompts.
+
+It is relative to the requests that they are planned for: in a burst of long prompts
+interactive requests keep the engines that they use.
+"""
+
 RESERVE_SHARE = 0.25
 """Engines that a node gives neither interactive requests nor long prompts.
 
@@ -75,13 +88,18 @@
     """Store the engines of a service that accept new work, by use.
 
     Of the `decoders`, the `interactive` ones prefill no long prompts and the
-    `long_prompt` ones run no interactive requests. `prefillers` only prefill.
+    `long_prompt` ones run no interactive requests, unless engines are lent: then
+    `interactive` are all decoders. `prefillers` only prefill. `lent` take the long
+    prompts for which the owners of their prefixes have no room. With `are_shared` a
+    refusal is likely, so their load is read before a request is sent.
     """
 
     decoders: list[RunnerState]
     interactive: list[RunnerState]
     long_prompt: list[RunnerState]
     prefillers: list[RunnerState]
+    lent: list[RunnerState]
+    are_shared: bool = False
 
 
 def is_long(prompt: Prompt) -> bool:
@@ -123,11 +141,19 @@
         ordered = sorted(
             decoders, key=lambda state: _interactive_order(state.runner.name)
         )
+        if ordered[0].runner.slots < MIN_RESERVED_SLOTS:
+            return Engines(decoders, ordered, ordered, prefillers, [], are_shared=True)
         count = self._count_interactive_engines(ordered)
         reserve = int(RESERVE_SHARE * count)
-        return Engines(
-            decoders, ordered[:count], ordered[count + reserve :], prefillers
-        )
+        interactive, long_prompt = ordered[:count], ordered[count + reserve :]
+        if self._runners.refusals.lends_engines(now, service):
+            lent = self._find_lent(interactive, ordered[count : count + reserve])
+            return Engines(decoders, ordered, long_prompt, prefillers, lent, True)
+        return Engines(decoders, interactive, long_prompt, prefillers, [])
+
+    def lend_engines(self, now: float, service: str, cause: str) -> None:
+        """Let each class of requests use all engines of a service for some time."""
+        self._runners.refusals.record(now, service, cause)
 
     def place_interactive(
         self, engines: Engines, run: RunnerState | None = None
@@ -153,7 +179,9 @@
         An owner must be expected to send the first token within `max_ttft` seconds.
         """
         size = prompt.own_tokens
-        for owner in _find_owners(engines, prompt):
+        key = _prefix_key(prompt)
+        lent = sorted(engines.lent, key=lambda state: _distance(key, state))
+        for owner in (*find_owners(engines, prompt), *lent):
             has_room = owner.long_prefills < LONG_PROMPTS_PER_NODE
             if has_room and owner.ttft.estimate(now, size) <= max_ttft:
                 return self._place_at(engines, owner)
@@ -164,7 +192,7 @@
 
         It goes to its first owner and waits there behind all other requests.
         """
-        return self._place_at(engines, _find_owners(engines, prompt)[0])
+        return self._place_at(engines, find_owners(engines, prompt)[0])
 
     def _place_at(self, engines: Engines, owner: RunnerState) -> Placement:
         """Return the placement of a long prompt that an owner prefills.
@@ -184,15 +212,21 @@
             return Placement(self._least_loaded(same), owner)
         return Placement(self._least_loaded(engines.interactive))
 
+    def _find_lent(
+        self, interactive: list[RunnerState], reserve: list[RunnerState]
+    ) -> list[RunnerState]:
+        """Return the engines that long prompts may use besides their own."""
+        planned = len(interactive) * _plan_requests(interactive[0])
+        is_busy = self._count_interactive_requests() > MAX_LENT_USE * planned
+        return reserve if is_busy else interactive + reserve
+
     def _count_interactive_engines(self, ordered: list[RunnerState]) -> int:
         """Return how many decoding engines are kept for interactive requests.
 
         At least one is. All nodes order the engines alike and have nearly the same
         count of interactive requests, so they choose nearly the same engines.
         """
-        capacity = min(
-            _staffed_requests(ordered[0].runner.slots), MAX_INTERACTIVE_PER_ENGINE
-        )
+        capacity = _plan_requests(ordered[0])
         needed = math.ceil(self._count_interactive_requests() / capacity)
         return max(1, int(INTERACTIVE_SHARE * len(ordered)), needed)
 
@@ -231,6 +265,11 @@
     return (math.sqrt(slots + 1) - 1) ** 2
 
 
+def _plan_requests(state: RunnerState) -> float:
+    """Return how many interactive requests are planned for an engine."""
+    return min(_staffed_requests(state.runner.slots), MAX_INTERACTIVE_PER_ENGINE)
+
+
 def estimate_ttft(now: float, engines: Engines, prompt: Prompt) -> float:
     """Return the shortest time to first token, in seconds, among suitable engines.
 
@@ -242,11 +281,11 @@
         return min(
             state.interactive_ttft.estimate(now, size) for state in engines.interactive
         )
-    owners = _find_owners(engines, prompt)
+    owners = find_owners(engines, prompt)
     return min(state.ttft.estimate(now, size) for state in owners)
 
 
-def _find_owners(engines: Engines, prompt: Prompt) -> list[RunnerState]:
+def find_owners(engines: Engines, prompt: Prompt) -> list[RunnerState]:
     """Return the engines that cache a prompt's shared prefix, most preferred first."""
     states = [*engines.prefillers, *engines.long_prompt] or engines.decoders
     key = _prefix_key(prompt)
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -46,6 +46,7 @@
         else:
             context.source = None
             state.down_until = max(state.down_until, now + BUSY_SECONDS)
+            self._runners.refusals.record(now, state.runner.service, "refusal")
         write_log(
             "attempt-refused",
             request=context.inbound.request_id,
--- /dev/null
+++ b/hawthornshelf/gateway/refusals.py
@@ -0,0 +1,37 @@
+"""Remember refusals of full engines, for loads that one class can't place alone.
+
+A node knows its own requests at an engine and not those of the other nodes, so a
+refusal is the only sure sign that an engine is full.
+"""
+
+from hawthornshelf.logs import write_log
+
+__all__ = ["RefusalMemory"]
+
+LENDING_SECONDS = 10.0
+"""Time after a refusal for which a service's engines serve all classes of requests.
+
+It is the window of the retry budget: a node whose share is one extra send a window
+can afford one refusal in that time.
+"""
+
+
+class RefusalMemory:
+    """Track when engines of each service were last found full."""
+
+    def __init__(self) -> None:
+        self._refused_at: dict[str, float] = {}
+
+    def record(self, now: float, service: str, cause: str) -> None:
+        """Record that engines were full, and how this node learnt it.
+
+        `now` is in monotonic seconds.
+        """
+        if not self.lends_engines(now, service):
+            write_log("engines-lent", service=service, cause=cause)
+        self._refused_at[service] = now
+
+    def lends_engines(self, now: float, service: str) -> bool:
+        """Return whether engines were full within the last LENDING_SECONDS."""
+        refused_at = self._refused_at.get(service, float("-inf"))
+        return now < refused_at + LENDING_SECONDS
--- a/hawthornshelf/gateway/retrygate.py
+++ b/hawthornshelf/gateway/retrygate.py
@@ -49,8 +49,12 @@
         """Return whether the budget allows one more send."""
         if self._has_reserved(context):
             return True
+        return self.may_resend(context.service)
+
+    def may_resend(self, service: str) -> bool:
+        """Return whether the budget allows one more send to a service."""
         now, nodes = self._clock.monotonic(), self._count_nodes()
-        return self._budget.may_spend(now, context.service, nodes)
+        return self._budget.may_spend(now, service, nodes)
 
     def reserve(self, context: RequestContext) -> bool:
         """Count one more send before it takes place; return whether that is allowed."""
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -13,6 +13,7 @@
     LocalDurationEstimator,
     decay_factor,
 )
+from hawthornshelf.gateway.refusals import RefusalMemory
 
 __all__ = ["Runner", "RunnerList", "RunnerState", "RunnerTable", "Stage"]
 
@@ -149,6 +150,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self.departures = DepartureTable() if departures is None else departures
+        self.refusals = RefusalMemory()
         self._states: dict[str, RunnerState] = {}
         self._services: dict[str, list[RunnerState]] = {}
         self._ttfts: dict[tuple[str, Stage, float], DurationEstimator] = {}
--- a/hawthornshelf/gateway/scheduler.py
+++ b/hawthornshelf/gateway/scheduler.py
@@ -1,6 +1,7 @@
 """Schedule generation requests on engines and count the load given to each engine."""
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from hawthornshelf.clock import Clock
@@ -10,17 +11,21 @@
     QueueEntry,
 )
 from hawthornshelf.gateway.exchange import Prompt
-from hawthornshelf.gateway.loadprobe import LoadProbe
+from hawthornshelf.gateway.loadprobe import MIN_ENGINES, LoadProbe
 from hawthornshelf.gateway.placement import (
     Engines,
     Placement,
     Placer,
     estimate_ttft,
+    find_owners,
     is_long,
 )
 
 __all__ = ["AdmissionRejected", "EngineScheduler", "PlacementRequest", "Reservation"]
 
+MAX_READS = 2
+"""Times that the load of a request's engines is read before it is sent."""
+
 
 class AdmissionRejected(Exception):
     """Signal that a request gets no engine now.
@@ -102,12 +107,23 @@
 
 
 class EngineScheduler:
-    """Place requests on engines, at once if there is room and else in queue order."""
+    """Place requests on engines, at once if there is room and else in queue order.
+
+    `may_resend` returns whether this node may send a request to a service again that
+    an engine has refused.
+    """
 
-    def __init__(self, placer: Placer, probe: LoadProbe, clock: Clock) -> None:
+    def __init__(
+        self,
+        placer: Placer,
+        probe: LoadProbe,
+        clock: Clock,
+        may_resend: Callable[[str], bool] = lambda service: True,
+    ) -> None:
         self._placer = placer
         self._probe = probe
         self._clock = clock
+        self._may_resend = may_resend
         self._queues: dict[str, AdmissionQueue] = {}
         self._waiters: dict[str, dict[int, _Waiter]] = {}
 
@@ -116,10 +132,11 @@
 
         A long prompt may wait here until it can no longer meet its target.
         """
-        now = self._clock.monotonic()
-        engines = self._find_engines(now, request)
+        engines = self._find_engines(self._clock.monotonic(), request)
+        engines = await self._leave_out_full(request, engines)
         if not is_long(request.prompt):
             return await self._place_interactive(request, engines)
+        now = self._clock.monotonic()
         queue = self._queues.setdefault(request.service, AdmissionQueue())
         decision = _decide(now, request, queue, engines)
         if decision.is_late:
@@ -162,6 +179,42 @@
             raise AdmissionRejected("no runner", 0.0)
         return engines
 
+    async def _leave_out_full(
+        self, request: PlacementRequest, engines: Engines
+    ) -> Engines:
+        """Return the engines without those that would refuse a request as full.
+
+        Their load is read where a refusal is likely, or can't be made good by another
+        send. If all engines of the request's class are full, others are lent to it.
+        """
+        if not engines.are_shared and self._may_resend(request.service):
+            return engines
+        full: frozenset[str] = frozenset()
+        for _ in range(MAX_READS):
+            found = await self._find_full(request.prompt, engines)
+            if not found:
+                break
+            full |= found
+            now = self._clock.monotonic()
+            self._placer.lend_engines(now, request.service, "load report")
+            skipped = request.tried | full
+            others = self._placer.find_engines(now, request.service, skipped)
+            if others is None:
+                break
+            engines = others
+        return engines
+
+    async def _find_full(self, prompt: Prompt, engines: Engines) -> frozenset[str]:
+        """Return the full ones of the engines that would get a prompt.
+
+        Of many interactive engines the less loaded one of two is chosen anyway.
+        """
+        if is_long(prompt):
+            return await self._probe.find_full(find_owners(engines, prompt))
+        if len(engines.interactive) >= MIN_ENGINES:
+            return frozenset()
+        return await self._probe.find_full(engines.interactive)
+
     async def _place_interactive(
         self, request: PlacementRequest, engines: Engines
     ) -> Reservation:
@@ -195,7 +248,25 @@
         decision = _decide(now, request, queue, engines)
         if decision.is_late:
             return self._place_late(request, engines)
-        raise AdmissionRejected("no engine came free in time", decision.retry_after)
+        return self._place_lent(
+            request, "no engine came free in time", decision.retry_after
+        )
+
+    def _place_lent(
+        self, request: PlacementRequest, reason: str, retry_after: float
+    ) -> Reservation:
+        """Place a request at an engine kept for other classes; raise AdmissionRejected.
+
+        It is placed only if that engine is expected to answer before the deadline.
+        """
+        now = self._clock.monotonic()
+        self._placer.lend_engines(now, request.service, reason)
+        engines = self._find_engines(now, request)
+        max_ttft = request.deadline - now
+        placement = self._placer.place_long(now, engines, request.prompt, max_ttft)
+        if placement is None:
+            raise AdmissionRejected(reason, retry_after)
+        return Reservation(request, placement, self)
 
     async def _wait(
         self,
@@ -210,7 +281,9 @@
         a caller that has just disconnected is released.
         """
         if not decision.admitted:
-            raise AdmissionRejected("the queue is too long", decision.retry_after)
+            return self._place_lent(
+                request, "the queue is too long", decision.retry_after
+            )
         entry = queue.add(decision.priority, decision.dispatch_by)
         future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
         waiters = self._waiters.setdefault(request.service, {})
