--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -48,6 +48,7 @@
         else:
             context.source = None
             state.down_until = max(state.down_until, now + BUSY_SECONDS)
+            self._runners.refusals.record(now, state.runner.service, "refusal")
         write_log(
             "attempt-refused",
             **context.log_fields(),
