Check a declaration before it is sent

Cause: a declaration that is accepted may still hold call rules that never match, models whose requests go to another service, and objectives that say nothing; operators saw that only in use.

--- a/hawthornshelf/cli.py
+++ b/hawthornshelf/cli.py
@@ -25,9 +25,11 @@
 )
 from hawthornshelf.configuration import Configuration
 from hawthornshelf.declarations import (
+    check_configuration,
     diff_configurations,
     load_declaration,
     print_configuration,
+    read_declaration,
 )
 from hawthornshelf.errors import DeclarationError, HawthornshelfError, RequestRefused
 from hawthornshelf.explain import describe_trace
@@ -204,6 +206,34 @@
         return EXIT_OK
 
 
+class _ConfigCheck(_OperatorCommand):
+    name = "config check"
+    description = "Check a declaration for errors, entries without effect and limits"
+    help = _format_help(
+        "hawthornshelf config check examples/bamboo_lantern.py --at 127.0.0.1:8001",
+        "Names all errors, entries that can never match and limits that contradict "
+        "each other. With nodes to ask, adds what differs from the version in force. "
+        "Exits with 1 if the declaration is valid but has such entries or limits.",
+    )
+    extra_arguments: ClassVar[list[Argument]] = [_FILE]
+
+    def run_command(self) -> int:
+        """Print what the check finds."""
+        configuration = read_declaration(Path(self.argument("file")))
+        review = porcelain.review_declaration(configuration)
+        try:
+            if self.at and not review.errors:
+                review = porcelain.compare_declaration(
+                    review, configuration, self.at, self.token
+                )
+        finally:
+            findings = [finding._asdict() for finding in review.findings]
+            data = {**review._asdict(), "findings": findings}
+            self.print_result(data, porcelain.describe_review(review))
+        check_configuration(configuration)
+        return EXIT_REFUSED if review.findings else EXIT_OK
+
+
 class _ConfigDiff(_OperatorCommand):
     name = "config diff"
     description = "Compare a declaration with the configuration in force"
@@ -480,6 +510,7 @@
     _Addresses,
     _Status,
     _ConfigPrint,
+    _ConfigCheck,
     _ConfigDiff,
     _ConfigPropose,
     _ConfigShow,
--- a/hawthornshelf/declarations.py
+++ b/hawthornshelf/declarations.py
@@ -32,8 +32,10 @@
     "WorkClass",
     "check_configuration",
     "diff_configurations",
+    "find_errors",
     "load_declaration",
     "print_configuration",
+    "read_declaration",
 ]
 
 ROLES = ("mixed", "prefill", "decode")
@@ -49,6 +51,16 @@
     Raise DeclarationError for a file that defines none, or an ExceptionGroup of
     DeclarationError for all errors in it.
     """
+    configuration = read_declaration(path)
+    check_configuration(configuration)
+    return configuration
+
+
+def read_declaration(path: Path) -> Configuration:
+    """Run a Python file and return its `configuration`, unchecked.
+
+    Raise DeclarationError for a file that defines none.
+    """
     try:
         names = runpy.run_path(str(path))
     except Exception as error:
@@ -57,17 +69,21 @@
     configuration = names.get("configuration")
     if not isinstance(configuration, Configuration):
         raise DeclarationError(str(path), "defines no Configuration `configuration`")
-    check_configuration(configuration)
     return configuration
 
 
 def check_configuration(configuration: Configuration) -> None:
     """Raise an ExceptionGroup with a DeclarationError for each error found."""
-    errors = list(_find_errors(configuration))
+    errors = find_errors(configuration)
     if errors:
         raise ExceptionGroup("bad declaration", errors)
 
 
+def find_errors(configuration: Configuration) -> list[DeclarationError]:
+    """Return each error for which a proposal of a configuration would be refused."""
+    return list(_find_errors(configuration))
+
+
 def print_configuration(configuration: Configuration) -> str:
     """Return a configuration as text in a canonical order."""
     lines: list[str] = []
--- a/hawthornshelf/porcelain.py
+++ b/hawthornshelf/porcelain.py
@@ -13,18 +13,22 @@
 from hawthornshelf.burn import BurnReport, compute_burn
 from hawthornshelf.commands import ProposeConfiguration, Result
 from hawthornshelf.configuration import Configuration
+from hawthornshelf.declarations import diff_configurations, find_errors
 from hawthornshelf.errors import ControlUnavailable, RequestRefused
 from hawthornshelf.explain import RequestTrace, explain_request
 from hawthornshelf.httplimits import limit_connections, read_body
 from hawthornshelf.messages import CODEC
 from hawthornshelf.metrics import OutcomeBucket
 from hawthornshelf.operatorapi import TOKEN_HEADER, AddressAnswer, ReplicaAnswer
+from hawthornshelf.reviews import DeclarationReview, review_configuration
 from hawthornshelf.status import ConfigurationReport, ControlReport, NodeReport
 from hawthornshelf.texttable import format_table
 
 __all__ = [
     "call_any",
     "change_replica",
+    "compare_declaration",
+    "describe_review",
     "describe_status",
     "explain",
     "drain_upstream",
@@ -37,6 +41,7 @@
     "release_upstream",
     "remove_node",
     "report_burn",
+    "review_declaration",
 ]
 
 CALL_SECONDS = 15.0
@@ -73,6 +78,37 @@
     return _get(at, path, ConfigurationReport, token)
 
 
+def review_declaration(configuration: Configuration) -> DeclarationReview:
+    """Return what a check of a configuration finds, without asking a node."""
+    errors = tuple(str(error) for error in find_errors(configuration))
+    return DeclarationReview(errors, review_configuration(configuration))
+
+
+def compare_declaration(
+    review: DeclarationReview,
+    configuration: Configuration,
+    at: Sequence[str],
+    token: str = "",
+) -> DeclarationReview:
+    """Add what differs from the configuration in force; raise ControlUnavailable."""
+    report = fetch_configuration(at, token)
+    diff = diff_configurations(report.configuration, configuration)
+    return review._replace(version=report.version, diff=diff)
+
+
+def describe_review(review: DeclarationReview) -> str:
+    """Return findings and differences as text; errors are printed as such."""
+    findings = review.findings
+    lines = [f"{f.path}: {f.kind.value}: {f.reason}" for f in findings]
+    if not review.errors and not findings:
+        lines.append("no errors, nothing without effect, no contradictions")
+    if review.version is not None:
+        same = f"no difference from version {review.version}"
+        changes = f"differs from version {review.version}:\n{review.diff}"
+        lines.append(changes if review.diff else same)
+    return "\n".join(lines)
+
+
 def propose_configuration(
     at: Sequence[str],
     configuration: Configuration,
