--- a/tests/shellfleet.py
+++ b/tests/shellfleet.py
@@ -9,8 +9,8 @@
 
 from hawthornshelf.duties import DutySettings
 from hawthornshelf.errors import CallFailed
-from hawthornshelf.gateway import node as gateway
 from hawthornshelf.gateway.contract import DutyClient, RouteCodec
+from hawthornshelf.gateway.controlnode import ControlNode
 from hawthornshelf.gateway.routes import RouteTable
 from hawthornshelf.log import RecoveredState
 from hawthornshelf.node import NodeSettings
@@ -206,7 +206,7 @@
         self.control_names = [f"c{n}" for n in range(self.control)]
         self.seeds = self.control_names[:3]
         self.entry_names = [f"e{n}" for n in range(self.nodes)]
-        self.controls: dict[str, gateway.ControlNode] = {}
+        self.controls: dict[str, ControlNode] = {}
         self.entries: dict[str, EntryShell] = {}
         self.disks: dict[str, SimDisk] = {}
         self.numbers = itertools.count(1)
@@ -228,7 +228,7 @@
     async def start_control(self, name: str) -> None:
         if name not in self.disks:
             self.make_disk(name)
-        shell = gateway.ControlNode(
+        shell = ControlNode(
             self._settings(name, is_entry=False),
             PeerSettings("sim", name, name),
             self.disks[name],
