Order engines only for services whose load is counted

Cause: load is counted of generation requests that tell the size of their prompt. A plain service with Autoscale, or requests without a size, would look idle, and its engines would be given up. Change: limits apply to services with an engine profile and a generation route; requests without a size count as interactive.

--- a/hawthornshelf/gateway/controlnode.py
+++ b/hawthornshelf/gateway/controlnode.py
@@ -14,6 +14,7 @@
 from hawthornshelf.gateway.dutycalls import DutyCaller
 from hawthornshelf.gateway.enginelister import EngineLister
 from hawthornshelf.gateway.fleetgauges import make_fleet_gauges
+from hawthornshelf.gateway.routes import find_scaling
 from hawthornshelf.logs import write_log
 from hawthornshelf.metrics import LabelledGauge, Metrics
 from hawthornshelf.node import NodeSettings
@@ -103,11 +104,8 @@
             write_log("routes-unreadable", level="error", reason=str(error))
         else:
             self._core.has_workspaces = getattr(table, "workspaces", None) is not None
-            services = tuple(
-                ServiceScaling(service.name, service.scaling)
-                for service in table.services
-                if service.scaling is not None
-            )
+            limits = find_scaling(table)
+            services = tuple(ServiceScaling(*item) for item in sorted(limits.items()))
         if lacks_scaling:
             self.post(ScalingLoaded(routes.number, services))
 
--- a/hawthornshelf/gateway/loadcounter.py
+++ b/hawthornshelf/gateway/loadcounter.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from hawthornshelf.gateway.context import RequestContext
+from hawthornshelf.gateway.exchange import Prompt
 from hawthornshelf.gateway.placement import is_long
 from hawthornshelf.serviceloads import ServiceLoad
 
@@ -38,7 +39,8 @@
     """Count the generation requests of this node's own callers.
 
     A request that comes again after a refusal is in no total, as its first attempt is.
-    One that another node relayed is counted there.
+    One that another node relayed is counted there. One that doesn't tell the size of
+    its prompt counts as interactive.
     """
 
     def __init__(self) -> None:
@@ -51,14 +53,12 @@
         if counts is None:
             yield
             return
-        prompt = context.inbound.prompt
-        is_large = prompt is not None and is_long(prompt)
-        if prompt is not None and not _is_return(context):
-            if is_large:
-                counts.offered += 1
-                counts.prompt_tokens += prompt.own_tokens
-            else:
-                counts.short_offered += 1
+        long_prompt = _find_long_prompt(context)
+        is_large = long_prompt is not None
+        if not _is_return(context):
+            counts.offered += is_large
+            counts.short_offered += not is_large
+            counts.prompt_tokens += long_prompt.own_tokens if long_prompt else 0
         counts.open += not is_large
         counts.long_open += is_large
         try:
@@ -69,11 +69,11 @@
 
     def record_first_token(self, context: RequestContext) -> None:
         """Record that a request got its first token, on time or late."""
-        counts, prompt = self._find(context), context.inbound.prompt
-        if counts is None or prompt is None:
+        counts, prompt = self._find(context), _find_long_prompt(context)
+        if counts is None:
             return
         is_late = context.first_byte_at > context.target_at
-        if not is_long(prompt):
+        if prompt is None:
             counts.short_missed += is_late and not _is_return(context)
             return
         if not _is_return(context):
@@ -89,10 +89,10 @@
             self.record_first_token(context)
         if outcome not in ("refused", "failed") or context.events:
             return
-        counts, prompt = self._find(context), context.inbound.prompt
-        if counts is None or prompt is None or _is_return(context):
+        counts = self._find(context)
+        if counts is None or _is_return(context):
             return
-        if not is_long(prompt):
+        if _find_long_prompt(context) is None:
             counts.short_missed += 1
         elif outcome == "refused":
             counts.refused += 1
@@ -116,8 +116,6 @@
         inbound = context.inbound
         if not context.route.is_generation or inbound.relayed_runs is not None:
             return None
-        if inbound.prompt is None:
-            return None
         counts = self._services.get(context.service)
         if counts is None and len(self._services) < MAX_SERVICES:
             counts = self._services[context.service] = _Counts()
@@ -145,6 +143,12 @@
     )
 
 
+def _find_long_prompt(context: RequestContext) -> Prompt | None:
+    """Return the prompt of a request if it is long, None for interactive ones."""
+    prompt = context.inbound.prompt
+    return prompt if prompt is not None and is_long(prompt) else None
+
+
 def _is_return(context: RequestContext) -> bool:
     """Return whether a request was sent before, by the time that its caller has left.
 
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -20,6 +20,7 @@
 from hawthornshelf.gateway.forwarder import Forwarder
 from hawthornshelf.gateway.peerrelay import Peer, RelayClient
 from hawthornshelf.gateway.polling import ListPace, poll_interval
+from hawthornshelf.gateway.routes import find_scaling
 from hawthornshelf.gateway.runners import RunnerTable
 from hawthornshelf.gateway.streamorigins import StreamOrigins
 from hawthornshelf.limitrecords import Permit
@@ -223,9 +224,7 @@
             write_log("routes-unreadable", level="error", reason=str(error))
             return
         self.forwarder.load(table)
-        self._scaled_services = frozenset(
-            service.name for service in table.services if service.scaling is not None
-        )
+        self._scaled_services = frozenset(find_scaling(table))
         write_log("routes-in-force", number=routes.number, routes=len(table.routes))
 
     def count_nodes(self, now: float) -> int:
--- a/hawthornshelf/gateway/routes.py
+++ b/hawthornshelf/gateway/routes.py
@@ -17,6 +17,7 @@
     "ServiceSpec",
     "Split",
     "check_table",
+    "find_scaling",
 ]
 
 
@@ -127,6 +128,26 @@
     return faults
 
 
+def find_scaling(table: RouteTable) -> dict[str, EngineLimits]:
+    """Return the limits of the services whose engines may be ordered.
+
+    Load is measured of generation requests only; other services would look idle.
+    """
+    measured = {
+        split.service
+        for route in table.routes
+        if route.is_generation
+        for split in route.splits
+    }
+    return {
+        service.name: service.scaling
+        for service in table.services
+        if service.scaling is not None
+        and service.engine is not None
+        and service.name in measured
+    }
+
+
 def _check_route(
     path: str, route: Route, services: set[str]
 ) -> Iterable[DeclarationError]:
--- a/tests/gateway/test_loadcounter.py
+++ b/tests/gateway/test_loadcounter.py
@@ -105,3 +105,11 @@
     asyncio.run(fleet.forwarder.serve(relayed, Caller()))
     assert len(fleet.sent) == 2
     assert fleet.forwarder.measure_load("dc") == ()
+
+
+def test_a_request_without_the_size_of_its_prompt_counts_as_interactive() -> None:
+    """Guards against a fleet that is given up under load that nobody counts."""
+    fleet = Fleet([not_run])
+    fleet.ask("/talk/x")
+    row = counted(fleet)
+    assert (row.short_offered, row.short_missed, row.offered) == (1, 1, 0)
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -1,4 +1,6 @@
+from hawthornshelf.enginegroups import EngineLimits
 from hawthornshelf.gateway.routes import (
+    EngineProfile,
     RetryPolicy,
     Route,
     RouteIndex,
@@ -6,6 +8,7 @@
     ServiceSpec,
     Split,
     check_table,
+    find_scaling,
 )
 
 SERVICES = (ServiceSpec("s"), ServiceSpec("t"))
@@ -65,3 +68,22 @@
     assert "the timeout is 0" in text
     assert "the weights add up to 0" in text
     assert "begins and ends with a slash" in text
+
+
+def test_engines_are_ordered_only_for_services_whose_load_is_measured() -> None:
+    """Guards against a service without counted load that is scaled to its minimum."""
+    limits = EngineLimits(0, 4)
+    engine = EngineProfile(8, 1000)
+    services = (
+        ServiceSpec("llm", engine=engine, scaling=limits),
+        ServiceSpec("plain", scaling=limits),
+        ServiceSpec("unrouted", engine=engine, scaling=limits),
+        ServiceSpec("fixed", engine=engine),
+    )
+    routes = (
+        make("/a/", "llm", is_generation=True),
+        make("/b/", "plain", is_generation=True),
+        make("/c/", "unrouted"),
+        make("/d/", "fixed", is_generation=True),
+    )
+    assert find_scaling(RouteTable(1, routes, services)) == {"llm": limits}
