Keep the lines of other tests out of a test of log lines

Cause: the first destination of the log gets what was logged before, so that test_hedging_that_is_off_changes_a_send_a_metric_or_a_log_line failed after other tests. Change: the list is emptied once it is registered. Result: fails with test_race and others in one run before, passes after.

--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -223,6 +223,7 @@
 def test_hedging_that_is_off_changes_a_send_a_metric_or_a_log_line() -> None:
     lines: list[dict[str, object]] = []
     eliot.add_destinations(lines.append)
+    lines.clear()  # the first destination gets what was logged before
     try:
         fleet = play(0.0, 20.0, slowness=10.0)
     finally:
