Send a request on whose estimate fell while it waited for an engine

Cause: a request whose wait ran out was decided on once more. If estimates had fallen since, it was found able to meet its target, and only late ones were sent on, so it was rejected ("no engine came free in time"). Change: it is placed if an owner has room, else sent on as late. Tests: test_a_request_is_not_rejected_because_its_estimate_fell_while_it_waited fails before and passes now; test_load, test_scheduler, test_admission and test_refusals pass.

--- a/hawthornshelf/gateway/scheduler.py
+++ b/hawthornshelf/gateway/scheduler.py
@@ -242,12 +242,16 @@
     def _decide_again(
         self, request: PlacementRequest, queue: AdmissionQueue
     ) -> Reservation:
-        """Decide once more on a request that can no longer meet its target."""
+        """Decide once more on a request that was to be dispatched by now.
+
+        It may still meet its target if the estimates have fallen since.
+        """
         now = self._clock.monotonic()
         engines = self._find_engines(now, request)
         decision = _decide(now, request, queue, engines)
-        if decision.is_late:
-            return self._place_late(request, engines)
+        if decision.admitted:
+            placed = self._try_place(now, request, engines)
+            return placed or self._place_late(request, engines)
         return self._place_lent(
             request, "no engine came free in time", decision.retry_after
         )
--- a/tests/gateway/test_scheduler.py
+++ b/tests/gateway/test_scheduler.py
@@ -97,6 +97,27 @@
     assert asyncio.run(run()).is_late
 
 
+def test_a_request_is_not_rejected_because_its_estimate_fell_while_it_waited(
+    runners: RunnerTable,
+) -> None:
+    """Such a request could still meet its target, but no engine was given to it."""
+    clock = VirtualClock()
+    prefiller = runners.find("p0")
+    assert prefiller is not None
+    for _ in range(50):
+        prefiller.ttft.record(0.0, 0.3, 9000)
+
+    async def acquire_twice() -> None:
+        rng = random.Random(1)
+        placer = Placer(runners, rng, lambda: 1.0)
+        scheduler = EngineScheduler(placer, LoadProbe(Fleet([]), rng), clock)
+        await scheduler.acquire(PlacementRequest("llm", LONG, 0, 9.0, 9.0))
+        second = await scheduler.acquire(PlacementRequest("llm", LONG, 0, 1.0, 9.0))
+        assert second.placement.prefiller is prefiller
+
+    run_in_virtual_time(clock, acquire_twice())
+
+
 def test_a_reservation_made_as_the_wait_times_out_is_not_lost(
     runners: RunnerTable,
 ) -> None:
