Dispatch returned requests first, and spread refused callers

Cause: a node's queue was ordered by priority and age, so a request that came back after a refusal went behind new ones, whatever time it had left. Callers that were refused together were told the same time to return. Change: the order is priority, then returned requests, then the time left. Retry-After without an estimate, or with one of the queue, gets a seeded random part of up to its own length. Pauses and rate limits keep theirs.

--- a/hawthornshelf/gateway/admission.py
+++ b/hawthornshelf/gateway/admission.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import random
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -9,7 +10,13 @@
 from hawthornshelf.gateway.exchange import Prompt
 from hawthornshelf.gateway.placement import is_long
 
-__all__ = ["AdmissionDecision", "AdmissionQueue", "QueueEntry", "engine_priority"]
+__all__ = [
+    "AdmissionDecision",
+    "AdmissionQueue",
+    "QueueEntry",
+    "engine_priority",
+    "spread_retry_after",
+]
 
 LATE_PRIORITY = 9
 """Priority at engines of requests that can't meet their target: behind all others."""
@@ -23,6 +30,12 @@
 SAMPLE_WEIGHT = 0.1
 """Weight of a new sample in the exponential moving average."""
 
+RETRY_AFTER_SPREAD = 1.0
+"""Longest random time added to a Retry-After, as a share of it.
+
+Callers that are refused together would otherwise come back together.
+"""
+
 MIN_RETRY_AFTER_SECONDS = 0.25
 MAX_RETRY_AFTER_SECONDS = 2.0
 LATE_SAMPLE_WEIGHT = 0.2
@@ -53,14 +66,16 @@
 
 @dataclass(order=True, slots=True)
 class QueueEntry:
-    """Represent a waiting request; entries sort by priority, then by age.
+    """Represent a waiting request; entries sort in the order of dispatch.
 
-    `dispatch_by` is the latest time to dispatch it, in monotonic seconds.
+    That is by priority, then requests that return after a refusal, then by the time
+    left until `dispatch_by`, the latest time to dispatch it in monotonic seconds.
     """
 
     priority: int
+    is_first: bool
+    dispatch_by: float
     number: int
-    dispatch_by: float = field(compare=False)
     is_removed: bool = field(compare=False, default=False)
 
 
@@ -90,14 +105,19 @@
         return self._count
 
     def decide(
-        self, now: float, priority: int, dispatch_by: float, deadline: float
+        self,
+        now: float,
+        priority: int,
+        dispatch_by: float,
+        deadline: float,
+        returns: bool = False,
     ) -> AdmissionDecision:
         """Decide on a request that misses its target if dispatched after `dispatch_by`.
 
-        Times are in monotonic seconds.
+        Times are in monotonic seconds; `returns` tells that it was refused before.
         """
         on_time = AdmissionDecision(True, priority, dispatch_by)
-        queue_wait = self._expected_wait(priority)
+        queue_wait = self._expected_wait(priority, dispatch_by, returns)
         if now + queue_wait <= on_time.dispatch_by:
             return on_time
         late_wait = self._decayed_late_wait(now)
@@ -109,9 +129,12 @@
             retry_after=self._clamp_retry_after(max(queue_wait, late_wait)),
         )
 
-    def add(self, priority: int, dispatch_by: float) -> QueueEntry:
+    def add(
+        self, priority: int, dispatch_by: float, returns: bool = False
+    ) -> QueueEntry:
         """Add a waiting request and return its entry."""
-        entry = QueueEntry(priority, next(self._numbers), dispatch_by)
+        number = next(self._numbers)
+        entry = QueueEntry(priority, not returns, dispatch_by, number)
         heapq.heappush(self._entries, entry)
         self._count += 1
         return entry
@@ -156,15 +179,16 @@
             now - self._late_updated_at, LATE_HALF_LIFE_SECONDS
         )
 
-    def _expected_wait(self, priority: int) -> float:
+    def _expected_wait(self, priority: int, dispatch_by: float, returns: bool) -> float:
         """Return the expected wait of a new request in this queue, in seconds.
 
-        Waiting requests with a lower or the same priority number are ahead of it, the
-        latter because they are older. Each is expected to take one mean interval
-        between releases.
+        Each waiting request ahead of it is expected to take one mean interval between
+        releases.
         """
+        new = (priority, not returns, dispatch_by)
         ahead = sum(
-            not entry.is_removed and entry.priority <= priority
+            not entry.is_removed
+            and (entry.priority, entry.is_first, entry.dispatch_by) <= new
             for entry in self._entries
         )
         return ahead * self._release_interval
@@ -187,3 +211,8 @@
             LONG_PROMPT_PRIORITIES.stop - 1,
         )
     return min(route_priority, LONG_PROMPT_PRIORITIES.start - 1)
+
+
+def spread_retry_after(rng: random.Random, seconds: float) -> float:
+    """Return a random time, in seconds, that is at least the given one."""
+    return seconds * (1.0 + rng.uniform(0.0, RETRY_AFTER_SPREAD))
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -153,6 +153,12 @@
             return self.route.resumable
         return self.route.retry_policy is RetryPolicy.SAFE
 
+    @property
+    def has_returned(self) -> bool:
+        """Return whether a runner, or a node, has refused the request before."""
+        is_retry = self.target_at < self.inbound.arrived_at + self.route.target
+        return is_retry or self.sends > 0
+
     def begin_run(self, peer: str, copy: RunnerState | None = None) -> bool:
         """Note that the request goes out to a peer; return if it may have run before.
 
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -7,7 +7,7 @@
 from hawthornshelf.clock import Clock
 from hawthornshelf.crashrecords import Standing
 from hawthornshelf.crashtable import CrashTable
-from hawthornshelf.gateway.admission import engine_priority
+from hawthornshelf.gateway.admission import engine_priority, spread_retry_after
 from hawthornshelf.gateway.attempts import AttemptSender
 from hawthornshelf.gateway.budget import RetryBudget
 from hawthornshelf.gateway.cacherelease import CacheReleaser
@@ -120,7 +120,7 @@
         placer = Placer(runners, rng, count_interactive_requests)
         probe = LoadProbe(client, rng, self._limiter.is_limited)
         self._scheduler = EngineScheduler(
-            placer, probe, clock, self._retries.may_resend
+            placer, probe, clock, self._retries.may_resend, rng
         )
         self._prober = RunnerProber(
             client,
@@ -477,6 +477,7 @@
                 context.target_at,
                 context.deadline,
                 frozenset(excluded | limited.excluded),
+                context.has_returned,
             )
         )
         context.reserved_at = self._clock.monotonic()
@@ -515,25 +516,32 @@
     ) -> None:
         now = self._clock.monotonic()
         pause = self._runners.seconds_paused(now, context.service)
-        retry_after = rejection.retry_after or pause or RETRY_AFTER_SECONDS
+        retry_after = rejection.retry_after or pause or self._draw_retry_after()
         await self._give_up(context, rejection.reason, retry_after)
 
+    def _draw_retry_after(self) -> float:
+        return spread_retry_after(self._rng, RETRY_AFTER_SECONDS)
+
     async def _fail(
         self,
         context: RequestContext,
         status: int,
-        retry_after: float = RETRY_AFTER_SECONDS,
+        retry_after: float | None = None,
         outcome: str = "",
     ) -> None:
         """End a request without a complete response of a runner.
 
         A response that has started is broken off; else the caller gets an error.
+        Without an estimate of `retry_after`, callers are told to spread.
         """
         if context.writer.headers_sent:
             context.writer.abort()
             self._recorder.record_end(context, outcome or "cut")
             return
-        retry_after = retry_after if status == 503 else 0.0
+        if status != 503:
+            retry_after = 0.0
+        elif retry_after is None:
+            retry_after = self._draw_retry_after()
         await context.writer.refuse(status, context.reason, retry_after)
         outcome = outcome or ("refused" if status == 503 else "failed")
         self._recorder.record_end(context, outcome, status)
--- a/hawthornshelf/gateway/scheduler.py
+++ b/hawthornshelf/gateway/scheduler.py
@@ -1,6 +1,7 @@
 """Schedule generation requests on engines and count the load given to each engine."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -9,6 +10,7 @@
     AdmissionDecision,
     AdmissionQueue,
     QueueEntry,
+    spread_retry_after,
 )
 from hawthornshelf.gateway.exchange import Prompt
 from hawthornshelf.gateway.loadprobe import MIN_ENGINES, LoadProbe
@@ -43,6 +45,7 @@
     """Describe a request for an engine of a service; times are monotonic seconds.
 
     `target_at` is when the first token is due. Runners in `tried` are left out.
+    `returns` tells that the request was refused before, by an engine or a node.
     """
 
     service: str
@@ -51,6 +54,7 @@
     target_at: float
     deadline: float
     tried: frozenset[str] = frozenset()
+    returns: bool = False
 
 
 class Reservation:
@@ -110,7 +114,8 @@
     """Place requests on engines, at once if there is room and else in queue order.
 
     `may_resend` returns whether this node may send a request to a service again that
-    an engine has refused.
+    an engine has refused. Without `rng`, the times after which callers may retry are
+    the bare estimates.
     """
 
     def __init__(
@@ -119,11 +124,13 @@
         probe: LoadProbe,
         clock: Clock,
         may_resend: Callable[[str], bool] = lambda service: True,
+        rng: random.Random | None = None,
     ) -> None:
         self._placer = placer
         self._probe = probe
         self._clock = clock
         self._may_resend = may_resend
+        self._rng = rng
         self._queues: dict[str, AdmissionQueue] = {}
         self._waiters: dict[str, dict[int, _Waiter]] = {}
 
@@ -269,6 +276,8 @@
         max_ttft = request.deadline - now
         placement = self._placer.place_long(now, engines, request.prompt, max_ttft)
         if placement is None:
+            if self._rng is not None:
+                retry_after = spread_retry_after(self._rng, retry_after)
             raise AdmissionRejected(reason, retry_after)
         return Reservation(request, placement, self)
 
@@ -288,7 +297,7 @@
             return self._place_lent(
                 request, "the queue is too long", decision.retry_after
             )
-        entry = queue.add(decision.priority, decision.dispatch_by)
+        entry = queue.add(decision.priority, decision.dispatch_by, request.returns)
         future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
         waiters = self._waiters.setdefault(request.service, {})
         waiters[entry.number] = _Waiter(request, entry, future)
@@ -312,4 +321,6 @@
     now: float, request: PlacementRequest, queue: AdmissionQueue, engines: Engines
 ) -> AdmissionDecision:
     dispatch_by = request.target_at - estimate_ttft(now, engines, request.prompt)
-    return queue.decide(now, request.priority, dispatch_by, request.deadline)
+    return queue.decide(
+        now, request.priority, dispatch_by, request.deadline, request.returns
+    )
--- a/tests/gateway/slotfleet.py
+++ b/tests/gateway/slotfleet.py
@@ -240,6 +240,7 @@
     refused_while_idle: int = 0
     waits: dict[str, list[float]] = field(default_factory=dict)
     refused_at: list[float] = field(default_factory=list)
+    retry_afters: list[float] = field(default_factory=list)
 
     @property
     def refusals(self) -> int:
@@ -249,6 +250,11 @@
     def refused_share(self) -> float:
         return self.refusals / max(1, self.total)
 
+    def served_share(self, kind: str) -> float:
+        """Return the share of the requests of a kind that were served."""
+        served = self.served[kind]
+        return served / max(1, served + self.refused[kind])
+
     def wait(self, share: float, kind: str = "") -> float:
         """Return the wait that a share of the served requests stayed within."""
         kinds = [kind] if kind else list(self.waits)
@@ -383,6 +389,7 @@
         self.outcome.refused[kind] += 1
         self.outcome.reasons[f"{caller.status} {kind}: {caller.reason}"] += 1
         self.outcome.refused_at.append(self.clock.monotonic())
+        self.outcome.retry_afters.append(caller.retry_after)
         free = sum(
             self.started[runner.name].free_slots
             for runner in self._runners
--- a/tests/gateway/test_refusals.py
+++ b/tests/gateway/test_refusals.py
@@ -1,6 +1,7 @@
 """Check that no request is refused while engines are idle, and what that costs."""
 
 import random
+from collections.abc import Callable
 
 import pytest
 
@@ -93,6 +94,25 @@
     assert outcome.wait(0.99, "interactive") < 0.05
 
 
+@pytest.mark.parametrize("load", [1.0, 1.5, 2.0])
+@pytest.mark.parametrize("make_engines", [mixed_engines, decoders])
+def test_interactive_requests_are_served_no_less_than_long_prompts_in_overload(
+    make_engines: Callable[[int, int], tuple[EngineSpec, ...]], load: float
+) -> None:
+    """The engine kept for interactive requests refused them while others had room."""
+    outcome = SlotFleet(8, make_engines(6, 8)).run(load, 8.0)
+    print(outcome.describe())
+    assert outcome.served_share("interactive") >= outcome.served_share("long")
+
+
+def test_callers_refused_in_overload_are_spread() -> None:
+    """All of them were told to come back after 0.3 s."""
+    outcome = SlotFleet(8, mixed_engines(6, 8)).run(2.0, 4.0)
+    times = {round(seconds, 3) for seconds in outcome.retry_afters}
+    assert outcome.refusals > 50 and len(times) > 50
+    assert max(times) > 1.5 * min(times)
+
+
 def find_engines(table: RunnerTable, now: float) -> Engines:
     found = Placer(table, random.Random(1), lambda: 1.0).find_engines(now, "s", ())
     assert found is not None
