--- a/hawthornshelf/gateway/loadcounter.py
+++ b/hawthornshelf/gateway/loadcounter.py
@@ -33,6 +33,10 @@
     short_missed: int = 0
     open: int = 0
     long_open: int = 0
+    prefills: int = 0
+    squared_tokens: float = 0.0
+    token_seconds: float = 0.0
+    whole_tokens: int = 0
 
 
 class LoadCounter:
@@ -58,7 +62,9 @@
         if not _is_return(context):
             counts.offered += is_large
             counts.short_offered += not is_large
-            counts.prompt_tokens += long_prompt.own_tokens if long_prompt else 0
+            if long_prompt is not None:
+                counts.prompt_tokens += long_prompt.own_tokens
+                counts.whole_tokens += long_prompt.tokens
         counts.open += not is_large
         counts.long_open += is_large
         try:
@@ -80,8 +86,13 @@
             counts.late += is_late
             counts.on_time += not is_late
         if context.reserved_at and not context.is_late:
-            counts.prefill_tokens += prompt.own_tokens
-            counts.prefill_seconds += context.first_byte_at - context.reserved_at
+            tokens = prompt.own_tokens
+            seconds = context.first_byte_at - context.reserved_at
+            counts.prefill_tokens += tokens
+            counts.prefill_seconds += seconds
+            counts.prefills += 1
+            counts.squared_tokens += tokens * tokens
+            counts.token_seconds += tokens * seconds
 
     def record_end(self, context: RequestContext, outcome: str) -> None:
         """Record the end of a request, which may never have got a token."""
@@ -140,6 +151,10 @@
         streams=counts.open,
         long_streams=max(0, counts.long_open - waiting),
         waiting=waiting,
+        prefills=counts.prefills,
+        squared_tokens=counts.squared_tokens,
+        token_seconds=round(counts.token_seconds, 2),
+        whole_tokens=counts.whole_tokens,
     )
 
 
--- a/hawthornshelf/serviceloads.py
+++ b/hawthornshelf/serviceloads.py
@@ -23,6 +23,24 @@
 """Reports kept of a node; at one a second a window needs four."""
 
 
+RATED_FIELDS = (
+    "offered",
+    "on_time",
+    "late",
+    "refused",
+    "prompt_tokens",
+    "prefill_tokens",
+    "prefill_seconds",
+    "short_offered",
+    "short_missed",
+    "prefills",
+    "squared_tokens",
+    "token_seconds",
+    "whole_tokens",
+)
+"""Totals of a row whose growth a second is a field of the demand."""
+
+
 class ServiceLoad(NamedTuple):
     """Store what one node counted for a service since it started.
 
@@ -30,8 +48,10 @@
     `on_time`, `late` and `refused` count long prompts; a prompt is late if its first
     token came after its target or not at all. `prompt_tokens` are those of offered
     prompts that no cache held. `prefill_seconds` is the time to first token of
-    `prefill_tokens` of them. `short_offered` counts interactive requests,
-    `short_missed` those that were refused or late. `streams` of those and
+    `prefill_tokens` of them, `prefills` prompts in all, whose squared tokens and tokens
+    times seconds add up to `squared_tokens` and `token_seconds`. `whole_tokens` are
+    those of offered prompts, cached ones included. `short_offered` counts interactive
+    requests, `short_missed` those that were refused or late. `streams` of those and
     `long_streams` of long prompts are at engines now; `waiting` long prompts have no
     engine yet.
     """
@@ -50,6 +70,10 @@
     streams: int = 0
     long_streams: int = 0
     waiting: int = 0
+    prefills: int = 0
+    squared_tokens: float = 0.0
+    token_seconds: float = 0.0
+    whole_tokens: int = 0
 
 
 class ServiceDemand(NamedTuple):
@@ -73,6 +97,10 @@
     streams: int = 0
     long_streams: int = 0
     waiting: int = 0
+    prefills: float = 0.0
+    squared_tokens: float = 0.0
+    token_seconds: float = 0.0
+    whole_tokens: float = 0.0
 
 
 class _Report(NamedTuple):
@@ -147,25 +175,19 @@
                 long_streams += load.long_streams
                 waiting += load.waiting
         fresh_share = len(fresh) / len(self._nodes)
-        data_centres = tuple(sorted(places))
-        return ServiceDemand._make(
-            (fresh_share, data_centres, *rates, streams, long_streams, waiting)
+        return ServiceDemand(
+            fresh_share,
+            tuple(sorted(places)),
+            streams=streams,
+            long_streams=long_streams,
+            waiting=waiting,
+            **dict(zip(RATED_FIELDS, rates, strict=True)),
         )
 
 
 def _totals(load: ServiceLoad) -> tuple[float, ...]:
-    """Return the totals of a row, in the order of the rates of a demand."""
-    return (
-        load.offered,
-        load.on_time,
-        load.late,
-        load.refused,
-        load.prompt_tokens,
-        load.prefill_tokens,
-        load.prefill_seconds,
-        load.short_offered,
-        load.short_missed,
-    )
+    """Return the totals of a row, in the order of RATED_FIELDS."""
+    return tuple(getattr(load, name) for name in RATED_FIELDS)
 
 
 def _add_rates(rates: list[float], reports: deque[_Report], last: ServiceLoad) -> None:
