Test the time limit of a silent runner on the virtual clock

Cause: test_a_silent_runner_is_abandoned_while_there_is_time_for_another failed once beside tests at a load average of 32. It gives a request 0.2 s of real time, and passed five of five times after that, so the test measured the machine. Change: the same request and the same checks in virtual time. Measured: tests/gateway/test_forwarder.py passes.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
-from hawthornshelf.clock import SystemClock
+from hawthornshelf.clock import Clock, SystemClock
 from hawthornshelf.crashtable import CrashTable
 from hawthornshelf.gateway.budget import RetryBudget, RetryLimits
 from hawthornshelf.gateway.exchange import (
@@ -156,6 +156,7 @@
     dropped: list[KvCacheHandle] = field(default_factory=list)
     stopped: list[str] = field(default_factory=list)
     before_break: Callable[[], None] | None = None
+    clock: Clock = CLOCK
 
     def __post_init__(self) -> None:
         self.runners = RunnerTable("dc", random.Random(1))
@@ -166,7 +167,7 @@
             Runner("p0", "llm", "h:12", "dc", 48, stage=Stage.PREFILL),
         ]
         self.listed = (*plain, *engines)
-        self.runners.load(RunnerList(self.listed, CLOCK.monotonic()))
+        self.runners.load(RunnerList(self.listed, self.clock.monotonic()))
         found = [self.runners.find(runner.name) for runner in self.listed]
         self.states = [state for state in found if state is not None]
         self.metrics = Metrics()
@@ -176,7 +177,7 @@
             self.runners,
             RetryBudget(self.limits),
             self.metrics,
-            CLOCK,
+            self.clock,
             random.Random(1),
             lambda: 1,
             self.runners.count_interactive_requests,
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+from dataclasses import replace
 
 import pytest
 
@@ -28,6 +29,7 @@
     not_run,
     ok,
 )
+from tests.gateway.load import VirtualClock, run_in_virtual_time
 
 NO_SLACK = RetryLimits(0.0, 0.0, 10.0)
 SHORT = Prompt(200, 50, (PromptSegment("x", 100), PromptSegment("own", 100)))
@@ -272,8 +274,11 @@
                 await asyncio.sleep(60)
             return FakeResponse()
 
-    fleet = Silent([ok])
-    caller = fleet.ask("/safe/x", seconds=0.2)
+    clock, caller = VirtualClock(), Caller()
+    fleet = Silent([ok], clock=clock)
+    now = clock.monotonic()
+    inbound = replace(make_inbound("/safe/x"), arrived_at=now, deadline=now + 0.2)
+    run_in_virtual_time(clock, fleet.forwarder.serve(inbound, caller))
     assert caller.status == 200
     assert len({attempt.runner.name for attempt in fleet.sent}) == 2
 
