--- a/hawthornshelf/duties.py
+++ b/hawthornshelf/duties.py
@@ -39,8 +39,8 @@
 LOST_CALL_SECONDS = 5.0
 """Time after which a call counts as failed though its end was never reported.
 
-A call ends after a second at most; without this limit a lost event would block its
-matter until the next change of the holder.
+A call ends after a second at most; without this limit a lost event would block
+further calls with the same key until the next change of the holder.
 """
 
 UNREACHED_SECONDS = 2.5
@@ -138,8 +138,8 @@
         return leader_since + self.election + self.clock_drift + self.call_timeout
 
 
-class _Matter(NamedTuple):
-    """Name what a call is about; calls on one matter follow one another."""
+class _CallKey(NamedTuple):
+    """Identify calls of which only one may be open at a time."""
 
     kind: str
     service: str = ""
@@ -147,8 +147,8 @@
     is_spot: bool = False
 
 
-class _MatterRow(NamedTuple):
-    """Store the calls on one matter; times are monotonic seconds."""
+class _CallState(NamedTuple):
+    """Store when the next call with a key may be made, in monotonic seconds."""
 
     open_until: float = -NEVER
     not_before: float = -NEVER
@@ -168,7 +168,7 @@
         self._settings = settings
         self._wait = wait
         self._interval = 1 / max(CALL_SHARE * settings.calls_per_second, 0.001)
-        self._matters: dict[_Matter, _MatterRow] = {}
+        self._states: dict[_CallKey, _CallState] = {}
         self._next_call_at = -NEVER
         self._observed_at = NEVER
         self._began_at = NEVER
@@ -182,12 +182,12 @@
         self.starts_at = max(wait_ends_at, now + self._settings.lease)
         self.fence = term
         self._began_at, self._unreached_since = now, NEVER
-        self._matters.clear()
+        self._states.clear()
 
     def end(self) -> None:
         """Give the duties up."""
         self.starts_at = self._unreached_since = NEVER
-        self._matters.clear()
+        self._states.clear()
 
     def observe(self, now: float) -> None:
         """Note that the process runs; call it at each step.
@@ -204,19 +204,19 @@
         """Return whether a call may be made now, and count it if so."""
         if now < max(self.starts_at, self._next_call_at) or now >= lease_until:
             return False
-        matter = _find_matter(call)
-        row = self._matters.get(matter, _MatterRow())
-        if now < max(row.open_until, row.not_before):
+        key = _make_key(call)
+        state = self._states.get(key, _CallState())
+        if now < max(state.open_until, state.not_before):
             return False
         self._next_call_at = now + self._interval
-        self._matters[matter] = row._replace(open_until=now + LOST_CALL_SECONDS)
+        self._states[key] = state._replace(open_until=now + LOST_CALL_SECONDS)
         return True
 
     def record_end(self, now: float, call: DutyCall, outcome: CallOutcome) -> None:
-        """Record the end of a call and when the next on its matter may be made."""
-        matter = _find_matter(call)
-        row = self._matters.get(matter)
-        if row is None:
+        """Record the end of a call and when the next with its key may be made."""
+        key = _make_key(call)
+        state = self._states.get(key)
+        if state is None:
             return
         if outcome is not CallOutcome.UNREACHED:
             self._unreached_since = NEVER
@@ -224,16 +224,16 @@
             self._unreached_since = now
         match outcome:
             case CallOutcome.DONE:
-                row = _MatterRow()
+                state = _CallState()
             case CallOutcome.OUTDATED | CallOutcome.UNAVAILABLE:
-                row = _MatterRow(not_before=now + self._settings.lease)
+                state = _CallState(not_before=now + self._settings.lease)
             case _:
-                seconds = FIRST_BACKOFF_SECONDS * 2.0 ** min(row.failures, 10)
+                seconds = FIRST_BACKOFF_SECONDS * 2.0 ** min(state.failures, 10)
                 resumes_at = now + min(MAX_BACKOFF_SECONDS, seconds)
-                row = _MatterRow(not_before=resumes_at, failures=row.failures + 1)
+                state = _CallState(not_before=resumes_at, failures=state.failures + 1)
                 if outcome is CallOutcome.LIMITED:
                     self._next_call_at = max(self._next_call_at, resumes_at)
-        self._matters[matter] = row
+        self._states[key] = state
 
     def wants_handover(self, now: float) -> bool:
         """Return whether another node should lead, as this one gets no answers."""
@@ -241,9 +241,9 @@
         return has_led and now >= self._unreached_since + UNREACHED_SECONDS
 
 
-def _find_matter(call: DutyCall) -> _Matter:
+def _make_key(call: DutyCall) -> _CallKey:
     match call:
         case ReportUsage():
-            return _Matter("usage")
+            return _CallKey("usage")
         case OrderEngines(service, data_centre, _, is_spot):
-            return _Matter("engines", service, data_centre, is_spot)
+            return _CallKey("engines", service, data_centre, is_spot)
--- a/hawthornshelf/gateway/dutycalls.py
+++ b/hawthornshelf/gateway/dutycalls.py
@@ -45,6 +45,7 @@
                 effect.call, effect.holder, effect.fence, effect.valid_until
             )
         except Exception as error:
-            # Without its end the call would block its matter for seconds.
+            # Without a reported end the call would hold up the next one for
+            # LOST_CALL_SECONDS.
             write_log("duty-call-failed", level="error", reason=repr(error))
         self._post(PlatformCallEnded(effect.call, outcome))
