--- a/hawthornshelf/gateway/attempts.py
+++ b/hawthornshelf/gateway/attempts.py
@@ -153,13 +153,13 @@
         try:
             with contextlib.ExitStack() as watches:
                 is_plain = reservation is None and copy is None
-                leg = self._race.open_leg(watches, context, state, is_plain)
+                send = self._race.open_send(watches, context, state, is_plain)
                 self._usage.hand_over(context)
                 if is_plain and self._may_hedge(context):
                     steps = SendSteps(self._ask, self._record_unreached)
-                    leg = await self._race.run(context, leg, watches, steps)
-                    state = leg.state
-                    response = leg.response()
+                    send = await self._race.run(context, send, watches, steps)
+                    state = send.state
+                    response = send.response()
                 else:
                     response = await self._ask(context, state, backup)
                 self._usage.settle(context, response)
@@ -176,7 +176,7 @@
                 context.source = None
                 context.response = response
                 context.backup = backup
-                flight = leg.flight
+                flight = send.flight
                 relayed = await self._relay_response(
                     context, state, response, reservation, flight
                 )
--- a/hawthornshelf/gateway/race.py
+++ b/hawthornshelf/gateway/race.py
@@ -16,7 +16,6 @@
     RaceEnd,
     decide,
 )
-from hawthornshelf.gateway.legs import Leg, count_in_flight
 from hawthornshelf.gateway.quarantine import Quarantine
 from hawthornshelf.gateway.ratelimiter import RateLimiter
 from hawthornshelf.gateway.reachability import RunnerReachability
@@ -29,6 +28,7 @@
     RunnerTable,
     Stage,
 )
+from hawthornshelf.gateway.runnersends import RunnerSend, count_in_flight
 from hawthornshelf.logs import write_log
 from hawthornshelf.metrics import Metrics
 
@@ -97,14 +97,14 @@
         """Record that a request was refused, or failed, at its service."""
         self._policy.record_failure(self._clock.monotonic(), context.service)
 
-    def open_leg(
+    def open_send(
         self,
         watches: contextlib.ExitStack,
         context: RequestContext,
         state: RunnerState,
         is_counted: bool,
-    ) -> Leg:
-        """Watch a send to a runner until `watches` ends, or the leg before that.
+    ) -> RunnerSend:
+        """Watch a send to a runner until it, or `watches`, ends.
 
         With `is_counted` it is one of the requests in flight at the runner meanwhile.
         """
@@ -112,21 +112,21 @@
         if is_counted:
             own.enter_context(count_in_flight(state))
         flight = own.enter_context(self._crashes.watch(context, state.runner))
-        return Leg(state, flight, own)
+        return RunnerSend(state, flight, own)
 
     async def run(
         self,
         context: RequestContext,
-        first: Leg,
+        first: RunnerSend,
         watches: contextlib.ExitStack,
         steps: SendSteps,
-    ) -> Leg:
-        """Send a request, hedge it if need be, and return the leg that decides.
+    ) -> RunnerSend:
+        """Send a request, hedge it if need be, and return the send that decides.
 
         It has ended, by an answer or an error.
         """
         self._start(context, first, steps)
-        legs = [first]
+        sends = [first]
         try:
             now = self._clock.monotonic()
             delay = self._policy.find_delay(now, context.route.name)
@@ -135,55 +135,57 @@
             if not first.has_ended and delay is not None:
                 hedge = self._open_hedge(context, first, watches, delay)
                 if hedge is not None:
-                    legs.append(hedge)
+                    sends.append(hedge)
                     self._start(context, hedge, steps)
-            winner = await self._await_answer(context, legs, steps)
+            winner = await self._await_answer(context, sends, steps)
         except BaseException:
-            for leg in legs:
-                leg.cancel()
-            if len(legs) > 1:
+            for send in sends:
+                send.cancel()
+            if len(sends) > 1:
                 context.race_end = RaceEnd.NONE
             raise
         finally:
             context.open_hedges = 0
-        for leg in legs:
-            if leg is not winner:
-                self._drop(context, leg)
+        for send in sends:
+            if send is not winner:
+                self._drop(context, send)
         self._record_end(context, first, winner)
         return winner
 
-    def _start(self, context: RequestContext, leg: Leg, steps: SendSteps) -> None:
-        leg.sent_at = self._clock.monotonic()
-        leg.task = asyncio.create_task(steps.ask(context, leg.state))
+    def _start(
+        self, context: RequestContext, send: RunnerSend, steps: SendSteps
+    ) -> None:
+        send.sent_at = self._clock.monotonic()
+        send.task = asyncio.create_task(steps.ask(context, send.state))
 
     async def _await_answer(
-        self, context: RequestContext, legs: list[Leg], steps: SendSteps
-    ) -> Leg:
-        """Return the first leg with an answer, or the last one that has failed.
+        self, context: RequestContext, sends: list[RunnerSend], steps: SendSteps
+    ) -> RunnerSend:
+        """Return the first send with an answer, or the last one that has failed.
 
-        Legs that fail before are taken out of the list.
+        Sends that fail before are taken out of the list.
         """
         while True:
-            tasks = {leg.task for leg in legs if leg.task is not None}
+            tasks = {send.task for send in sends if send.task is not None}
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            for leg in [leg for leg in legs if leg.has_ended]:
-                if len(legs) == 1 or leg.has_answered:
-                    return leg
-                legs.remove(leg)
+            for send in [send for send in sends if send.has_ended]:
+                if len(sends) == 1 or send.has_answered:
+                    return send
+                sends.remove(send)
                 context.open_hedges = 0
-                context.last_runner = legs[0].state.runner.name
-                self._record_failure(context, leg, steps)
+                context.last_runner = sends[0].state.runner.name
+                self._record_failure(context, send, steps)
 
     # The hedge
 
     def _open_hedge(
         self,
         context: RequestContext,
-        first: Leg,
+        first: RunnerSend,
         watches: contextlib.ExitStack,
         delay: float,
-    ) -> Leg | None:
-        """Return the leg of a hedge that goes out now, None if it may not."""
+    ) -> RunnerSend | None:
+        """Return a hedge that goes out now, None if it may not."""
         now = self._clock.monotonic()
         state = self._choose_runner(now, context)
         case = self._describe_case(now, context, first, state)
@@ -199,8 +201,8 @@
         except BaseException:
             self._retries.release(context)
             raise
-        leg = self.open_leg(watches, context, state, is_counted=True)
-        leg.reserved = self._retries.take(context)
+        send = self.open_send(watches, context, state, is_counted=True)
+        send.reserved = self._retries.take(context)
         self._policy.record_hedge(now, context.service)
         self._metrics.count_hedge("sent")
         context.open_hedges = 1
@@ -222,13 +224,13 @@
             requests=case.requests,
             list_age=round(now - self._runners.read_at, 3),
         )
-        return leg
+        return send
 
     def _describe_case(
         self,
         now: float,
         context: RequestContext,
-        first: Leg,
+        first: RunnerSend,
         state: RunnerState | None,
     ) -> HedgeCase:
         policy, service = self._policy, context.service
@@ -284,50 +286,52 @@
     # The end of a race
 
     def _record_failure(
-        self, context: RequestContext, leg: Leg, steps: SendSteps
+        self, context: RequestContext, send: RunnerSend, steps: SendSteps
     ) -> None:
         """Record a send that has failed while another one is open."""
         now = self._clock.monotonic()
-        self._policy.record_busy(now, context.service, now - leg.sent_at)
+        self._policy.record_busy(now, context.service, now - send.sent_at)
         self.record_failure(context)
-        if leg.has_failed:
-            self._record_error(context, leg, steps)
+        if send.has_failed:
+            self._record_error(context, send, steps)
             return
-        response = leg.response()
+        response = send.response()
         response.close()
-        leg.watches.close()
+        send.watches.close()
         if response.not_run:
-            self._recorder.record_refusal(context, leg.state, response.status)
+            self._recorder.record_refusal(context, send.state, response.status)
             return
         _count_lost_run(context)
         context.reason = f"runner answered {response.status}"
-        self._recorder.record_error_response(context, leg.state, response.status)
+        self._recorder.record_error_response(context, send.state, response.status)
 
     def _record_error(
-        self, context: RequestContext, leg: Leg, steps: SendSteps
+        self, context: RequestContext, send: RunnerSend, steps: SendSteps
     ) -> None:
         """Record a send without an answer; raise any other error than AttemptFailed."""
         try:
-            with leg.watches:
-                leg.response()
+            with send.watches:
+                send.response()
         except AttemptFailed as error:
             if error.sent:
                 _count_lost_run(context)
-            elif leg.reserved is not None:
-                self._retries.give_back(leg.reserved)
-            self._recorder.record_failure(context, leg.state, error)
-            steps.record_unreached(context, error, leg.state)
+            elif send.reserved is not None:
+                self._retries.give_back(send.reserved)
+            self._recorder.record_failure(context, send.state, error)
+            steps.record_unreached(context, error, send.state)
 
-    def _drop(self, context: RequestContext, leg: Leg) -> None:
+    def _drop(self, context: RequestContext, send: RunnerSend) -> None:
         """End the send that has lost."""
         now = self._clock.monotonic()
-        self._policy.record_busy(now, context.service, now - leg.sent_at)
+        self._policy.record_busy(now, context.service, now - send.sent_at)
         _count_lost_run(context)
-        self._crashes.forget(leg.flight)
-        leg.watches.close()
-        leg.cancel()
+        self._crashes.forget(send.flight)
+        send.watches.close()
+        send.cancel()
 
-    def _record_end(self, context: RequestContext, first: Leg, winner: Leg) -> None:
+    def _record_end(
+        self, context: RequestContext, first: RunnerSend, winner: RunnerSend
+    ) -> None:
         """Record how long the request has waited, and which send has won."""
         now, service = self._clock.monotonic(), context.service
         self._policy.record_busy(now, service, now - winner.sent_at)
--- a/hawthornshelf/gateway/legs.py
+++ b/hawthornshelf/gateway/runnersends.py
@@ -11,11 +11,11 @@
 from hawthornshelf.gateway.runners import RunnerState
 from hawthornshelf.logs import write_log
 
-__all__ = ["Leg", "count_in_flight"]
+__all__ = ["RunnerSend", "count_in_flight"]
 
 
 @dataclass(slots=True, eq=False)
-class Leg:
+class RunnerSend:
     """Represent one send of a request, to one runner, until it has ended.
 
     `watches` ends what watches the send; `task` awaits the head of its answer.
