--- a/hawthornshelf/fleetneed.py
+++ b/hawthornshelf/fleetneed.py
@@ -37,7 +37,7 @@
 Time to first token holds the wait at the engine, which is least while load is low.
 """
 
-SHORT_SHARE = 0.05
+SHORTAGE_SHARE = 0.05
 """Share of late or refused requests from which on engines may be missing.
 
 An engine's short slow periods make a few requests late at any size of the fleet.
@@ -79,7 +79,7 @@
 
     Long prompts need those for `prefill`, or for `long_streams` if these are more;
     interactive requests need those for `streams` besides. `ahead` is the rise until new
-    engines serve. `short` is the factor by which requests that were late or refused
+    engines serve. `shortage` is the factor by which requests that were late or refused
     raise the need, 1 without any.
     """
 
@@ -87,7 +87,7 @@
     long_streams: float
     streams: float
     ahead: float
-    short: float
+    shortage: float
     needed: int
     cost: float
 
@@ -101,7 +101,7 @@
         return (
             f"max(prefill {self.prefill:.1f}, long streams {self.long_streams:.1f})"
             f" + streams {self.streams:.1f} + ahead {self.ahead:.1f},"
-            f" short x{self.short:.2f}"
+            f" shortage x{self.shortage:.2f}"
         )
 
 
@@ -127,16 +127,16 @@
         prefill = max(0.0, serving - streams) if demand.offered else 0.0
     work = max(prefill, long_streams) + streams
     ahead = _project(now, work, limits.boot_seconds, samples) if known_cost else 0.0
-    short = _compute_shortage(demand, work - streams, streams)
+    shortage = _compute_shortage(demand, work - streams, streams)
     if work < BUSY_SHARE * serving:
-        short = 1.0
+        shortage = 1.0
     needed = work + ahead
-    if short > 1.0:
-        needed = max(needed, serving * short)
+    if shortage > 1.0:
+        needed = max(needed, serving * shortage)
     offered = demand.offered + demand.short_offered
     has_load = offered + demand.streams + demand.long_streams > 0
-    whole = max(math.ceil(round(needed, 2)), int(has_load))
-    return FleetNeed(prefill, long_streams, streams, ahead, short, whole, cost)
+    count = max(math.ceil(round(needed, 2)), int(has_load))
+    return FleetNeed(prefill, long_streams, streams, ahead, shortage, count, cost)
 
 
 def _measure_cost(demand: ServiceDemand) -> float:
@@ -185,17 +185,17 @@
     return min(max(0.0, growth), (MAX_GROWTH - 1.0) * work)
 
 
-def _compute_shortage(demand: ServiceDemand, long: float, short: float) -> float:
+def _compute_shortage(demand: ServiceDemand, long: float, interactive: float) -> float:
     """Return by which factor the engines' work exceeds what they did on time.
 
-    `long` and `short` are the engines that long and interactive requests need.
+    `long` and `interactive` are the engines that long and interactive requests need.
     """
     long_share = _share_on_time(demand.on_time, demand.late + demand.refused)
-    short_served = demand.short_offered - demand.short_missed
-    short_share = _share_on_time(short_served, demand.short_missed)
-    work = long + short
-    done = long * long_share + short * short_share
-    if work <= 0 or done >= (1.0 - SHORT_SHARE) * work:
+    interactive_served = demand.short_offered - demand.short_missed
+    interactive_share = _share_on_time(interactive_served, demand.short_missed)
+    work = long + interactive
+    done = long * long_share + interactive * interactive_share
+    if work <= 0 or done >= (1.0 - SHORTAGE_SHARE) * work:
         return 1.0
     return min(MAX_SHORTAGE, work / max(done, work / MAX_SHORTAGE))
 
--- a/hawthornshelf/fleetorders.py
+++ b/hawthornshelf/fleetorders.py
@@ -37,7 +37,7 @@
 
 
 class FleetGauge(NamedTuple):
-    """Store what is known of a service's engines of one place and kind."""
+    """Store what is known of a service's engines of one data centre and kind."""
 
     service: str
     key: EngineKey
@@ -47,7 +47,7 @@
     needed: int
 
 
-class _Place(NamedTuple):
+class _OrderTarget(NamedTuple):
     """Name the engines that one order is about."""
 
     service: str
@@ -79,10 +79,10 @@
         self._plans: dict[str, FleetPlan] = {}
         self._demands: dict[str, ServiceDemand] = {}
         self._decided_at: dict[str, float] = {}
-        self._repeats: dict[_Place, int] = {}
-        self._proposals: dict[_Place, _Proposal] = {}
-        self._calls: dict[_Place, int] = {}
-        self._ended: dict[_Place, FinishFleetOrder] = {}
+        self._repeats: dict[_OrderTarget, int] = {}
+        self._proposals: dict[_OrderTarget, _Proposal] = {}
+        self._calls: dict[_OrderTarget, int] = {}
+        self._ended: dict[_OrderTarget, FinishFleetOrder] = {}
         self._logged: dict[str, tuple[object, ...]] = {}
         self._decide_due = 0.0
 
@@ -146,17 +146,17 @@
         call = event.call
         if not isinstance(call, OrderEngines):
             return []
-        place = _Place(call.service, EngineKey(call.data_centre, call.is_spot))
-        number = self._calls.pop(place, None)
-        row = state.fleet.find(*place)
+        target = _OrderTarget(call.service, EngineKey(call.data_centre, call.is_spot))
+        number = self._calls.pop(target, None)
+        row = state.fleet.find(*target)
         is_current = row is not None and row.number == number
         is_refused = event.outcome in (CallOutcome.UNAVAILABLE, CallOutcome.OUTDATED)
         if is_current and number is not None:
             if is_refused:
                 plan = self._plans.get(call.service, FleetPlan())
-                self._plans[call.service] = record_unavailable(plan, now, place.key)
+                self._plans[call.service] = record_unavailable(plan, now, target.key)
             if is_refused or event.outcome is CallOutcome.DONE:
-                self._ended[place] = FinishFleetOrder(
+                self._ended[target] = FinishFleetOrder(
                     call.service, call.data_centre, call.is_spot, number, is_refused
                 )
         return [
@@ -221,16 +221,16 @@
         reason: str,
     ) -> None:
         """Propose an order that differs from the committed one, or a repetition."""
-        place = _Place(service, group.key)
-        row = state.fleet.find(*place)
-        is_repeat = group.repeats > self._repeats.get(place, 0)
-        self._repeats[place] = group.repeats
+        target = _OrderTarget(service, group.key)
+        row = state.fleet.find(*target)
+        is_repeat = group.repeats > self._repeats.get(target, 0)
+        self._repeats[target] = group.repeats
         if row is not None and row.desired == group.desired and not is_repeat:
             return
         command = OrderFleet(
             service, *group.key, group.desired, reason[:MAX_REASON_CHARACTERS]
         )
-        self._propose_once(now, place, command)
+        self._propose_once(now, target, command)
 
     # Orders
 
@@ -241,20 +241,20 @@
         call: Callable[[DutyCall], list[Effect]],
     ) -> list[Effect]:
         """Order what a committed row says, unless its outcome is known."""
-        place = _Place(row.service, row.key)
+        target = _OrderTarget(row.service, row.key)
         if row.is_finished:
-            self._ended.pop(place, None)
+            self._ended.pop(target, None)
             return []
-        ended = self._ended.get(place)
+        ended = self._ended.get(target)
         if ended is not None and ended.number == row.number:
-            self._propose_once(now, place, ended)
+            self._propose_once(now, target, ended)
             return []
         if not self._may_order(now, row):
             return []
         engines = OrderEngines(row.service, row.data_centre, row.desired, row.is_spot)
         effects = call(engines)
         if effects:
-            self._calls[place] = row.number
+            self._calls[target] = row.number
         return effects
 
     def _may_order(self, now: float, row: FleetOrderRow) -> bool:
@@ -265,12 +265,12 @@
         group = self._plans[row.service].find(row.key)
         return group is not None and group.desired == row.desired
 
-    def _propose_once(self, now: float, place: _Place, command: Command) -> None:
-        last = self._proposals.get(place)
+    def _propose_once(self, now: float, target: _OrderTarget, command: Command) -> None:
+        last = self._proposals.get(target)
         is_recent = last is not None and now < last.at + PROPOSAL_SECONDS
         if last is not None and is_recent and _is_same(last.command, command):
             return
-        self._proposals[place] = _Proposal(command, now)
+        self._proposals[target] = _Proposal(command, now)
         self._propose(command)
 
     # Logs
--- a/hawthornshelf/fleetrecords.py
+++ b/hawthornshelf/fleetrecords.py
@@ -16,7 +16,7 @@
 
 
 class FleetOrderRow(NamedTuple):
-    """Represent the newest order for a service's engines of one place and kind.
+    """Represent the newest order for a service's engines of one data centre and kind.
 
     `number` is the log index of the decision. `is_finished` means that the outcome of
     the call is known, `is_refused` that the platform had no engine to give.
@@ -43,7 +43,7 @@
     def __init__(self, rows: Iterable[FleetOrderRow] = ()) -> None:
         self._rows = {(row.service, row.key): row for row in rows}
 
-    def place(self, index: int, command: OrderFleet) -> None:
+    def record(self, index: int, command: OrderFleet) -> None:
         """Record an order, in place of an earlier one for the same engines."""
         row = FleetOrderRow(
             command.service,
@@ -53,21 +53,19 @@
             command.reason,
             index,
         )
-        place = (row.service, row.key)
-        self._rows.pop(place, None)
-        self._rows[place] = row
+        key = (row.service, row.key)
+        self._rows.pop(key, None)
+        self._rows[key] = row
         while len(self._rows) > MAX_ROWS:
             del self._rows[next(iter(self._rows))]
 
     def finish(self, command: FinishFleetOrder) -> bool:
         """Record the outcome of an order; return whether it is still the newest."""
-        place = (command.service, EngineKey(command.data_centre, command.is_spot))
-        row = self._rows.get(place)
+        key = (command.service, EngineKey(command.data_centre, command.is_spot))
+        row = self._rows.get(key)
         if row is None or row.number != command.number:
             return False
-        self._rows[place] = row._replace(
-            is_finished=True, is_refused=command.is_refused
-        )
+        self._rows[key] = row._replace(is_finished=True, is_refused=command.is_refused)
         return True
 
     def find(self, service: str, key: EngineKey) -> FleetOrderRow | None:
--- a/hawthornshelf/fleetsizing.py
+++ b/hawthornshelf/fleetsizing.py
@@ -70,8 +70,8 @@
 
 FIRST_PAUSE_SECONDS = 5.0
 MAX_PAUSE_SECONDS = 30.0
-KEPT_SECONDS = 60.0
-"""Time for which the measurements of decisions are kept."""
+MIN_RETENTION_SECONDS = 60.0
+"""Shortest time for which the measurements of decisions are kept."""
 
 
 class FleetPlan(NamedTuple):
@@ -123,12 +123,12 @@
     )
     sample = NeedSample(now, need.work, need.needed, need.cost)
     calm_seconds = CALM_BOOTS * limits.boot_seconds
-    kept_from = now - max(KEPT_SECONDS, 2 * calm_seconds)
+    kept_from = now - max(MIN_RETENTION_SECONDS, 2 * calm_seconds)
     samples = tuple(s for s in (*previous.samples, sample) if s.at > kept_from)
     calm_from = now - calm_seconds
     needed = max(s.needed for s in samples if s.at >= calm_from)
     targets = spread_engines(now, needed, need.streams, limits, groups, present)
-    change = _Change(now, limits, groups, targets, needed)
+    change = _PlanChange(now, limits, groups, targets, needed)
     change.enforce_maximum()
     change.scale_up()
     can_step = now >= previous.stepped_at + STEP_SECONDS
@@ -182,13 +182,13 @@
 ) -> dict[EngineKey, EngineGroup]:
     """Return the groups as they are now, with pauses for those that lack engines."""
     groups = {group.key: group for group in previous.groups}
-    places = {price.data_centre for price in limits.prices}
-    places |= {key.data_centre for key in (*counts, *groups)}
+    data_centres = {price.data_centre for price in limits.prices}
+    data_centres |= {key.data_centre for key in (*counts, *groups)}
     if not limits.prices:
-        places |= set(demand.data_centres)
-    for place in sorted(places):
+        data_centres |= set(demand.data_centres)
+    for data_centre in sorted(data_centres):
         for is_spot in (False, True):
-            key = EngineKey(place, is_spot)
+            key = EngineKey(data_centre, is_spot)
             count = counts.get(key, EngineCount(*key, present=0))
             group = groups.get(key, EngineGroup(key, count.present, count.present))
             groups[key] = _update_group(now, limits, group, count)
@@ -203,7 +203,7 @@
         group = group._replace(given_up=0)
     is_reclaimed = group.key.is_spot and count.leaving > group.given_up
     has_changed = present != group.present
-    came = group.present < group.desired <= present
+    have_arrived = group.present < group.desired <= present
     group = group._replace(present=present)
     if not group.is_ordered:
         group = group._replace(desired=present)
@@ -213,7 +213,7 @@
         desired = min(group.desired, present)
         return group._replace(desired=desired, differs_since=None, repeats=0)
     if present == group.desired:
-        pause = 0.0 if came else group.pause
+        pause = 0.0 if have_arrived else group.pause
         return group._replace(differs_since=None, repeats=0, pause=pause)
     if group.differs_since is None or has_changed:
         group = group._replace(differs_since=now, repeats=0)
@@ -223,7 +223,7 @@
     return group._replace(repeats=int(seconds / (REPEAT_BOOTS * limits.boot_seconds)))
 
 
-class _Change:
+class _PlanChange:
     """Change the desired engines of groups towards their targets."""
 
     def __init__(
@@ -240,17 +240,17 @@
         self._limits = limits
         self._targets = targets
         self._wanted = max(needed, sum(targets.values()))
-        self._words: list[str] = []
+        self._changes: list[str] = []
 
     def describe(self) -> str:
         """Return what is changed, for logs."""
-        return ", ".join(self._words) or "no change"
+        return ", ".join(self._changes) or "no change"
 
     def enforce_maximum(self) -> None:
         """Give up engines at once of which a data centre has more than allowed."""
-        for place in sorted({key.data_centre for key in self.groups}):
-            while self._in_data_centre(place) > self._limits.max_engines:
-                keys = [k for k in self.groups if k.data_centre == place]
+        for data_centre in sorted({key.data_centre for key in self.groups}):
+            while self._in_data_centre(data_centre) > self._limits.max_engines:
+                keys = [k for k in self.groups if k.data_centre == data_centre]
                 self._lower(self._dearest(keys), "above the maximum")
 
     def scale_up(self) -> None:
@@ -264,7 +264,7 @@
             missing = min(missing, allowed - self._total())
             if missing > 0:
                 self._set(key, group.desired + missing)
-                self._words.append(f"up {missing} {key.name}")
+                self._changes.append(f"up {missing} {key.name}")
 
     def step_down(self) -> None:
         """Give up one engine, the dearest, if enough of those present are left."""
@@ -290,7 +290,7 @@
         self.groups[key] = self.groups[key]._replace(
             given_up=given_up, given_up_at=self._now
         )
-        self._words.append(f"down 1 {key.name} ({cause})")
+        self._changes.append(f"down 1 {key.name} ({cause})")
 
     def _set(self, key: EngineKey, desired: int) -> None:
         group = self.groups[key]
@@ -302,6 +302,6 @@
     def _total(self) -> int:
         return sum(group.desired for group in self.groups.values())
 
-    def _in_data_centre(self, place: str) -> int:
+    def _in_data_centre(self, data_centre: str) -> int:
         groups = self.groups.items()
-        return sum(g.desired for key, g in groups if key.data_centre == place)
+        return sum(g.desired for key, g in groups if key.data_centre == data_centre)
--- a/hawthornshelf/fleetspread.py
+++ b/hawthornshelf/fleetspread.py
@@ -29,9 +29,9 @@
     must be left after the loss of any data centre's spot engines. Paused groups get no
     more than what is `present`.
     """
-    places = sorted({key.data_centre for key in groups})
-    wanted = min(wanted, limits.max_engines * len(places))
-    wanted = max(wanted, limits.min_engines * len(places))
+    data_centres = sorted({key.data_centre for key in groups})
+    wanted = min(wanted, limits.max_engines * len(data_centres))
+    wanted = max(wanted, limits.min_engines * len(data_centres))
     spot_limit = min(wanted // MAX_SPOT_SHARE, wanted - math.ceil(interactive))
     limit = {
         key: min(
@@ -42,9 +42,11 @@
         for key, group in groups.items()
     }
     spread = _Spread(limits, groups, limit)
-    for place in places:
-        while spread.in_data_centre(place) < limits.min_engines:
-            if not spread.add([key for key in groups if key.data_centre == place]):
+    for data_centre in data_centres:
+        while spread.in_data_centre(data_centre) < limits.min_engines:
+            if not spread.add(
+                [key for key in groups if key.data_centre == data_centre]
+            ):
                 break
     while spread.total() < wanted and spread.add(groups):
         pass
@@ -68,8 +70,10 @@
     def total(self) -> int:
         return sum(self.targets.values())
 
-    def in_data_centre(self, place: str) -> int:
-        return sum(n for key, n in self.targets.items() if key.data_centre == place)
+    def in_data_centre(self, data_centre: str) -> int:
+        return sum(
+            n for key, n in self.targets.items() if key.data_centre == data_centre
+        )
 
     def add(self, keys: Iterable[EngineKey]) -> bool:
         """Add an engine to the cheapest group with room; return whether one had any."""
--- a/hawthornshelf/gateway/fleetgauges.py
+++ b/hawthornshelf/gateway/fleetgauges.py
@@ -9,7 +9,7 @@
 
 
 def make_fleet_gauges(rows: Iterable[FleetGauge]) -> Iterator[LabelledGauge]:
-    """Yield the metrics of fleets: needed by service, the rest by place and kind."""
+    """Yield engines needed by service, and the rest by data centre and kind as well."""
     needed: dict[str, int] = {}
     for row in rows:
         needed[row.service] = row.needed
--- a/hawthornshelf/serviceloads.py
+++ b/hawthornshelf/serviceloads.py
@@ -137,19 +137,19 @@
             return ServiceDemand()
         rates = [0.0] * len(_totals(ServiceLoad(service, "")))
         streams = long_streams = waiting = 0
-        places: set[str] = set()
+        data_centres: set[str] = set()
         for reports in fresh:
             load = reports.reports[-1].loads.get(service)
             if load is not None:
-                places.add(load.data_centre)
+                data_centres.add(load.data_centre)
                 _add_rates(rates, reports.reports, load)
                 streams += load.streams
                 long_streams += load.long_streams
                 waiting += load.waiting
         fresh_share = len(fresh) / len(self._nodes)
-        data_centres = tuple(sorted(places))
+        names = tuple(sorted(data_centres))
         return ServiceDemand._make(
-            (fresh_share, data_centres, *rates, streams, long_streams, waiting)
+            (fresh_share, names, *rates, streams, long_streams, waiting)
         )
 
 
--- a/hawthornshelf/state.py
+++ b/hawthornshelf/state.py
@@ -378,7 +378,7 @@
     ) -> Result:
         match command:
             case OrderFleet():
-                self.fleet.place(index, command)
+                self.fleet.record(index, command)
             case FinishFleetOrder():
                 if not self.fleet.finish(command):
                     return NotFound(command.service)
--- a/tests/test_fleetorders.py
+++ b/tests/test_fleetorders.py
@@ -339,8 +339,8 @@
 def test_an_outcome_of_an_order_that_was_replaced_is_not_recorded() -> None:
     """Guards against an order that counts as done though a newer one replaced it."""
     table = FleetTable()
-    table.place(5, OrderFleet("s", "a", False, 3, "load"))
-    table.place(9, OrderFleet("s", "a", False, 4, "load"))
+    table.record(5, OrderFleet("s", "a", False, 3, "load"))
+    table.record(9, OrderFleet("s", "a", False, 4, "load"))
     assert not table.finish(FinishFleetOrder("s", "a", False, 5))
     row = table.find("s", EngineKey("a", False))
     assert row is not None and not row.is_finished
@@ -420,7 +420,7 @@
     holder.step()
     (first,) = holder.calls
     scale_to(holder, 8)
-    holder.state.fleet.place(900, OrderFleet(SERVICE, *ON_DEMAND, 8, "newer"))
+    holder.state.fleet.record(900, OrderFleet(SERVICE, *ON_DEMAND, 8, "newer"))
     holder.end(first, CallOutcome.DONE)
     holder.step()
     assert not holder.row().is_finished
