--- a/hawthornshelf/platformduties.py
+++ b/hawthornshelf/platformduties.py
@@ -1,7 +1,6 @@
 """Perform the duties of the control group's leader towards the platform."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 from typing import NamedTuple
 
 from hawthornshelf.duties import (
@@ -19,7 +18,7 @@
 from hawthornshelf.messages import UsageCounts, UsageProgress
 from hawthornshelf.permitexchange import Outgoing
 from hawthornshelf.state import SharedState
-from hawthornshelf.usagereporter import Propose, UsageReporter
+from hawthornshelf.usagereporter import Propose, UsageReporter, confirm_counts
 
 __all__ = ["DutyFacts", "PlatformDuties"]
 
@@ -111,11 +110,7 @@
             return self._usage.receive(now, state.usage, message, leader)
         if not self.is_on:
             return []
-        progress = UsageProgress(0, message.version, leader)
-        outgoing = [Outgoing(message.node, progress)]
-        if message.relay and leader:
-            outgoing.append(Outgoing(leader, replace(message, relay=False)))
-        return outgoing
+        return confirm_counts(message, UsageProgress(0, message.version, leader))
 
     def tick(self, now: float, state: SharedState, lease_until: float) -> list[Effect]:
         """Decide what is to be called, and call; only a leader may do so."""
--- a/hawthornshelf/usagereporter.py
+++ b/hawthornshelf/usagereporter.py
@@ -23,7 +23,7 @@
 from hawthornshelf.usage import Closing, UsageLedger, close_window
 from hawthornshelf.usagerecords import MAX_OPEN_WINDOWS, UsageRecords
 
-__all__ = ["UsageReporter"]
+__all__ = ["UsageReporter", "confirm_counts"]
 
 PROPOSE_INTERVAL_SECONDS = 1.0
 """Time after which a command is proposed again that has not been applied."""
@@ -32,7 +32,6 @@
 """Time after the start by which gossip has reported all nodes that are up."""
 
 MAX_LOGGED_NODES = 5
-NEVER = float("-inf")
 
 Propose = Callable[[Command], None]
 
@@ -64,18 +63,11 @@
     def receive(
         self, now: float, records: UsageRecords, message: UsageCounts, leader: str
     ) -> list[Outgoing]:
-        """Add a node's totals, and confirm them.
-
-        Totals that the node can't send to the leader are forwarded.
-        """
+        """Add a node's totals, and confirm them."""
         decided = records.next_window - 1
         self._ledger.forget(now, decided)
         version = self._ledger.merge(now, message)
-        progress = UsageProgress(decided, version, leader)
-        outgoing = [Outgoing(message.node, progress)]
-        if message.relay and leader:
-            outgoing.append(Outgoing(leader, replace(message, relay=False)))
-        return outgoing
+        return confirm_counts(message, UsageProgress(decided, version, leader))
 
     def tick(
         self,
@@ -117,7 +109,8 @@
         if report is None:
             return None
         proposal = _Proposal(FinishUsageReport, report.window)
-        if now < self._proposed_at.get(proposal, NEVER) + PROPOSE_INTERVAL_SECONDS:
+        proposed_at = self._proposed_at.get(proposal, float("-inf"))
+        if now < proposed_at + PROPOSE_INTERVAL_SECONDS:
             return None
         return ReportUsage(report.window, report.counts)
 
@@ -174,3 +167,15 @@
             return False
         self._proposed_at[proposal] = now
         return True
+
+
+def confirm_counts(message: UsageCounts, progress: UsageProgress) -> list[Outgoing]:
+    """Return the confirmation of a node's totals, and the relayed copy if it asks.
+
+    Totals that the node can't send to the leader are forwarded to it.
+    """
+    outgoing = [Outgoing(message.node, progress)]
+    if message.relay and progress.leader:
+        relayed = replace(message, relay=False)
+        outgoing.append(Outgoing(progress.leader, relayed))
+    return outgoing
