--- a/hawthornshelf/gateway/hedging.py
+++ b/hawthornshelf/gateway/hedging.py
@@ -26,7 +26,7 @@
 SHARE_SECONDS = 10.0
 """Window over which the share of hedges is limited and the load is averaged."""
 
-CALM_SECONDS = 1.0
+FAILURE_COOLDOWN_SECONDS = 1.0
 """Time after a refused or failed request in which its service gets no hedge."""
 
 LOADED_SHARE = 0.5
@@ -62,8 +62,8 @@
     that its route allows beside the open one. `is_clear` means that the request is
     under no suspicion, `is_limited` that its runner names a rate limit, `has_runner`
     that another runner is fit for the hedge. `load` is the share of the service's slots
-    in use, `calm_seconds` the time since the service last refused or failed a request;
-    `hedges` and `requests` are those of the service in the last SHARE_SECONDS.
+    in use, `seconds_since_failure` the time since the service last refused or failed a
+    request; `hedges` and `requests` are those of the service in the last SHARE_SECONDS.
     """
 
     seconds_left: float
@@ -73,7 +73,7 @@
     is_limited: bool
     has_runner: bool
     load: float
-    calm_seconds: float
+    seconds_since_failure: float
     hedges: int
     requests: int
 
@@ -94,7 +94,7 @@
             return HedgeLimit.TIME
         case HedgeCase(load=load) if load >= LOADED_SHARE:
             return HedgeLimit.LOAD
-        case HedgeCase(calm_seconds=seconds) if seconds < CALM_SECONDS:
+        case HedgeCase(seconds_since_failure=age) if age < FAILURE_COOLDOWN_SECONDS:
             return HedgeLimit.FAILURES
         case HedgeCase(has_runner=False):
             return HedgeLimit.RUNNER
@@ -219,7 +219,7 @@
         """Return how many slots this node held on average in the last SHARE_SECONDS."""
         return self._find(service).busy.mean_in_use(now)
 
-    def calm_seconds(self, now: float, service: str) -> float:
+    def seconds_since_failure(self, now: float, service: str) -> float:
         """Return the seconds since a service last refused or failed a request."""
         return now - self._find(service).failed_at
 
--- a/hawthornshelf/gateway/race.py
+++ b/hawthornshelf/gateway/race.py
@@ -219,7 +219,7 @@
             typical=round(case.typical_seconds, 4),
             left=round(case.seconds_left, 4),
             load=round(case.load, 3),
-            calm=round(min(case.calm_seconds, 1e6), 3),
+            calm=round(min(case.seconds_since_failure, 1e6), 3),
             hedges=case.hedges + 1,
             requests=case.requests,
             list_age=round(now - self._runners.read_at, 3),
@@ -242,7 +242,7 @@
             is_limited=self._limiter.is_limited(first.state.runner),
             has_runner=state is not None and not self._reachability.is_cut,
             load=self._estimate_load(now, service),
-            calm_seconds=policy.calm_seconds(now, service),
+            seconds_since_failure=policy.seconds_since_failure(now, service),
             hedges=policy.count_hedges(now, service),
             requests=policy.count_requests(now, service),
         )
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -7,7 +7,7 @@
 
 from hawthornshelf.gateway.budget import RetryLimits
 from hawthornshelf.gateway.hedging import (
-    CALM_SECONDS,
+    FAILURE_COOLDOWN_SECONDS,
     MAX_SAMPLES,
     MIN_SAMPLES,
     SAMPLE_SECONDS,
@@ -28,7 +28,7 @@
     is_limited=False,
     has_runner=True,
     load=0.1,
-    calm_seconds=60.0,
+    seconds_since_failure=60.0,
     hedges=0,
     requests=100,
 )
@@ -103,7 +103,7 @@
         ({"seconds_left": 0.1}, HedgeLimit.TIME),
         ({"typical_seconds": float("inf")}, HedgeLimit.TIME),
         ({"load": 0.5}, HedgeLimit.LOAD),
-        ({"calm_seconds": CALM_SECONDS / 2}, HedgeLimit.FAILURES),
+        ({"seconds_since_failure": FAILURE_COOLDOWN_SECONDS / 2}, HedgeLimit.FAILURES),
         ({"has_runner": False}, HedgeLimit.RUNNER),
         ({"hedges": 5}, HedgeLimit.SHARE),
         ({"requests": 19}, HedgeLimit.SHARE),
@@ -138,7 +138,7 @@
     policy.record_failure(0.0, "app")
     assert not policy.is_enabled
     assert policy.count_requests(0.0, "app") == 0
-    assert policy.calm_seconds(0.0, "app") == float("inf")
+    assert policy.seconds_since_failure(0.0, "app") == float("inf")
 
 
 # The load
