--- a/hawthornshelf/steadytime.py
+++ b/hawthornshelf/slewedclock.py
@@ -1,6 +1,6 @@
-"""Tell the calendar time so that steps of the system clock don't show."""
+"""Compute calendar time that is slewed, not stepped, towards the system clock."""
 
-__all__ = ["SteadyTime"]
+__all__ = ["SlewedClock"]
 
 MAX_SLEW = 0.001
 """Seconds by which the time is corrected in a second.
@@ -10,8 +10,8 @@
 """
 
 
-class SteadyTime:
-    """Add monotonic time to one reading of the wall clock, corrected slowly.
+class SlewedClock:
+    """Add monotonic time to one reading of the wall clock, slewed towards later ones.
 
     The monotonic clock counts suspensions. The time never runs backwards.
     """
--- a/hawthornshelf/usagereporter.py
+++ b/hawthornshelf/usagereporter.py
@@ -19,7 +19,7 @@
 from hawthornshelf.effects import LogLine, log
 from hawthornshelf.messages import UsageCounts, UsageProgress
 from hawthornshelf.permitexchange import Outgoing
-from hawthornshelf.steadytime import SteadyTime
+from hawthornshelf.slewedclock import SlewedClock
 from hawthornshelf.usage import Closing, UsageLedger, close_window
 from hawthornshelf.usagerecords import MAX_OPEN_WINDOWS, UsageRecords
 
@@ -49,7 +49,7 @@
         self._propose = propose
         self._settled_at = now + SETTLE_SECONDS
         self._ledger = UsageLedger(settings.report_window)
-        self._time = SteadyTime()
+        self._time = SlewedClock()
         self._proposed_at: dict[_Proposal, float] = {}
 
     def observe(self, now: float, wall: float) -> None:
--- a/hawthornshelf/usagesender.py
+++ b/hawthornshelf/usagesender.py
@@ -13,7 +13,7 @@
 from hawthornshelf.messages import UsageCounts, UsageProgress
 from hawthornshelf.permitexchange import Outgoing
 from hawthornshelf.serviceloads import ServiceLoad
-from hawthornshelf.steadytime import SteadyTime
+from hawthornshelf.slewedclock import SlewedClock
 from hawthornshelf.usage import UsageCounter
 
 __all__ = ["UsageSender"]
@@ -47,7 +47,7 @@
         self._leader_heard_at = float("-inf")
         self._confirmed: dict[str, int] = {}
         self.measure_loads: Callable[[], tuple[ServiceLoad, ...]] | None = None
-        self.time = SteadyTime()
+        self.time = SlewedClock()
         self.counter = UsageCounter(settings.report_window)
 
     def on_progress(self, now: float, sender: str, progress: UsageProgress) -> None:
