--- a/hawthornshelf/enginegroups.py
+++ b/hawthornshelf/enginegroups.py
@@ -70,7 +70,7 @@
     if limits.max_engines > MAX_ENGINES:
         yield f"the maximum is above {MAX_ENGINES}"
     if not 0 < limits.boot_seconds <= MAX_BOOT_SECONDS:
-        yield f"the boot time is not above 0 and up to {MAX_BOOT_SECONDS:g} s"
+        yield f"the boot time is not above 0, or over {MAX_BOOT_SECONDS:g} s"
     prices = (limits.spot_price, *(price.price for price in limits.prices))
     if not all(0 <= price < float("inf") for price in prices):
         yield "a price is negative or not a number"
--- a/hawthornshelf/gateway/refusals.py
+++ b/hawthornshelf/gateway/refusals.py
@@ -1,4 +1,4 @@
-"""Remember refusals of full engines, for loads that one class can't place alone.
+"""Track refusals by full engines, after which all classes of requests share engines.
 
 A node knows its own requests at an engine and not those of the other nodes, so a
 refusal is the only sure sign that an engine is full.
--- a/hawthornshelf/reviews.py
+++ b/hawthornshelf/reviews.py
@@ -139,7 +139,8 @@
             yield Finding(
                 FindingKind.CONTRADICTION,
                 f"{path}.objective {objective.work}",
-                f"{_describe(objective)} says nothing beside {_describe(stricter)}",
+                f"{_describe(objective)} has no effect, "
+                f"{_describe(stricter)} implies it",
             )
 
 
