--- a/hawthornshelf/gateway/admission.py
+++ b/hawthornshelf/gateway/admission.py
@@ -73,7 +73,7 @@
     """
 
     priority: int
-    is_first: bool
+    is_first_attempt: bool
     dispatch_by: float
     number: int
     is_removed: bool = field(compare=False, default=False)
@@ -110,14 +110,14 @@
         priority: int,
         dispatch_by: float,
         deadline: float,
-        returns: bool = False,
+        was_refused: bool = False,
     ) -> AdmissionDecision:
         """Decide on a request that misses its target if dispatched after `dispatch_by`.
 
-        Times are in monotonic seconds; `returns` tells that it was refused before.
+        Times are in monotonic seconds; `was_refused` tells that it was refused before.
         """
         on_time = AdmissionDecision(True, priority, dispatch_by)
-        queue_wait = self._expected_wait(priority, dispatch_by, returns)
+        queue_wait = self._expected_wait(priority, dispatch_by, was_refused)
         if now + queue_wait <= on_time.dispatch_by:
             return on_time
         late_wait = self._decayed_late_wait(now)
@@ -130,11 +130,11 @@
         )
 
     def add(
-        self, priority: int, dispatch_by: float, returns: bool = False
+        self, priority: int, dispatch_by: float, was_refused: bool = False
     ) -> QueueEntry:
         """Add a waiting request and return its entry."""
         number = next(self._numbers)
-        entry = QueueEntry(priority, not returns, dispatch_by, number)
+        entry = QueueEntry(priority, not was_refused, dispatch_by, number)
         heapq.heappush(self._entries, entry)
         self._count += 1
         return entry
@@ -179,16 +179,18 @@
             now - self._late_updated_at, LATE_HALF_LIFE_SECONDS
         )
 
-    def _expected_wait(self, priority: int, dispatch_by: float, returns: bool) -> float:
+    def _expected_wait(
+        self, priority: int, dispatch_by: float, was_refused: bool
+    ) -> float:
         """Return the expected wait of a new request in this queue, in seconds.
 
         Each waiting request ahead of it is expected to take one mean interval between
         releases.
         """
-        new = (priority, not returns, dispatch_by)
+        new = (priority, not was_refused, dispatch_by)
         ahead = sum(
             not entry.is_removed
-            and (entry.priority, entry.is_first, entry.dispatch_by) <= new
+            and (entry.priority, entry.is_first_attempt, entry.dispatch_by) <= new
             for entry in self._entries
         )
         return ahead * self._release_interval
--- a/hawthornshelf/gateway/context.py
+++ b/hawthornshelf/gateway/context.py
@@ -176,7 +176,7 @@
         return self.route.retry_policy is RetryPolicy.SAFE
 
     @property
-    def has_returned(self) -> bool:
+    def was_refused(self) -> bool:
         """Return whether a runner, or a node, has refused the request before."""
         is_retry = self.target_at < self.inbound.arrived_at + self.route.target
         return is_retry or self.sends > 0
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -522,7 +522,7 @@
                 context.target_at,
                 context.deadline,
                 frozenset(excluded | limited.excluded),
-                context.has_returned,
+                context.was_refused,
             )
         )
         context.reserved_at = self._clock.monotonic()
--- a/hawthornshelf/gateway/loadcounter.py
+++ b/hawthornshelf/gateway/loadcounter.py
@@ -54,18 +54,18 @@
             yield
             return
         long_prompt = _find_long_prompt(context)
-        is_large = long_prompt is not None
+        has_long_prompt = long_prompt is not None
         if not _is_return(context):
-            counts.offered += is_large
-            counts.short_offered += not is_large
+            counts.offered += has_long_prompt
+            counts.short_offered += not has_long_prompt
             counts.prompt_tokens += long_prompt.own_tokens if long_prompt else 0
-        counts.open += not is_large
-        counts.long_open += is_large
+        counts.open += not has_long_prompt
+        counts.long_open += has_long_prompt
         try:
             yield
         finally:
-            counts.open -= not is_large
-            counts.long_open -= is_large
+            counts.open -= not has_long_prompt
+            counts.long_open -= has_long_prompt
 
     def record_first_token(self, context: RequestContext) -> None:
         """Record that a request got its first token, on time or late."""
--- a/hawthornshelf/gateway/scheduler.py
+++ b/hawthornshelf/gateway/scheduler.py
@@ -45,7 +45,7 @@
     """Describe a request for an engine of a service; times are monotonic seconds.
 
     `target_at` is when the first token is due. Runners in `tried` are left out.
-    `returns` tells that the request was refused before, by an engine or a node.
+    `was_refused` tells that the request was refused before, by an engine or a node.
     """
 
     service: str
@@ -54,7 +54,7 @@
     target_at: float
     deadline: float
     tried: frozenset[str] = frozenset()
-    returns: bool = False
+    was_refused: bool = False
 
 
 class Reservation:
@@ -301,7 +301,7 @@
             return self._place_lent(
                 request, "the queue is too long", decision.retry_after
             )
-        entry = queue.add(decision.priority, decision.dispatch_by, request.returns)
+        entry = queue.add(decision.priority, decision.dispatch_by, request.was_refused)
         future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
         waiters = self._waiters.setdefault(request.service, {})
         waiters[entry.number] = _Waiter(request, entry, future)
@@ -326,5 +326,5 @@
 ) -> AdmissionDecision:
     dispatch_by = request.target_at - estimate_ttft(now, engines, request.prompt)
     return queue.decide(
-        now, request.priority, dispatch_by, request.deadline, request.returns
+        now, request.priority, dispatch_by, request.deadline, request.was_refused
     )
--- a/hawthornshelf/usage.py
+++ b/hawthornshelf/usage.py
@@ -127,13 +127,13 @@
 
 
 class _Process:
-    """Store what one process of a node has told; `version` covers all its totals."""
+    """Store what one process of a node has reported; it is complete up to `version`."""
 
     def __init__(self) -> None:
         self.version = 0
         self.as_of = 0.0
         self.clock_offset = 0.0
-        self.heard_at = 0.0
+        self.received_at = 0.0
         self.windows: dict[int, dict[str, int]] = {}
 
 
@@ -156,7 +156,7 @@
         """
         key = (message.node, message.incarnation)
         process = self._processes.setdefault(key, _Process())
-        process.heard_at = now
+        process.received_at = now
         for window, counts in message.windows:
             if window <= self._decided:
                 continue
@@ -196,7 +196,7 @@
         fresh = [
             process.clock_offset
             for process in self._processes.values()
-            if now - process.heard_at <= FRESH_SECONDS and process.as_of > 0
+            if now - process.received_at <= FRESH_SECONDS and process.as_of > 0
         ]
         if len(fresh) < MIN_CLOCKS:
             return own_time
@@ -204,16 +204,16 @@
         return max(median, min(own_time, median + MAX_CLOCK_LAG_SECONDS))
 
     def forget(self, now: float, decided: int) -> None:
-        """Drop decided windows, and processes that were not heard of for long."""
+        """Drop decided windows, and processes that have not reported for long."""
         if decided > self._decided:
             self._decided = decided
             self._names.clear()
             for process in self._processes.values():
                 for window in [w for w in process.windows if w <= decided]:
                     del process.windows[window]
-        heard_after = now - self._forget_seconds
+        received_after = now - self._forget_seconds
         for key, process in list(self._processes.items()):
-            if process.heard_at < heard_after:
+            if process.received_at < received_after:
                 del self._processes[key]
 
 
--- a/hawthornshelf/usagesender.py
+++ b/hawthornshelf/usagesender.py
@@ -81,20 +81,20 @@
             other = others[self._turn % len(others)]
             is_silent = now > self._leader_heard_at + SILENCE_SECONDS
             relays = bool(outgoing) and is_silent
-            knows = self._leader if relays else other
-            outgoing.append(self._make(other, knows, as_of, loads, relays))
+            reader = self._leader if relays else other
+            outgoing.append(self._make(other, reader, as_of, loads, relays))
         return outgoing
 
     def _make(
         self,
         target: str,
-        knows: str,
+        reader: str,
         as_of: float,
         loads: _Loads,
         relays: bool = False,
     ) -> Outgoing:
-        """Return a message with the totals that the replica `knows` may lack."""
-        since = self._confirmed.get(knows, 0)
+        """Return a message with the totals that `reader` may lack, sent to `target`."""
+        since = self._confirmed.get(reader, 0)
         message = UsageCounts(
             self._node,
             self._incarnation,
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -86,7 +86,7 @@
     older = queue.add(0, 9.0)
     newer = queue.add(0, 9.0)
     shorter = queue.add(0, 8.0)
-    returned = queue.add(0, 9.5, returns=True)
+    returned = queue.add(0, 9.5, was_refused=True)
     assert queue.waiting() == [returned, shorter, older, newer, less_urgent]
     queue.remove(returned)
     queue.remove(returned)
@@ -99,7 +99,7 @@
     release(queue, 50, 0.05)
     dispatch_by, deadline = 3.0 + WAIT_SECONDS, 3.0 + BUDGET_SECONDS
     assert queue.decide(3.0, 0, dispatch_by, deadline).is_late
-    assert not queue.decide(3.0, 0, dispatch_by, deadline, returns=True).is_late
+    assert not queue.decide(3.0, 0, dispatch_by, deadline, was_refused=True).is_late
 
 
 def test_callers_refused_together_are_told_different_times() -> None:
