--- a/hawthornshelf/serviceloads.py
+++ b/hawthornshelf/serviceloads.py
@@ -165,11 +165,11 @@
             return ServiceDemand()
         rates = [0.0] * len(_totals(ServiceLoad(service, "")))
         streams = long_streams = waiting = 0
-        places: set[str] = set()
+        data_centres: set[str] = set()
         for reports in fresh:
             load = reports.reports[-1].loads.get(service)
             if load is not None:
-                places.add(load.data_centre)
+                data_centres.add(load.data_centre)
                 _add_rates(rates, reports.reports, load)
                 streams += load.streams
                 long_streams += load.long_streams
@@ -177,7 +177,7 @@
         fresh_share = len(fresh) / len(self._nodes)
         return ServiceDemand(
             fresh_share,
-            tuple(sorted(places)),
+            tuple(sorted(data_centres)),
             streams=streams,
             long_streams=long_streams,
             waiting=waiting,
--- a/hawthornshelf/usagesender.py
+++ b/hawthornshelf/usagesender.py
@@ -13,7 +13,7 @@
 from hawthornshelf.messages import UsageCounts, UsageProgress
 from hawthornshelf.permitexchange import Outgoing
 from hawthornshelf.serviceloads import ServiceLoad
-from hawthornshelf.steadytime import SteadyTime
+from hawthornshelf.slewedclock import SlewedClock
 from hawthornshelf.usage import UsageCounter
 
 __all__ = ["UsageSender"]
@@ -47,7 +47,7 @@
         self._leader_heard_at = float("-inf")
         self._confirmed: dict[str, int] = {}
         self.measure_loads: Callable[[], tuple[ServiceLoad, ...]] | None = None
-        self.time = SteadyTime()
+        self.time = SlewedClock()
         self.counter = UsageCounter(settings.report_window)
 
     def on_progress(self, now: float, sender: str, progress: UsageProgress) -> None:
@@ -81,20 +81,20 @@
             other = others[self._turn % len(others)]
             is_silent = now > self._leader_heard_at + SILENCE_SECONDS
             relays = bool(outgoing) and is_silent
-            knows = self._leader if relays else other
-            outgoing.append(self._make(other, knows, as_of, loads, relays))
+            reader = self._leader if relays else other
+            outgoing.append(self._make(other, reader, as_of, loads, relays))
         return outgoing
 
     def _make(
         self,
         target: str,
-        knows: str,
+        reader: str,
         as_of: float,
         loads: _Loads,
         relays: bool = False,
     ) -> Outgoing:
-        """Return a message with the totals that the replica `knows` may lack."""
-        since = self._confirmed.get(knows, 0)
+        """Return a message with the totals that `reader` may lack, sent to `target`."""
+        since = self._confirmed.get(reader, 0)
         message = UsageCounts(
             self._node,
             self._incarnation,
--- a/tests/gateway/test_requestusage.py
+++ b/tests/gateway/test_requestusage.py
@@ -10,14 +10,13 @@
 from hawthornshelf.gateway.budget import RetryBudget
 from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.exchange import (
-    InboundRequest,
     Prompt,
     PromptSegment,
     RunnerResponse,
 )
 from hawthornshelf.gateway.forwarder import Forwarder
+from hawthornshelf.gateway.identification import CallerKnown
 from hawthornshelf.gateway.peerrelay import Peer, RelayClient, RelayedRequest
-from hawthornshelf.gateway.routes import Route
 from hawthornshelf.ratelimits import RateLimitTable
 from hawthornshelf.usagesender import UsageSender
 from tests.gateway.fakes import (
@@ -78,10 +77,8 @@
         )
         make_context = self.forwarder._make_context
 
-        def make_with_workspace(
-            inbound: InboundRequest, route: Route, writer: Caller
-        ) -> RequestContext:
-            context = make_context(inbound, route, writer)
+        def make_with_workspace(caller: CallerKnown, writer: Caller) -> RequestContext:
+            context = make_context(caller, writer)
             context.workspace = self.workspace
             return context
 
