Keep engines of few slots for interactive requests where there are many of them

Change: engines are shared so only if fewer than ten decode; else they are kept and lent after a refusal, as larger ones are.

--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -20,9 +20,12 @@
 """Minimum share of the decoding engines that is kept for interactive requests."""
 
 MIN_RESERVED_SLOTS = 16
-"""Engines with fewer slots serve all classes of requests.
+MIN_RESERVED_ENGINES = 10
+"""Fewer engines, each with fewer slots, serve all classes of requests.
 
-To keep a whole one for a class would refuse the other class while slots are idle.
+To keep a whole one for a class would refuse the other class while slots are idle. Of
+more engines one is a small share, and streams on engines that prefill long prompts have
+pauses.
 """
 
 MAX_LENT_USE = 0.5
@@ -141,7 +144,8 @@
         ordered = sorted(
             decoders, key=lambda state: _interactive_order(state.runner.name)
         )
-        if ordered[0].runner.slots < MIN_RESERVED_SLOTS:
+        is_small = len(ordered) < MIN_RESERVED_ENGINES
+        if is_small and ordered[0].runner.slots < MIN_RESERVED_SLOTS:
             return Engines(decoders, ordered, ordered, prefillers, [], are_shared=True)
         count = self._count_interactive_engines(ordered)
         reserve = int(RESERVE_SHARE * count)
