Size a fleet by the whole time to first token again

Engines were few when the load rose, so that spot engines were not to be had and dearer ones were ordered.

--- a/hawthornshelf/fleetneed.py
+++ b/hawthornshelf/fleetneed.py
@@ -37,10 +37,6 @@
 Time to first token holds the wait at the engine, which is least while load is low.
 """
 
-MIN_SIZE_DEVIATION = 300.0
-"""Standard deviation of the prompts' sizes, in tokens, from which on the time that one
-more token takes can be told from the time that each prompt takes."""
-
 SHORTAGE_SHARE = 0.05
 """Share of late or refused requests from which on engines may be missing.
 
@@ -50,8 +46,7 @@
 BUSY_SHARE = 0.6
 """Share of the engines that the work must need for refusals to mean a shortage.
 
-Below it, refusals have another cause, and more engines would only stand idle. The work
-counts as time to first token here, which includes waits at the engines.
+Below it, refusals have another cause, and more engines would only stand idle.
 """
 
 MAX_SHORTAGE = 2.0
@@ -70,15 +65,13 @@
 class NeedSample(NamedTuple):
     """Store what a decision measured; `at` is in seconds, `work` in engines.
 
-    `cost` is in seconds to first token per token, `marginal` in seconds that one more
-    token takes; each is 0 if it could not be measured.
+    `cost` is in seconds of prefill per token, 0 if too few prompts were prefilled.
     """
 
     at: float
     work: float
     needed: int
     cost: float = 0.0
-    marginal: float = 0.0
 
 
 class FleetNeed(NamedTuple):
@@ -97,7 +90,6 @@
     shortage: float
     needed: int
     cost: float
-    marginal: float = 0.0
 
     @property
     def work(self) -> float:
@@ -125,33 +117,26 @@
 
     `samples` are those of earlier decisions, oldest first.
     """
-    cost, marginal = _measure_cost(demand), _measure_marginal(demand)
+    cost = _measure_cost(demand)
     streams = _need_of_streams(demand.streams, serving, slots)
     long_streams = _need_of_streams(demand.long_streams, serving, slots)
-    known_cost = _estimate(cost, [sample.cost for sample in samples])
-    known_marginal = _estimate(marginal, [sample.marginal for sample in samples])
+    known_cost = _estimate_cost(cost, samples)
     if known_cost:
-        by_time = _need_of_prompts(demand, demand.prompt_tokens, limits, known_cost)
+        prefill = _need_of_prompts(demand, limits, known_cost)
     else:
-        by_time = max(0.0, serving - streams) if demand.offered else 0.0
-    prefill = by_time
-    if known_cost and known_marginal:
-        by_size = _need_of_prompts(demand, demand.whole_tokens, limits, known_marginal)
-        prefill = min(by_time, by_size)
+        prefill = max(0.0, serving - streams) if demand.offered else 0.0
     work = max(prefill, long_streams) + streams
     ahead = _project(now, work, limits.boot_seconds, samples) if known_cost else 0.0
     shortage = _compute_shortage(demand, work - streams, streams)
-    if max(by_time, long_streams) + streams < BUSY_SHARE * serving:
+    if work < BUSY_SHARE * serving:
         shortage = 1.0
     needed = work + ahead
     if shortage > 1.0:
         needed = max(needed, serving * shortage)
-    offered = demand.offered + demand.short_offered
+    offered = demand.offered + demand.interactive_offered
     has_load = offered + demand.streams + demand.long_streams > 0
-    engines = max(math.ceil(round(needed, 2)), int(has_load))
-    return FleetNeed(
-        prefill, long_streams, streams, ahead, shortage, engines, cost, marginal
-    )
+    count = max(math.ceil(round(needed, 2)), int(has_load))
+    return FleetNeed(prefill, long_streams, streams, ahead, shortage, count, cost)
 
 
 def _measure_cost(demand: ServiceDemand) -> float:
@@ -160,40 +145,20 @@
     return demand.prefill_seconds / demand.prefill_tokens
 
 
-def _measure_marginal(demand: ServiceDemand) -> float:
-    """Return the seconds that one more token takes, by linear regression.
-
-    The time that a prompt takes whatever its size is left out: messages travel, and
-    other prompts go first, while the engine does other work.
-    """
-    if demand.prefill_tokens < MIN_COST_TOKENS or demand.prefills <= 0:
-        return 0.0
-    mean = demand.prefill_tokens / demand.prefills
-    variance = demand.squared_tokens / demand.prefills - mean * mean
-    if variance < MIN_SIZE_DEVIATION**2:
-        return 0.0
-    covariance = (
-        demand.token_seconds / demand.prefills
-        - mean * demand.prefill_seconds / demand.prefills
-    )
-    return max(0.0, covariance / variance)
-
-
-def _estimate(current: float, earlier: list[float]) -> float:
-    """Return a low quantile of what was measured, 0 if nothing was."""
-    known = [value for value in (*earlier, current) if value]
-    return sorted(known)[int(COST_QUANTILE * len(known))] if known else 0.0
+def _estimate_cost(cost: float, samples: tuple[NeedSample, ...]) -> float:
+    """Return the seconds of prefill per token without a wait, 0 if unknown."""
+    costs = [sample.cost for sample in samples if sample.cost] + [cost] * bool(cost)
+    return sorted(costs)[int(COST_QUANTILE * len(costs))] if costs else 0.0
 
 
-def _need_of_prompts(
-    demand: ServiceDemand, tokens: float, limits: EngineLimits, cost: float
-) -> float:
+def _need_of_prompts(demand: ServiceDemand, limits: EngineLimits, cost: float) -> float:
     """Return the engines for the offered prompts and for those that wait.
 
     The waiting ones are to be served by the time that new engines could serve.
     """
+    tokens = demand.prompt_tokens
     if demand.offered:
-        waiting = demand.waiting * tokens / demand.offered
+        waiting = demand.waiting * demand.prompt_tokens / demand.offered
         tokens += waiting / max(limits.boot_seconds, 1.0)
     return tokens * cost / PREFILL_UTILISATION
 
@@ -226,8 +191,8 @@
     `long` and `interactive` are the engines that long and interactive requests need.
     """
     long_share = _share_on_time(demand.on_time, demand.late + demand.refused)
-    interactive_served = demand.short_offered - demand.short_missed
-    interactive_share = _share_on_time(interactive_served, demand.short_missed)
+    interactive_served = demand.interactive_offered - demand.interactive_missed
+    interactive_share = _share_on_time(interactive_served, demand.interactive_missed)
     work = long + interactive
     done = long * long_share + interactive * interactive_share
     if work <= 0 or done >= (1.0 - SHORTAGE_SHARE) * work:
--- a/hawthornshelf/fleetsizing.py
+++ b/hawthornshelf/fleetsizing.py
@@ -121,7 +121,7 @@
         sum(count.slots for count in by_key.values()),
         previous.samples,
     )
-    sample = NeedSample(now, need.work, need.needed, need.cost, need.marginal)
+    sample = NeedSample(now, need.work, need.needed, need.cost)
     calm_seconds = CALM_BOOTS * limits.boot_seconds
     kept_from = now - max(MIN_RETENTION_SECONDS, 2 * calm_seconds)
     samples = tuple(s for s in (*previous.samples, sample) if s.at > kept_from)
--- a/hawthornshelf/gateway/loadcounter.py
+++ b/hawthornshelf/gateway/loadcounter.py
@@ -29,14 +29,10 @@
     prompt_tokens: int = 0
     prefill_tokens: int = 0
     prefill_seconds: float = 0.0
-    short_offered: int = 0
-    short_missed: int = 0
+    interactive_offered: int = 0
+    interactive_missed: int = 0
     open: int = 0
     long_open: int = 0
-    prefills: int = 0
-    squared_tokens: float = 0.0
-    token_seconds: float = 0.0
-    whole_tokens: int = 0
 
 
 class LoadCounter:
@@ -61,10 +57,8 @@
         has_long_prompt = long_prompt is not None
         if not _is_return(context):
             counts.offered += has_long_prompt
-            counts.short_offered += not has_long_prompt
-            if long_prompt is not None:
-                counts.prompt_tokens += long_prompt.own_tokens
-                counts.whole_tokens += long_prompt.tokens
+            counts.interactive_offered += not has_long_prompt
+            counts.prompt_tokens += long_prompt.own_tokens if long_prompt else 0
         counts.open += not has_long_prompt
         counts.long_open += has_long_prompt
         try:
@@ -80,19 +74,14 @@
             return
         is_late = context.first_byte_at > context.target_at
         if prompt is None:
-            counts.short_missed += is_late and not _is_return(context)
+            counts.interactive_missed += is_late and not _is_return(context)
             return
         if not _is_return(context):
             counts.late += is_late
             counts.on_time += not is_late
         if context.reserved_at and not context.is_late:
-            tokens = prompt.own_tokens
-            seconds = context.first_byte_at - context.reserved_at
-            counts.prefill_tokens += tokens
-            counts.prefill_seconds += seconds
-            counts.prefills += 1
-            counts.squared_tokens += tokens * tokens
-            counts.token_seconds += tokens * seconds
+            counts.prefill_tokens += prompt.own_tokens
+            counts.prefill_seconds += context.first_byte_at - context.reserved_at
 
     def record_end(self, context: RequestContext, outcome: str) -> None:
         """Record the end of a request, which may never have got a token."""
@@ -104,7 +93,7 @@
         if counts is None or _is_return(context):
             return
         if _find_long_prompt(context) is None:
-            counts.short_missed += 1
+            counts.interactive_missed += 1
         elif outcome == "refused":
             counts.refused += 1
         else:
@@ -146,15 +135,11 @@
         prompt_tokens=counts.prompt_tokens,
         prefill_tokens=counts.prefill_tokens,
         prefill_seconds=round(counts.prefill_seconds, 4),
-        short_offered=counts.short_offered,
-        short_missed=counts.short_missed,
+        interactive_offered=counts.interactive_offered,
+        interactive_missed=counts.interactive_missed,
         streams=counts.open,
         long_streams=max(0, counts.long_open - waiting),
         waiting=waiting,
-        prefills=counts.prefills,
-        squared_tokens=counts.squared_tokens,
-        token_seconds=round(counts.token_seconds, 2),
-        whole_tokens=counts.whole_tokens,
     )
 
 
--- a/hawthornshelf/serviceloads.py
+++ b/hawthornshelf/serviceloads.py
@@ -23,24 +23,6 @@
 """Reports kept of a node; at one a second a window needs four."""
 
 
-RATED_FIELDS = (
-    "offered",
-    "on_time",
-    "late",
-    "refused",
-    "prompt_tokens",
-    "prefill_tokens",
-    "prefill_seconds",
-    "short_offered",
-    "short_missed",
-    "prefills",
-    "squared_tokens",
-    "token_seconds",
-    "whole_tokens",
-)
-"""Totals of a row whose growth a second is a field of the demand."""
-
-
 class ServiceLoad(NamedTuple):
     """Store what one node counted for a service since it started.
 
@@ -48,10 +30,8 @@
     `on_time`, `late` and `refused` count long prompts; a prompt is late if its first
     token came after its target or not at all. `prompt_tokens` are those of offered
     prompts that no cache held. `prefill_seconds` is the time to first token of
-    `prefill_tokens` of them, `prefills` prompts in all, whose squared tokens and tokens
-    times seconds add up to `squared_tokens` and `token_seconds`. `whole_tokens` are
-    those of offered prompts, cached ones included. `short_offered` counts interactive
-    requests, `short_missed` those that were refused or late. `streams` of those and
+    `prefill_tokens` of them. `interactive_offered` counts interactive requests,
+    `interactive_missed` those that were refused or late. `streams` of those and
     `long_streams` of long prompts are at engines now; `waiting` long prompts have no
     engine yet.
     """
@@ -65,15 +45,11 @@
     prompt_tokens: int = 0
     prefill_tokens: int = 0
     prefill_seconds: float = 0.0
-    short_offered: int = 0
-    short_missed: int = 0
+    interactive_offered: int = 0
+    interactive_missed: int = 0
     streams: int = 0
     long_streams: int = 0
     waiting: int = 0
-    prefills: int = 0
-    squared_tokens: float = 0.0
-    token_seconds: float = 0.0
-    whole_tokens: int = 0
 
 
 class ServiceDemand(NamedTuple):
@@ -92,15 +68,11 @@
     prompt_tokens: float = 0.0
     prefill_tokens: float = 0.0
     prefill_seconds: float = 0.0
-    short_offered: float = 0.0
-    short_missed: float = 0.0
+    interactive_offered: float = 0.0
+    interactive_missed: float = 0.0
     streams: int = 0
     long_streams: int = 0
     waiting: int = 0
-    prefills: float = 0.0
-    squared_tokens: float = 0.0
-    token_seconds: float = 0.0
-    whole_tokens: float = 0.0
 
 
 class _Report(NamedTuple):
@@ -175,19 +147,25 @@
                 long_streams += load.long_streams
                 waiting += load.waiting
         fresh_share = len(fresh) / len(self._nodes)
-        return ServiceDemand(
-            fresh_share,
-            tuple(sorted(data_centres)),
-            streams=streams,
-            long_streams=long_streams,
-            waiting=waiting,
-            **dict(zip(RATED_FIELDS, rates, strict=True)),
+        names = tuple(sorted(data_centres))
+        return ServiceDemand._make(
+            (fresh_share, names, *rates, streams, long_streams, waiting)
         )
 
 
 def _totals(load: ServiceLoad) -> tuple[float, ...]:
-    """Return the totals of a row, in the order of RATED_FIELDS."""
-    return tuple(getattr(load, name) for name in RATED_FIELDS)
+    """Return the totals of a row, in the order of the rates of a demand."""
+    return (
+        load.offered,
+        load.on_time,
+        load.late,
+        load.refused,
+        load.prompt_tokens,
+        load.prefill_tokens,
+        load.prefill_seconds,
+        load.interactive_offered,
+        load.interactive_missed,
+    )
 
 
 def _add_rates(rates: list[float], reports: deque[_Report], last: ServiceLoad) -> None:
