Lend no engines while prompts come faster than they are prefilled

In a burst a node found engines full, or rejected a prompt itself, and lent engines between the classes: interactive streams went to engines that prefill, and long prompts to those kept for interactive requests. Refusals while engines are idle lend as before.

--- a/hawthornshelf/gateway/placement.py
+++ b/hawthornshelf/gateway/placement.py
@@ -159,6 +159,10 @@
         """Let each class of requests use all engines of a service for some time."""
         self._runners.refusals.record(now, service, cause)
 
+    def record_overload(self, now: float, service: str) -> None:
+        """Lend no engines for some time, as each class needs its own."""
+        self._runners.refusals.record_overload(now, service)
+
     def place_interactive(
         self, engines: Engines, run: RunnerState | None = None
     ) -> Placement:
--- a/hawthornshelf/gateway/refusals.py
+++ b/hawthornshelf/gateway/refusals.py
@@ -16,11 +16,16 @@
 """
 
 
+OVERLOAD_SECONDS = 2.0
+"""Time after a late or rejected prompt in which no engines are lent."""
+
+
 class RefusalMemory:
     """Track when engines of each service were last found full."""
 
     def __init__(self) -> None:
         self._refused_at: dict[str, float] = {}
+        self._overloaded_at: dict[str, float] = {}
 
     def record(self, now: float, service: str, cause: str) -> None:
         """Record that engines were full, and how this node learnt it.
@@ -34,4 +39,11 @@
     def lends_engines(self, now: float, service: str) -> bool:
         """Return whether engines were full within the last LENDING_SECONDS."""
         refused_at = self._refused_at.get(service, float("-inf"))
+        overloaded_at = self._overloaded_at.get(service, float("-inf"))
+        if now < overloaded_at + OVERLOAD_SECONDS:
+            return False
         return now < refused_at + LENDING_SECONDS
+
+    def record_overload(self, now: float, service: str) -> None:
+        """Record that prompts come faster than a service's engines prefill them."""
+        self._overloaded_at[service] = now
--- a/hawthornshelf/gateway/scheduler.py
+++ b/hawthornshelf/gateway/scheduler.py
@@ -247,6 +247,7 @@
         return Reservation(request, placement, self) if placement is not None else None
 
     def _place_late(self, request: PlacementRequest, engines: Engines) -> Reservation:
+        self._placer.record_overload(self._clock.monotonic(), request.service)
         placement = self._placer.place_late(engines, request.prompt)
         return Reservation(request, placement, self, is_late=True)
 
@@ -263,27 +264,13 @@
         if decision.admitted:
             placed = self._try_place(now, request, engines)
             return placed or self._place_late(request, engines)
-        return self._place_lent(
-            request, "no engine came free in time", decision.retry_after
-        )
+        raise self._reject("no engine came free in time", decision.retry_after)
 
-    def _place_lent(
-        self, request: PlacementRequest, reason: str, retry_after: float
-    ) -> Reservation:
-        """Place a request at an engine kept for other classes; raise AdmissionRejected.
-
-        It is placed only if that engine is expected to answer before the deadline.
-        """
-        now = self._clock.monotonic()
-        self._placer.lend_engines(now, request.service, reason)
-        engines = self._find_engines(now, request)
-        max_ttft = request.deadline - now
-        placement = self._placer.place_long(now, engines, request.prompt, max_ttft)
-        if placement is None:
-            if self._rng is not None:
-                retry_after = spread_retry_after(self._rng, retry_after)
-            raise AdmissionRejected(reason, retry_after)
-        return Reservation(request, placement, self)
+    def _reject(self, reason: str, retry_after: float) -> AdmissionRejected:
+        """Return the rejection of a request, with a time to return of its own."""
+        if self._rng is not None:
+            retry_after = spread_retry_after(self._rng, retry_after)
+        return AdmissionRejected(reason, retry_after)
 
     async def _wait(
         self,
@@ -298,9 +285,7 @@
         a caller that has just disconnected is released.
         """
         if not decision.admitted:
-            return self._place_lent(
-                request, "the queue is too long", decision.retry_after
-            )
+            raise self._reject("the queue is too long", decision.retry_after)
         entry = queue.add(decision.priority, decision.dispatch_by, request.was_refused)
         future: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
         waiters = self._waiters.setdefault(request.service, {})
