--- a/hawthornshelf/gateway/enginelister.py
+++ b/hawthornshelf/gateway/enginelister.py
@@ -4,11 +4,10 @@
 from collections.abc import Callable, Iterable
 
 from hawthornshelf.enginegroups import EngineCount, EngineKey
-from hawthornshelf.errors import HawthornshelfError
 from hawthornshelf.events import EnginesListed, ServiceEngines
 from hawthornshelf.gateway.contract import RunnerSource
+from hawthornshelf.gateway.listreader import ListReader
 from hawthornshelf.gateway.runners import Runner
-from hawthornshelf.logs import write_log
 
 __all__ = ["EngineLister", "count_engines"]
 
@@ -27,10 +26,9 @@
         holds_duty: Callable[[], bool],
         post: Callable[[EnginesListed], None],
     ) -> None:
-        self._source = source
+        self._reader = ListReader(source)
         self._holds_duty = holds_duty
         self._post = post
-        self._is_available = True
 
     async def run(self) -> None:
         """Read the list regularly, until cancelled."""
@@ -42,18 +40,10 @@
             await asyncio.sleep(LIST_SECONDS)
 
     async def _read(self) -> None:
-        try:
-            runner_list = await self._source.read()
-        except HawthornshelfError as error:
-            if self._is_available:
-                write_log("list-lost", peer=error.peer, reason=error.reason)
-            self._is_available = False
-            return
-        if not self._is_available:
-            write_log("list-regained", runners=len(runner_list.runners))
-        self._is_available = True
-        counts = count_engines(runner_list.runners)
-        self._post(EnginesListed(counts, runner_list.read_at))
+        runner_list = await self._reader.read()
+        if runner_list is not None:
+            counts = count_engines(runner_list.runners)
+            self._post(EnginesListed(counts, runner_list.read_at))
 
 
 def count_engines(runners: Iterable[Runner]) -> tuple[ServiceEngines, ...]:
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -8,7 +8,6 @@
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.duties import Duty
-from hawthornshelf.errors import HawthornshelfError
 from hawthornshelf.events import (
     PermitRequested,
     StopRequested,
@@ -18,6 +17,7 @@
 from hawthornshelf.gateway.contract import RouteCodec, RunnerSource
 from hawthornshelf.gateway.exchange import RunnerClient
 from hawthornshelf.gateway.forwarder import Forwarder
+from hawthornshelf.gateway.listreader import ListReader
 from hawthornshelf.gateway.peerrelay import Peer, RelayClient
 from hawthornshelf.gateway.polling import ListPace, poll_interval
 from hawthornshelf.gateway.routes import find_scaling
@@ -264,21 +264,14 @@
             await self.forwarder.check_reachability()
 
     async def _poll_runner_list(self) -> None:
-        is_available = True
+        reader = ListReader(self._source)
         while True:
             nodes = self._core.members.live_entry_count()
             wait = poll_interval(self._poll_limits, nodes) * self._rng.uniform(0.9, 1.0)
-            try:
-                runner_list = await self._source.read()
-            except HawthornshelfError as error:
+            runner_list = await reader.read()
+            if runner_list is None:
                 wait *= LIST_RETRY_SHARE
-                if is_available:
-                    write_log("list-lost", peer=error.peer, reason=error.reason)
-                is_available = False
             else:
-                if not is_available:
-                    write_log("list-regained", runners=len(runner_list.runners))
-                is_available = True
                 added, removed = self.runners.load(runner_list)
                 self.forwarder.on_runner_list()
                 self.origins.observe(runner_list.runners)
