--- a/hawthornshelf/fleetneed.py
+++ b/hawthornshelf/fleetneed.py
@@ -133,7 +133,7 @@
     needed = work + ahead
     if shortage > 1.0:
         needed = max(needed, serving * shortage)
-    offered = demand.offered + demand.short_offered
+    offered = demand.offered + demand.interactive_offered
     has_load = offered + demand.streams + demand.long_streams > 0
     count = max(math.ceil(round(needed, 2)), int(has_load))
     return FleetNeed(prefill, long_streams, streams, ahead, shortage, count, cost)
@@ -191,8 +191,8 @@
     `long` and `interactive` are the engines that long and interactive requests need.
     """
     long_share = _share_on_time(demand.on_time, demand.late + demand.refused)
-    interactive_served = demand.short_offered - demand.short_missed
-    interactive_share = _share_on_time(interactive_served, demand.short_missed)
+    interactive_served = demand.interactive_offered - demand.interactive_missed
+    interactive_share = _share_on_time(interactive_served, demand.interactive_missed)
     work = long + interactive
     done = long * long_share + interactive * interactive_share
     if work <= 0 or done >= (1.0 - SHORTAGE_SHARE) * work:
--- a/hawthornshelf/gateway/loadcounter.py
+++ b/hawthornshelf/gateway/loadcounter.py
@@ -29,8 +29,8 @@
     prompt_tokens: int = 0
     prefill_tokens: int = 0
     prefill_seconds: float = 0.0
-    short_offered: int = 0
-    short_missed: int = 0
+    interactive_offered: int = 0
+    interactive_missed: int = 0
     open: int = 0
     long_open: int = 0
 
@@ -57,7 +57,7 @@
         has_long_prompt = long_prompt is not None
         if not _is_return(context):
             counts.offered += has_long_prompt
-            counts.short_offered += not has_long_prompt
+            counts.interactive_offered += not has_long_prompt
             counts.prompt_tokens += long_prompt.own_tokens if long_prompt else 0
         counts.open += not has_long_prompt
         counts.long_open += has_long_prompt
@@ -74,7 +74,7 @@
             return
         is_late = context.first_byte_at > context.target_at
         if prompt is None:
-            counts.short_missed += is_late and not _is_return(context)
+            counts.interactive_missed += is_late and not _is_return(context)
             return
         if not _is_return(context):
             counts.late += is_late
@@ -93,7 +93,7 @@
         if counts is None or _is_return(context):
             return
         if _find_long_prompt(context) is None:
-            counts.short_missed += 1
+            counts.interactive_missed += 1
         elif outcome == "refused":
             counts.refused += 1
         else:
@@ -135,8 +135,8 @@
         prompt_tokens=counts.prompt_tokens,
         prefill_tokens=counts.prefill_tokens,
         prefill_seconds=round(counts.prefill_seconds, 4),
-        short_offered=counts.short_offered,
-        short_missed=counts.short_missed,
+        interactive_offered=counts.interactive_offered,
+        interactive_missed=counts.interactive_missed,
         streams=counts.open,
         long_streams=max(0, counts.long_open - waiting),
         waiting=waiting,
--- a/hawthornshelf/serviceloads.py
+++ b/hawthornshelf/serviceloads.py
@@ -30,8 +30,8 @@
     `on_time`, `late` and `refused` count long prompts; a prompt is late if its first
     token came after its target or not at all. `prompt_tokens` are those of offered
     prompts that no cache held. `prefill_seconds` is the time to first token of
-    `prefill_tokens` of them. `short_offered` counts interactive requests,
-    `short_missed` those that were refused or late. `streams` of those and
+    `prefill_tokens` of them. `interactive_offered` counts interactive requests,
+    `interactive_missed` those that were refused or late. `streams` of those and
     `long_streams` of long prompts are at engines now; `waiting` long prompts have no
     engine yet.
     """
@@ -45,8 +45,8 @@
     prompt_tokens: int = 0
     prefill_tokens: int = 0
     prefill_seconds: float = 0.0
-    short_offered: int = 0
-    short_missed: int = 0
+    interactive_offered: int = 0
+    interactive_missed: int = 0
     streams: int = 0
     long_streams: int = 0
     waiting: int = 0
@@ -68,8 +68,8 @@
     prompt_tokens: float = 0.0
     prefill_tokens: float = 0.0
     prefill_seconds: float = 0.0
-    short_offered: float = 0.0
-    short_missed: float = 0.0
+    interactive_offered: float = 0.0
+    interactive_missed: float = 0.0
     streams: int = 0
     long_streams: int = 0
     waiting: int = 0
@@ -163,8 +163,8 @@
         load.prompt_tokens,
         load.prefill_tokens,
         load.prefill_seconds,
-        load.short_offered,
-        load.short_missed,
+        load.interactive_offered,
+        load.interactive_missed,
     )
 
 
--- a/tests/gateway/test_loadcounter.py
+++ b/tests/gateway/test_loadcounter.py
@@ -57,7 +57,7 @@
     assert fleet.ask("/talk/x", prompt=SHORT).status == 503
     row = counted(fleet)
     assert (row.offered, row.refused, row.on_time, row.late) == (1, 1, 0, 0)
-    assert (row.short_offered, row.short_missed) == (1, 1)
+    assert (row.interactive_offered, row.interactive_missed) == (1, 1)
 
 
 def test_a_prompt_whose_only_run_breaks_counts_as_late() -> None:
@@ -83,7 +83,7 @@
 
     asyncio.run(leave())
     row = counted(fleet)
-    assert (row.offered, row.short_offered) == (1, 1)
+    assert (row.offered, row.interactive_offered) == (1, 1)
     assert (row.streams, row.long_streams, row.refused, row.late) == (0, 0, 0, 0)
 
 
@@ -112,4 +112,4 @@
     fleet = Fleet([not_run])
     fleet.ask("/talk/x")
     row = counted(fleet)
-    assert (row.short_offered, row.short_missed, row.offered) == (1, 1, 0)
+    assert (row.interactive_offered, row.interactive_missed, row.offered) == (1, 1, 0)
