--- a/hawthornshelf/duties.py
+++ b/hawthornshelf/duties.py
@@ -56,6 +56,7 @@
 """
 
 NEVER = float("inf")
+LONG_AGO = float("-inf")
 
 
 class Duty(Enum):
@@ -150,8 +151,8 @@
 class _CallState(NamedTuple):
     """Store when the next call with a key may be made, in monotonic seconds."""
 
-    open_until: float = -NEVER
-    not_before: float = -NEVER
+    open_until: float = LONG_AGO
+    not_before: float = LONG_AGO
     failures: int = 0
 
 
@@ -169,7 +170,7 @@
         self._wait = wait
         self._interval = 1 / max(CALL_SHARE * settings.calls_per_second, 0.001)
         self._states: dict[_CallKey, _CallState] = {}
-        self._next_call_at = -NEVER
+        self._next_call_at = LONG_AGO
         self._observed_at = NEVER
         self._began_at = NEVER
         self._unreached_since = NEVER
--- a/hawthornshelf/usage.py
+++ b/hawthornshelf/usage.py
@@ -13,7 +13,7 @@
 from hawthornshelf.messages import UsageCounts
 from hawthornshelf.usagerecords import WindowCounts, WorkspaceCount
 
-__all__ = ["MAX_WINDOWS", "Closing", "UsageCounter", "UsageLedger", "close_window"]
+__all__ = ["MAX_WINDOWS", "UsageCounter", "UsageLedger", "WindowStatus", "check_window"]
 
 MAX_WINDOWS = 24
 """Windows that a node keeps while nobody decides them."""
@@ -217,29 +217,29 @@
                 del self._processes[key]
 
 
-class Closing(NamedTuple):
+class WindowStatus(NamedTuple):
     """Tell whether a window may be decided, and which live nodes are missing."""
 
     is_due: bool
     missing: tuple[str, ...] = ()
 
 
-def close_window(
+def check_window(
     ends_at: float,
     time: float,
     usage_late: float,
     is_settled: bool,
     live_nodes: Collection[str],
     ledger: UsageLedger,
-) -> Closing:
+) -> WindowStatus:
     """Decide whether a window that ends at a time is complete, or must be closed.
 
     Missing nodes are left out some time after its end. `is_settled` means that this
     leader has had time to learn of all nodes and what they counted.
     """
     if time < ends_at or not is_settled:
-        return Closing(False)
+        return WindowStatus(False)
     times = ledger.complete_until()
     missing = tuple(n for n in sorted(live_nodes) if times.get(n, 0.0) < ends_at)
     is_overdue = time >= ends_at + CLOSE_SHARE * usage_late
-    return Closing(not missing or is_overdue, missing)
+    return WindowStatus(not missing or is_overdue, missing)
--- a/hawthornshelf/usagereporter.py
+++ b/hawthornshelf/usagereporter.py
@@ -20,7 +20,7 @@
 from hawthornshelf.messages import UsageCounts, UsageProgress
 from hawthornshelf.permitexchange import Outgoing
 from hawthornshelf.slewedclock import SlewedClock
-from hawthornshelf.usage import Closing, UsageLedger, close_window
+from hawthornshelf.usage import UsageLedger, WindowStatus, check_window
 from hawthornshelf.usagerecords import MAX_OPEN_WINDOWS, UsageRecords
 
 __all__ = ["UsageReporter", "confirm_counts"]
@@ -91,7 +91,7 @@
         if current - records.next_window > MAX_OPEN_WINDOWS:
             return self._start(now, current - MAX_OPEN_WINDOWS, "too many open")
         window = records.next_window
-        closing = close_window(
+        status = check_window(
             (window + 1) * seconds,
             time,
             self._settings.usage_late,
@@ -99,9 +99,9 @@
             entry_nodes,
             self._ledger,
         )
-        if not closing.is_due:
+        if not status.is_due:
             return []
-        return self._decide(now, time, records, entry_nodes, closing)
+        return self._decide(now, time, records, entry_nodes, status)
 
     def find_call(self, now: float, records: UsageRecords) -> ReportUsage | None:
         """Return the report that is to be sent next, or None."""
@@ -131,7 +131,7 @@
         time: float,
         records: UsageRecords,
         entry_nodes: Collection[str],
-        closing: Closing,
+        status: WindowStatus,
     ) -> list[LogLine]:
         window = records.next_window
         if not self._may_propose(now, DecideUsageReport, window):
@@ -145,8 +145,8 @@
                 window=window,
                 age_s=round(age, 2),
                 nodes=len(entry_nodes),
-                missing=len(closing.missing),
-                missing_names=",".join(closing.missing[:MAX_LOGGED_NODES]),
+                missing=len(status.missing),
+                missing_names=",".join(status.missing[:MAX_LOGGED_NODES]),
                 workspaces=len(counts),
                 requests=sum(row.count for row in counts),
                 unfinished=records.unfinished_count,
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -7,7 +7,7 @@
     MAX_WINDOWS,
     UsageCounter,
     UsageLedger,
-    close_window,
+    check_window,
 )
 from hawthornshelf.usagerecords import WindowCounts, WorkspaceCount
 
@@ -150,7 +150,7 @@
 def close(
     ledger: UsageLedger, time: float, live: tuple[str, ...], is_settled: bool = True
 ) -> tuple[bool, tuple[str, ...]]:
-    return close_window(15.0, time, 10.0, is_settled, live, ledger)
+    return check_window(15.0, time, 10.0, is_settled, live, ledger)
 
 
 def test_a_window_closes_once_all_live_nodes_are_complete() -> None:
