Name the workspace of a hedged request in its log line

Cause: the hedges and the workspaces were built side by side; request-hedged was the one line of a request without its workspace. Measured: tests/gateway/test_race.py passes.

--- a/hawthornshelf/gateway/race.py
+++ b/hawthornshelf/gateway/race.py
@@ -210,7 +210,7 @@
         context.sends += 1
         write_log(
             "request-hedged",
-            request=context.inbound.request_id,
+            **context.log_fields(),
             runner=state.runner.name,
             previous=first.state.runner.name,
             attempt=context.sends,
