Log the lending of engines once, and say when none are lent

Cause: since an overloaded service lends no engines, but each refusal there was logged as engines-lent, without a bound. What is lent, and when, is unchanged. Measured: test_refusals_of_an_overloaded_service_are_logged_once fails without the change; test_refusals, test_scheduler, test_placement and test_docs pass.

--- a/hawthornshelf/gateway/refusals.py
+++ b/hawthornshelf/gateway/refusals.py
@@ -15,9 +15,8 @@
 can afford one refusal in that time.
 """
 
-
 OVERLOAD_SECONDS = 2.0
-"""Time after a late or rejected prompt in which no engines are lent."""
+"""Time after a late prompt in which no engines are lent."""
 
 
 class RefusalMemory:
@@ -30,20 +29,26 @@
     def record(self, now: float, service: str, cause: str) -> None:
         """Record that engines were full, and how this node learnt it.
 
-        `now` is in monotonic seconds.
+        `now` is in monotonic seconds. Only the first of several records in
+        LENDING_SECONDS is logged.
         """
-        if not self.lends_engines(now, service):
-            write_log("engines-lent", service=service, cause=cause)
+        if now >= self._refused_at.get(service, float("-inf")) + LENDING_SECONDS:
+            overloaded = self._is_overloaded(now, service)
+            write_log(
+                "engines-lent", service=service, cause=cause, overloaded=overloaded
+            )
         self._refused_at[service] = now
 
     def lends_engines(self, now: float, service: str) -> bool:
-        """Return whether engines were full within the last LENDING_SECONDS."""
-        refused_at = self._refused_at.get(service, float("-inf"))
-        overloaded_at = self._overloaded_at.get(service, float("-inf"))
-        if now < overloaded_at + OVERLOAD_SECONDS:
+        """Return whether engines were full lately and the service is not overloaded."""
+        if self._is_overloaded(now, service):
             return False
-        return now < refused_at + LENDING_SECONDS
+        return now < self._refused_at.get(service, float("-inf")) + LENDING_SECONDS
 
     def record_overload(self, now: float, service: str) -> None:
         """Record that prompts come faster than a service's engines prefill them."""
         self._overloaded_at[service] = now
+
+    def _is_overloaded(self, now: float, service: str) -> bool:
+        overloaded_at = self._overloaded_at.get(service, float("-inf"))
+        return now < overloaded_at + OVERLOAD_SECONDS
--- a/tests/gateway/test_refusals.py
+++ b/tests/gateway/test_refusals.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hawthornshelf.gateway import refusals
 from hawthornshelf.gateway.placement import Engines, Placer
 from hawthornshelf.gateway.refusals import LENDING_SECONDS, RefusalMemory
 from hawthornshelf.gateway.runners import Runner, RunnerList, RunnerTable
@@ -148,3 +149,19 @@
     memory.record(5.0, "a", "refusal")
     assert memory.lends_engines(5.1, "a")
     assert not memory.lends_engines(5.1, "b")
+
+
+def test_refusals_of_an_overloaded_service_are_logged_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each refusal was logged as engines lent while none were."""
+    lines: list[dict[str, object]] = []
+    monkeypatch.setattr(
+        refusals, "write_log", lambda event, **fields: lines.append(fields)
+    )
+    memory = RefusalMemory()
+    for number in range(50):
+        memory.record_overload(10.0 + 0.1 * number, "s")
+        memory.record(10.0 + 0.1 * number, "s", "refusal")
+    assert not memory.lends_engines(15.0, "s")
+    assert lines == [{"service": "s", "cause": "refusal", "overloaded": True}]
