Refuse responses whose status is not one of HTTP

Cause: the HTTP library takes any three digits for a status, 101 for a final response, and HTTP/0.9 and 2.0 for versions. Nothing between it and the caller looked at what it had read, in no client of the product: answers to runs and prefills, load reports, probes, calls that stop runs, the runner list. Ruled out: that only 000 is affected (001, 099, 600, 999 and 101 came through too), and that one framing or one kind of route is. Change: ResponseHeads checks the bytes of each head before the parser gets them, for every client, as all share BoundedConnection. A malformed head is a failure after the request was sent: what may be repeated goes to another runner, anything else gets 502 and runs nowhere else. Why it works: the check is on the bytes as received, so nothing that the parser makes of them can go round it; the connection is closed, so no later byte is read.

--- a/hawthornshelf/httplimits.py
+++ b/hawthornshelf/httplimits.py
@@ -6,6 +6,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from hawthornshelf.responseheads import MalformedHead, ResponseHeads
+
 __all__ = [
     "BoundedConnection",
     "ByteBudget",
@@ -48,54 +50,58 @@
 SMALL_BODY_BYTES = 64 * 1024
 """A body up to this size does not fail for the size of others."""
 
-FINAL_STATUS = 200
-
 
 class ResponseTooLarge(aiohttp.ClientPayloadError):
     """Signal a response beyond a limit; its connection is closed."""
 
 
 class BoundedConnection(ResponseHandler):
-    """Close a connection whose response exceeds a limit, and record how it ended."""
+    """Close a connection whose response exceeds a limit or has a malformed head.
+
+    `end` tells how the connection ended, once it has.
+    """
 
     end = ""
     _head_bytes = 0
     _response_bytes = 0
-    _has_head = False
+    _heads: ResponseHeads | None = None
 
     def set_response_params(self, **params: Any) -> None:
         """Begin to count for the next response."""
         self._head_bytes = self._response_bytes = 0
-        self._has_head = False
+        self._heads = ResponseHeads()
         super().set_response_params(**params)
 
-    def feed_data(self, message: Any, size: int = 0) -> None:
-        """Note the head of the final response."""
-        if message[0].code >= FINAL_STATUS:
-            self._has_head = True
-        super().feed_data(message, size)
-
     def data_received(self, data: bytes) -> None:
-        """Parse bytes of a response, unless it has become too large."""
+        """Parse bytes of a response, unless it is malformed or has become too large."""
+        if self._heads is None:
+            super().data_received(data)
+            return
         self._response_bytes += len(data)
-        if not self._has_head:
+        if not self._heads.is_whole:
             self._head_bytes += len(data)
+        try:
+            self._heads.feed(data)
+        except MalformedHead as error:
+            self._abort(error)
+            return
         is_sound, body = self._exception is None, self._payload
         super().data_received(data)
         if is_sound and self._exception is not None and body is not None:
             _break_off(body, self._exception)
-        if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
-            self._abort(f"no final response within {MAX_HEAD_BYTES} bytes")
+        if not self._heads.is_whole and self._head_bytes > MAX_HEAD_BYTES:
+            reason = f"no final response within {MAX_HEAD_BYTES} bytes"
+            self._abort(ResponseTooLarge(reason))
         elif self._response_bytes > MAX_RESPONSE_BYTES:
-            self._abort(f"a response of more than {MAX_RESPONSE_BYTES} bytes")
+            reason = f"a response of more than {MAX_RESPONSE_BYTES} bytes"
+            self._abort(ResponseTooLarge(reason))
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record whether the peer closed the connection or reset it."""
         self.end = "closed" if exc is None else "reset"
         super().connection_lost(exc)
 
-    def _abort(self, reason: str) -> None:
-        error = ResponseTooLarge(reason)
+    def _abort(self, error: aiohttp.ClientPayloadError) -> None:
         if self._payload is not None:
             self._payload.set_exception(error)
         self.set_exception(error)
--- /dev/null
+++ b/hawthornshelf/responseheads.py
@@ -0,0 +1,66 @@
+"""Check the heads of HTTP responses before a parser reads them.
+
+The HTTP library takes any three digits for a status.
+"""
+
+import re
+
+import aiohttp
+
+__all__ = ["MalformedHead", "ResponseHeads"]
+
+_LINE_END = b"\r\n"
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: .*)?\r\n")
+"""Status line of RFC 9112, 4; some servers leave out the blank after the status."""
+
+FIRST_FINAL_STATUS = 200
+SWITCHING_PROTOCOLS = 101
+
+
+class MalformedHead(aiohttp.ClientPayloadError):
+    """Signal a response whose head is not one of HTTP/1.1."""
+
+
+class ResponseHeads:
+    """Check the heads of one response, interim ones included, as its bytes arrive.
+
+    `is_whole` is set once the head of the final response has been checked.
+    """
+
+    def __init__(self) -> None:
+        self.is_whole = False
+        self._line = bytearray()
+        self._status = 0
+
+    def feed(self, data: bytes) -> None:
+        """Check the next bytes of the response, up to its body; raise MalformedHead."""
+        start = 0
+        while not self.is_whole:
+            end = data.find(b"\n", start) + 1
+            if not end:
+                self._line += data[start:]
+                return
+            line = bytes(self._line) + data[start:end]
+            self._line.clear()
+            start = end
+            self._check_line(line)
+
+    def _check_line(self, line: bytes) -> None:
+        if line != _LINE_END:
+            self._status = self._status or _read_status(line)
+        elif self._status >= FIRST_FINAL_STATUS:
+            self.is_whole = True
+        else:
+            # The end of an interim head, or an empty line before a status line.
+            self._status = 0
+
+
+def _read_status(line: bytes) -> int:
+    """Return the status in a status line; raise MalformedHead for a bad one."""
+    match = _STATUS_LINE.fullmatch(line)
+    if match is None:
+        raise MalformedHead("no status line of HTTP/1.1")
+    status = int(match[1])
+    if status == SWITCHING_PROTOCOLS:
+        raise MalformedHead("a switch of protocols that was not asked for")
+    return status
--- /dev/null
+++ b/tests/southernveil/test_malformed_heads.py
@@ -0,0 +1,94 @@
+"""Answer with heads that are not HTTP, and check what callers get."""
+
+import asyncio
+
+import pytest
+from southernveil.runnerclient import HttpRunnerClient
+
+from hawthornshelf.errors import HawthornshelfError
+from hawthornshelf.gateway.exchange import Header
+from hawthornshelf.gateway.routes import RetryPolicy, Route
+from tests.gateway.fakes import Caller
+from tests.southernveil import test_strictness
+from tests.southernveil.test_endless import CLIENTS
+from tests.southernveil.test_framing import (
+    ONCE_ROUTE,
+    STREAM_ROUTE,
+    RawRunner,
+    Script,
+    ask,
+    make_route,
+    make_stream,
+    run,
+)
+
+STREAM = make_stream(b"\n")
+PLAIN_ROUTES = {
+    "safe": make_route(RetryPolicy.SAFE),
+    "once": make_route(RetryPolicy.ONCE),
+}
+ROUTES = PLAIN_ROUTES | {"resumable stream": STREAM_ROUTE, "stream": ONCE_ROUTE}
+REPEATABLE = ("safe", "resumable stream")
+FRAMINGS = ("length", "chunks", "connection")
+
+
+async def ask_runners(route: Route, malformed: Script) -> tuple[Caller, list[str]]:
+    """Ask a runner with a malformed answer, then a sound one; return who ran it too."""
+    content_type = b"text/event-stream" if route.is_generation else b"text/plain"
+    sound = Script(STREAM, content_type=content_type)
+    runners = [
+        RawRunner("bad", [lambda after: malformed]),
+        RawRunner("good", [lambda after: sound]),
+    ]
+    caller, _ = await ask(route, *runners)
+    return caller, [runner.name for runner in runners if not runner.scripts]
+
+
+async def check_malformed(name: str, malformed: Script) -> None:
+    """Check that a malformed answer counts as a run that brought no answer."""
+    caller, ran = await ask_runners(ROUTES[name], malformed)
+    if name in REPEATABLE:
+        assert (caller.status, caller.data) == (200, STREAM)
+        assert Header("X-Answer-Stamp", "good") in caller.headers
+        assert ran == ["bad", "good"]
+    else:
+        assert (caller.status, caller.headers) == (502, ())
+        assert ran == ["bad"]
+
+
+@pytest.mark.parametrize("name", ROUTES)
+@pytest.mark.parametrize(
+    "status", [b"000 No", b"099 No", b"600 No", b"999 No", b"101 Switching Protocols"]
+)
+def test_an_answer_with_an_impossible_status_reaches_no_caller(
+    status: bytes, name: str
+) -> None:
+    async def check() -> None:
+        for framing in FRAMINGS:
+            script = Script(b"bad", framing, status=status, content_type=b"text/plain")
+            await check_malformed(name, script)
+
+    run(check())
+
+
+REPORT = b'{"Running":1,"Waiting":0,"KvHandle":"a","Instances":[],"Next":null}'
+
+
+@pytest.mark.parametrize("status", [b"000 No", b"999 No", b"101 Switching Protocols"])
+@pytest.mark.parametrize("name", CLIENTS)
+def test_no_client_reads_an_answer_with_an_impossible_status(
+    name: str, status: bytes
+) -> None:
+    answer = Script(REPORT, status=status).head(b"1", b"s") + REPORT
+
+    async def check() -> None:
+        runner = test_strictness.RawRunner(answer)
+        async with test_strictness.connect_client(runner) as (client, address):
+            with pytest.raises(HawthornshelfError):
+                await call(client, address)
+
+    async def call(client: HttpRunnerClient, address: str) -> None:
+        async with asyncio.timeout(5.0):
+            await CLIENTS[name](client, address)
+
+    run(check())
