Refuse responses with a header that is not one of HTTP

Callers saw (on systems of this kind): an answer in whose head the name of a field held a blank or a control byte, with that line passed on or with a body that was not the runner's. Cause: the HTTP library reads responses leniently. Of the headers that frame a body it takes names that end with a blank: "Transfer-Encoding : chunked" was passed on under that name, and "Content-Length : 1" cut the body. It also joins folded lines, splits a value at a lone LF into two headers, and passes control characters in values on. Its parser in Python refuses some of these and takes others. Ruled out: other names with a blank or a control byte; the library refuses them already, and the tests keep that so. Change: ResponseHeads checks each line of a head as RFC 9112, 5 has it, and the text after a status. Errors quote nothing of a head, as it may repeat a credential. Why it works: no line that is malformed reaches the parser, so what it would make of one does not matter.

--- a/hawthornshelf/responseheads.py
+++ b/hawthornshelf/responseheads.py
@@ -1,6 +1,7 @@
 """Check the heads of HTTP responses before a parser reads them.
 
-The HTTP library takes any three digits for a status.
+The HTTP library takes any three digits for a status, a header name that ends with a
+blank, lines that end with LF alone, folded lines and control characters in values.
 """
 
 import re
@@ -10,15 +11,22 @@
 __all__ = ["MalformedHead", "ResponseHeads"]
 
 _LINE_END = b"\r\n"
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: .*)?\r\n")
+_TEXT = rb"[\t -~\x80-\xff]*"
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: " + _TEXT + rb")?\r\n")
 """Status line of RFC 9112, 4; some servers leave out the blank after the status."""
 
+_FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r\n")
+"""Field line of RFC 9112, 5: no blank before the colon, no folded line."""
+
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
 
 
 class MalformedHead(aiohttp.ClientPayloadError):
-    """Signal a response whose head is not one of HTTP/1.1."""
+    """Signal a response whose head is not one of HTTP/1.1.
+
+    The text quotes nothing of the head, which may repeat a caller's credential.
+    """
 
 
 class ResponseHeads:
@@ -47,7 +55,10 @@
 
     def _check_line(self, line: bytes) -> None:
         if line != _LINE_END:
-            self._status = self._status or _read_status(line)
+            if not self._status:
+                self._status = _read_status(line)
+            elif not _FIELD_LINE.fullmatch(line):
+                raise MalformedHead(f"a bad header in a head of status {self._status}")
         elif self._status >= FIRST_FINAL_STATUS:
             self.is_whole = True
         else:
--- a/tests/southernveil/test_malformed_heads.py
+++ b/tests/southernveil/test_malformed_heads.py
@@ -1,6 +1,7 @@
 """Answer with heads that are not HTTP, and check what callers get."""
 
 import asyncio
+from dataclasses import dataclass
 
 import pytest
 from southernveil.runnerclient import HttpRunnerClient
@@ -71,6 +72,54 @@
     run(check())
 
 
+@dataclass
+class FieldScript(Script):
+    """Write one more line into the head, before or after the others."""
+
+    line: bytes = b""
+    is_first: bool = False
+
+    def head(self, request_id: bytes, receipt: bytes) -> bytes:
+        status, rest = super().head(request_id, receipt).split(b"\r\n", 1)
+        if self.is_first:
+            return b"\r\n".join((status, self.line, rest))
+        return b"\r\n".join((status, rest[:-4], self.line, b"", b""))
+
+
+BAD_LINES = {
+    "blank after the name": b"X-Name : a",
+    "tab after the name": b"X-Name\t: a",
+    "blank in the name": b"X Name: a",
+    "control character in the name": b"X\x0bName: a",
+    "NUL in the name": b"X\x00Name: a",
+    "line feed in the name": b"X\nName: a",
+    "length with a blank": b"Content-Length : 1",
+    "chunks with a blank": b"Transfer-Encoding : chunked",
+    "folded line": b"X-Name: a\r\n b",
+    "line feed in the value": b"X-Name: a\nX-Answer-Stamp: forged",
+    "carriage return in the value": b"X-Name: a\rb",
+    "control character in the value": b"X-Name: a\x01",
+}
+
+
+@pytest.mark.parametrize("name", ROUTES)
+@pytest.mark.parametrize("line", BAD_LINES)
+def test_an_answer_with_a_malformed_header_reaches_no_caller(
+    line: str, name: str
+) -> None:
+    async def check() -> None:
+        body = b"3\r\nbad\r\n0\r\n\r\n"
+        for framing in FRAMINGS:
+            for is_first in (False, True):
+                script = FieldScript(
+                    body, framing, line=BAD_LINES[line], is_first=is_first
+                )
+                script.content_type = b"text/plain"
+                await check_malformed(name, script)
+
+    run(check())
+
+
 REPORT = b'{"Running":1,"Waiting":0,"KvHandle":"a","Instances":[],"Next":null}'
 
 
--- a/tests/test_responseheads.py
+++ b/tests/test_responseheads.py
@@ -33,6 +33,7 @@
     b"http/1.1 200 OK",
     b" HTTP/1.1 200 OK",
     b"HTTP/1.1 200 OK\n",
+    b"HTTP/1.1 200 \x1b[31mOK",
     b"\x16\x03\x01 no answer",
 )
 
@@ -66,6 +67,56 @@
     assert check(head + b"good", piece_bytes).is_whole
 
 
+BAD_FIELD_LINES = (
+    b"Content-Length : 4",
+    b"Transfer-Encoding\t: chunked",
+    b"X Name: a",
+    b"X\x00Name: a",
+    b"X\x01Name: a",
+    b"X\x0bName: a",
+    b"X\rName: a",
+    b"X\nName: a",
+    b"X\x7fName: a",
+    b"X\xe9Name: a",
+    b"X(Name): a",
+    b": a",
+    b"Name",
+    b" Name: a",
+    b"Name: a\r\n folded",
+    b"Name: a\r\n\tfolded",
+    b"Name: a\nOther: b",
+    b"Name: a\rOther: b",
+    b"Name: a\x00",
+    b"Name: \x1b[31m",
+    b"Name: a\x7f",
+    b"Name: a\n",
+    b"HTTP/1.1 200 OK",
+)
+
+
+@pytest.mark.parametrize("piece_bytes", [0, 1, 7])
+@pytest.mark.parametrize("line", BAD_FIELD_LINES)
+def test_a_header_that_is_not_one_of_the_protocol_makes_a_head_malformed(
+    line: bytes, piece_bytes: int
+) -> None:
+    for status in (b"200 OK", b"103 Hints"):
+        with pytest.raises(MalformedHead):
+            check(b"HTTP/1.1 " + status + b"\r\nA: b\r\n" + line + b"\r\n", piece_bytes)
+
+
+def test_an_error_quotes_no_header() -> None:
+    with pytest.raises(MalformedHead) as caught:
+        check(b"HTTP/1.1 400 No\r\nAuthorization: Bearer s3cret\r\n s3cret\r\n")
+    assert "cret" not in str(caught.value) and "Auth" not in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    "line", [b"a:", b"A-b_c.1:\t x ", b"!#$%&'*+-.^_`|~9z: \xe2\x82\xac", b"N: a: b"]
+)
+def test_a_sound_header_is_accepted(line: bytes) -> None:
+    assert check(b"HTTP/1.1 200 OK\r\n" + line + b"\r\n\r\n").is_whole
+
+
 def test_bytes_of_a_body_are_taken_for_no_head() -> None:
     heads = check(b"HTTP/1.1 200 OK\r\n" + FIELDS)
     heads.feed(b"HTTP/1.1 000\r\n\r\n")
