Draw no port for a test again before it is bound

Cause: a fleet draws the ports of its processes first, then starts its stand-ins, which draw a port each, and then the processes. A port drawn and not bound yet could be drawn again; the process that was to have it ended with "address already in use". Evidence: fleets started in a loop on untouched code; one was not ready after 61 s, and its entry process had ended by that error, at the directory's port 12608. Change: the last 256 ports drawn are not drawn again in a test process, whether they are bound or not.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -4,6 +4,7 @@
 import os
 import random
 import socket
+from collections import deque
 
 __all__ = ["free_port", "free_ports"]
 
@@ -13,6 +14,14 @@
 MAX_WORKERS = 16
 """Test processes side by side, each with an equal share of the ports."""
 
+REMEMBERED = 256
+"""Ports drawn last, which are not drawn again: most are bound only some time later.
+
+It is less than half of a share.
+"""
+
+_drawn: deque[int] = deque(maxlen=REMEMBERED)
+
 
 def free_port() -> int:
     """Return a port that is free at the moment of the call."""
@@ -20,7 +29,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return even ports that are free at the moment of the call.
+    """Return even ports that are free at the moment of the call, and were not drawn.
 
     The odd port after each is left free as well: an entry node listens on the port
     after the first peer port.
@@ -30,7 +39,8 @@
         port = random.choice(_share_of_worker())
         with contextlib.suppress(OSError), socket.socket() as probe:
             probe.bind(("127.0.0.1", port))
-            if port not in ports:
+            if port not in _drawn:
+                _drawn.append(port)
                 ports.append(port)
     return ports
 
