Let a suspect of a crash go on at its own build

Cause: a request in flight at a crash is a suspect and gets one runner, so that suspects run apart. That runner was chosen of all that accept work, and the runners of other builds, at which a stream may not go on, were excluded besides. Where the chosen one was of another build nothing was left, and the stream was refused; every try at every node chose the same runner. New streams are no suspects. A resumption by the node itself was refused in the same way, so callers saw a break. Change: the one runner is chosen of those that the request may use. A suspect still runs at one only. Why it works: what forbids a runner is known before the choice, so the choice never contradicts it. The callers of buildfleet send the same body with each try now, as those of the platform do: a content of its own hid the suspects. test_a_suspect_gets_one_runner passes what was tried as an argument now, as exclude_runners takes it.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -547,8 +547,8 @@
         self, context: RequestContext, standing: Standing
     ) -> frozenset[str]:
         """Return the runners to which a request is not sent now."""
-        blocked = self._quarantine.exclude_runners(context, standing)
-        return frozenset(context.tried | blocked | self._continuer.excluded(context))
+        excluded = frozenset(context.tried | self._continuer.excluded(context))
+        return self._quarantine.exclude_runners(context, standing, excluded)
 
     def _accepts(self, context: RequestContext, state: RunnerState) -> bool:
         """Return whether a runner chosen earlier takes a request now."""
--- a/hawthornshelf/gateway/quarantine.py
+++ b/hawthornshelf/gateway/quarantine.py
@@ -138,25 +138,24 @@
         return nodes > 0 and self._rng.random() * nodes < share
 
     def exclude_runners(
-        self, context: RequestContext, standing: Standing
+        self, context: RequestContext, standing: Standing, excluded: frozenset[str]
     ) -> frozenset[str]:
-        """Return the runners that a request may not use, empty unless it is a suspect.
+        """Return the runners that a request may not use, `excluded` ones among them.
 
-        All but one are excluded, so that suspects of one crash run apart.
+        Of those left, a suspect may use one only, so that suspects of one crash run
+        apart.
         """
         if not standing.crashes:
-            return frozenset()
+            return excluded
         now = self._clock.monotonic()
-        states = self._runners.available(
-            now, context.service, RUN_STAGES, context.tried
-        )
+        states = self._runners.available(now, context.service, RUN_STAGES, excluded)
         if not states:
-            return frozenset()
+            return excluded
         chosen = choose_isolated(
             context.digest(), len(standing.crashes), states, self._suspects_at
         )
         names = {s.runner.name for s in self._runners.in_service(context.service)}
-        return frozenset(names - {chosen.runner.name})
+        return excluded | (names - {chosen.runner.name})
 
 
 def choose_isolated(
--- a/tests/gateway/buildfleet.py
+++ b/tests/gateway/buildfleet.py
@@ -101,9 +101,11 @@
     """Follow one stream of a caller over all of its tries.
 
     `begun` is the id of the try that brought the first event, `events` counts those
-    received, and `builds` has those of the runners that wrote them.
+    received, and `builds` has those of the runners that wrote them. `number` is the
+    content of all tries.
     """
 
+    number: int
     begun: str = ""
     events: int = 0
     builds: set[str] = field(default_factory=set)
@@ -114,12 +116,16 @@
 
 
 class StreamTraffic:
-    """Let callers begin streams, and take up those that break off at other nodes."""
+    """Let callers begin streams, and take up those that break off at other nodes.
+
+    `begins` and `take_ups` tell which tries brought events; the latter are by build.
+    """
 
     def __init__(self, fleet: BuildFleet) -> None:
         self.fleet = fleet
         self.streams: list[Stream] = []
         self.begins: list[bool] = []
+        self.take_ups: dict[str, list[bool]] = {}
         self.open: dict[asyncio.Task[None], Entry] = {}
         self.is_closing = False
 
@@ -129,7 +135,7 @@
         until = clock.monotonic() + seconds
         async with asyncio.TaskGroup() as group:
             while clock.monotonic() < until:
-                stream = Stream()
+                stream = Stream(len(self.streams))
                 self.streams.append(stream)
                 group.create_task(self._follow(stream))
                 await asyncio.sleep(self.fleet.rng.expovariate(rate))
@@ -187,8 +193,11 @@
         events = caller.data.count(b"\n\n")
         if is_take_up and is_calm:
             is_whole = caller.ended and caller.status == 200
+            went_on = events > 0 or is_whole
             stream.taken_up_at.append(now)
-            stream.went_on = stream.went_on or events > 0 or is_whole
+            stream.went_on = stream.went_on or went_on
+            for build in stream.builds:
+                self.take_ups.setdefault(build, []).append(went_on)
         elif not is_take_up and is_calm:
             self.begins.append(events > 0)
         if events:
@@ -210,7 +219,7 @@
             STREAM_PATH,
             "h",
             (),
-            b"%d" % len(self.streams),
+            b"%d" % stream.number,
             now,
             deadline,
             SHORT,
--- a/tests/gateway/test_joined_streams.py
+++ b/tests/gateway/test_joined_streams.py
@@ -14,16 +14,27 @@
 """Time from the start of all nodes until they are in touch."""
 
 MIN_TAKE_UPS = 12
+MIN_SERVING = 2
+"""Runners of a build beside which the streams that it began are to go on."""
+
 MIN_SHARE = 0.5
 """Share of what new streams get that those taken up must get, by the platform."""
 
 Disturb = Callable[[StreamTraffic], object]
 
 
-def play(disturb: Disturb, nodes: int = 5, seed: int = 1) -> StreamTraffic:
+def play(
+    disturb: Disturb,
+    nodes: int = 5,
+    seed: int = 1,
+    engines: int = 4,
+    builds: tuple[str, ...] = ("v1.1", "v1.2"),
+) -> StreamTraffic:
     """Begin streams at engines of two builds, and disturb them."""
-    fleet = BuildFleet(seed=seed, nodes=nodes, engines=4, apps=0, retry_slack=200.0)
-    fleet.set_builds("v1.1", "v1.2")
+    fleet = BuildFleet(
+        seed=seed, nodes=nodes, engines=engines, apps=0, retry_slack=200.0
+    )
+    fleet.set_builds(*builds)
     traffic = StreamTraffic(fleet)
 
     async def scenario(fleet: BuildFleet) -> None:
@@ -139,6 +150,30 @@
     assert traffic.share_going_on() >= MIN_SHARE * traffic.share_beginning()
 
 
+@pytest.mark.parametrize("nodes", [5, 40])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_suspect_of_a_crash_that_is_taken_up_goes_on_at_its_build(
+    seed: int, nodes: int
+) -> None:
+    """A suspect has one engine to run at; that of another build is none to go on at."""
+
+    async def crash_engines(traffic: StreamTraffic) -> None:
+        for _ in range(4):
+            await asyncio.sleep(1.5)
+            for runner in traffic.fleet.of_build("v1.1")[:-MIN_SERVING]:
+                runner.down_seconds = 1.0
+                runner.crash()
+            await asyncio.sleep(0.1)
+            traffic.break_off()
+
+    builds = ("v1.1", "v1.2", "v1.2", "v1.2")
+    traffic = play(crash_engines, nodes, seed, 20, builds)
+    taken_up = traffic.take_ups["v1.1"]
+    assert len(taken_up) >= MIN_TAKE_UPS
+    assert sum(taken_up) / len(taken_up) >= MIN_SHARE * traffic.share_beginning()
+    assert len(traffic.joined()) == 0
+
+
 def test_streams_taken_up_after_a_kill_of_all_nodes_go_on() -> None:
     """The first tries are refused; those after the contact time count."""
 
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -59,13 +59,27 @@
 def test_a_suspect_gets_one_runner_and_others_may_use_all() -> None:
     fleet = Fleet([])
     quarantine, context = make_quarantine(fleet, 0, Evidence.GONE)
-    assert not quarantine.exclude_runners(context, quarantine.check(context))
+    none: frozenset[str] = frozenset()
+    assert not quarantine.exclude_runners(context, quarantine.check(context), none)
     quarantine, context = make_quarantine(fleet, 1, Evidence.GONE)
-    excluded = quarantine.exclude_runners(context, quarantine.check(context))
+    standing = quarantine.check(context)
+    excluded = quarantine.exclude_runners(context, standing, none)
     assert len(excluded) == 2 and excluded < {"a0", "a1", "a2"}
-    context.tried = {"a0", "a1", "a2"} - excluded
-    again = quarantine.exclude_runners(context, quarantine.check(context))
-    assert len(again) == 2 and context.tried < again
+    tried = frozenset({"a0", "a1", "a2"} - excluded)
+    again = quarantine.exclude_runners(context, quarantine.check(context), tried)
+    assert len(again) == 2 and tried < again
+
+
+@pytest.mark.parametrize("left", ["a0", "a1", "a2"])
+def test_a_suspect_keeps_the_only_runner_that_it_may_use(left: str) -> None:
+    """Its one runner was chosen of all, and every runner was then excluded."""
+    fleet = Fleet([])
+    quarantine, context = make_quarantine(fleet, 1, Evidence.GONE)
+    standing = quarantine.check(context)
+    excluded = frozenset({"a0", "a1", "a2"} - {left})
+    assert quarantine.exclude_runners(context, standing, excluded) == excluded
+    everything = frozenset({"a0", "a1", "a2"})
+    assert quarantine.exclude_runners(context, standing, everything) == everything
 
 
 def test_suspects_of_one_crash_part_over_the_runners_and_part_again() -> None:
--- a/tests/southernveil/test_crashes.py
+++ b/tests/southernveil/test_crashes.py
@@ -40,7 +40,7 @@
 
 @dataclass
 class ProcessFleet:
-    """Run three control and four entry processes in front of ten runners."""
+    """Run three control and four entry processes in front of runners."""
 
     folder: Path
     client: aiohttp.ClientSession
@@ -120,13 +120,20 @@
             await asyncio.sleep(POLL_SECONDS)
 
 
-@contextlib.asynccontextmanager
-async def run_processes(folder: Path) -> AsyncIterator[ProcessFleet]:
+def make_runners() -> list[CrashingRunner]:
     runners = [CrashingRunner(name=f"i-a{number}") for number in range(5)]
     runners += [
         CrashingRunner(name=f"i-d{number}", service=ENGINE_SERVICE, stage="decode")
         for number in range(5)
     ]
+    return runners
+
+
+@contextlib.asynccontextmanager
+async def run_processes(
+    folder: Path, runners: list[CrashingRunner] | None = None
+) -> AsyncIterator[ProcessFleet]:
+    runners = runners or make_runners()
     runner_list = FakeRunnerList()
     for server in (*runners, runner_list):
         await server.start()
