Refuse responses that leave the end of their body open

Callers saw: nothing yet; found while looking for the same cause elsewhere. A 200 with "Transfer-Encoding: xchunked" reached the caller with its raw bytes as the body, and as a whole answer even when its connection had been reset in the middle; one in gzip and chunks lost the header that says so. Cause: the HTTP library takes any Transfer-Encoding. A value that only contains "chunked" made the client trust a last chunk that the parser never looked for. Change: a head has one Content-Length of digits, or one Transfer-Encoding that is "chunked", or neither. We ask for no other coding. Both parsers of the library agree then; the one in Python took two equal lengths. Why it works: what marks the end of a body is decided once, from the head's bytes, and ends_with_connection can't differ from what the parser does.

--- a/hawthornshelf/httplimits.py
+++ b/hawthornshelf/httplimits.py
@@ -141,8 +141,7 @@
 
 def ends_with_connection(headers: Mapping[str, str]) -> bool:
     """Return whether a body with these headers has neither a length nor chunks."""
-    is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
-    return not is_chunked and "Content-Length" not in headers
+    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
 
 
 class ByteBudget:
--- a/hawthornshelf/responseheads.py
+++ b/hawthornshelf/responseheads.py
@@ -1,7 +1,8 @@
 """Check the heads of HTTP responses before a parser reads them.
 
 The HTTP library takes any three digits for a status, a header name that ends with a
-blank, lines that end with LF alone, folded lines and control characters in values.
+blank, lines that end with LF alone, folded lines, control characters in values and any
+Transfer-Encoding.
 """
 
 import re
@@ -18,6 +19,13 @@
 _FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r\n")
 """Field line of RFC 9112, 5: no blank before the colon, no folded line."""
 
+_FRAMING_LINE = re.compile(
+    rb"(?:content-length:[\t ]*([0-9]+)|transfer-encoding:[\t ]*(chunked))[\t ]*\r\n",
+    re.IGNORECASE,
+)
+"""Header that marks the end of a body; no other coding was asked for."""
+
+_FRAMING_NAMES = (b"content-length:", b"transfer-encoding:")
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
 
@@ -39,6 +47,7 @@
         self.is_whole = False
         self._line = bytearray()
         self._status = 0
+        self._is_framed = False
 
     def feed(self, data: bytes) -> None:
         """Check the next bytes of the response, up to its body; raise MalformedHead."""
@@ -59,11 +68,19 @@
                 self._status = _read_status(line)
             elif not _FIELD_LINE.fullmatch(line):
                 raise MalformedHead(f"a bad header in a head of status {self._status}")
+            elif line.lower().startswith(_FRAMING_NAMES):
+                self._check_framing(line)
         elif self._status >= FIRST_FINAL_STATUS:
             self.is_whole = True
         else:
             # The end of an interim head, or an empty line before a status line.
             self._status = 0
+            self._is_framed = False
+
+    def _check_framing(self, line: bytes) -> None:
+        if self._is_framed or not _FRAMING_LINE.fullmatch(line):
+            raise MalformedHead("the end of the body is not clear")
+        self._is_framed = True
 
 
 def _read_status(line: bytes) -> int:
--- a/tests/southernveil/test_malformed_heads.py
+++ b/tests/southernveil/test_malformed_heads.py
@@ -120,6 +120,23 @@
     run(check())
 
 
+@pytest.mark.parametrize("end", ["reached", "reached-then-reset"])
+@pytest.mark.parametrize("name", ROUTES)
+@pytest.mark.parametrize(
+    "coding", [b"xchunked", b"chunked, gzip", b"gzip, chunked", b"identity"]
+)
+def test_an_answer_in_a_coding_that_was_not_asked_for_reaches_no_caller(
+    coding: bytes, name: str, end: str
+) -> None:
+    async def check() -> None:
+        line = b"Transfer-Encoding: " + coding
+        script = FieldScript(b"3\r\nbad\r\n0\r\n\r\n", "connection", end, line=line)
+        script.content_type = b"text/plain"
+        await check_malformed(name, script)
+
+    run(check())
+
+
 REPORT = b'{"Running":1,"Waiting":0,"KvHandle":"a","Instances":[],"Next":null}'
 
 
--- a/tests/test_responseheads.py
+++ b/tests/test_responseheads.py
@@ -104,6 +104,40 @@
             check(b"HTTP/1.1 " + status + b"\r\nA: b\r\n" + line + b"\r\n", piece_bytes)
 
 
+BAD_FRAMINGS = (
+    b"Content-Length: ",
+    b"Content-Length: +4",
+    b"Content-Length: 0x4",
+    b"Content-Length: 4, 4",
+    b"Content-Length: 4\r\nContent-Length: 4",
+    b"content-length: 4\r\nCONTENT-LENGTH: 5",
+    b"Content-Length: 4\r\nTransfer-Encoding: chunked",
+    b"Transfer-Encoding: chunked\r\nContent-Length: 4",
+    b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    b"Transfer-Encoding: chunked, chunked",
+    b"Transfer-Encoding: chunked, gzip",
+    b"Transfer-Encoding: gzip, chunked",
+    b"Transfer-Encoding: xchunked",
+    b"Transfer-Encoding: identity",
+    b"Transfer-Encoding:",
+)
+
+
+@pytest.mark.parametrize("lines", BAD_FRAMINGS)
+def test_a_head_that_leaves_the_end_of_the_body_open_is_malformed(lines: bytes) -> None:
+    with pytest.raises(MalformedHead):
+        check(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    "line",
+    [b"Content-Length:4", b"content-length: \t40 ", b"transfer-encoding:Chunked "],
+)
+def test_a_head_with_one_mark_of_the_end_of_the_body_is_accepted(line: bytes) -> None:
+    interim = b"HTTP/1.1 103 Hints\r\n" + line + b"\r\n\r\n"
+    assert check(interim + b"HTTP/1.1 200 OK\r\n" + line + b"\r\n\r\n").is_whole
+
+
 def test_an_error_quotes_no_header() -> None:
     with pytest.raises(MalformedHead) as caught:
         check(b"HTTP/1.1 400 No\r\nAuthorization: Bearer s3cret\r\n s3cret\r\n")
