--- a/tests/southernveil/test_strictness.py
+++ b/tests/southernveil/test_strictness.py
@@ -177,6 +177,7 @@
     "garbage": b"\x16\x03\x01 no answer at all\r\n\r\n",
     "two lengths": HEAD_OK + b"Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
     "another id": make_response("7"),
+    "two ids": HEAD_OK + b"X-Request-Id: 7\r\nContent-Length: 2\r\n\r\nok",
     "no id": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 }
 
