Test that a malformed head breaks a call of the product's own interface

Cause: the heads of services and of the platform's runners are checked by one class, but only calls to runners were tested. Change: three malformed heads to the client of the product's own interface.

--- a/tests/test_upstreamclient.py
+++ b/tests/test_upstreamclient.py
@@ -111,6 +111,22 @@
 BUSY = b"HTTP/1.1 503 Busy\r\nX-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 000 No\r\nContent-Length: 2\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n",
+    ],
+)
+def test_a_service_response_with_a_malformed_head_is_broken(head: bytes) -> None:
+    match call_service(head + b"\r\nok", resets=False):
+        case AttemptBroken(attempt, sent, _):
+            assert (attempt, sent) == ("a", True)
+        case event:
+            raise AssertionError(event)
+
+
 def test_an_answer_to_another_call_does_not_tell_that_this_one_has_not_run() -> None:
     """The service makes the booking, and has no room to show it."""
     lines: list[bytes] = []
