Reword and shorten what the read-through found

Cause: two doc comments said too much, a constant stood apart from its kind, and two tests repeated how a fleet is asked and how a fake stream begins. Change: words, one order, and one function for each of the two; what the tests check is unchanged.

--- a/hawthornshelf/gateway/continuation.py
+++ b/hawthornshelf/gateway/continuation.py
@@ -89,7 +89,7 @@
             self._origins.end(context.inbound.request_id)
 
     def close(self, context: RequestContext) -> None:
-        """Note that a request has ended, and its stream perhaps not as whole."""
+        """Note that a request has ended; a stream that is not whole has broken off."""
         if self._origins is not None and self._applies(context):
             self._origins.break_off(context.inbound.request_id)
 
--- a/hawthornshelf/gateway/streamorigins.py
+++ b/hawthornshelf/gateway/streamorigins.py
@@ -35,6 +35,9 @@
 RECORDS_PER_SECOND = 200
 """Records that all nodes together write at most; many nodes write less often each."""
 
+BREAK_SECONDS = 0.02
+"""Time over which a node gathers streams that broke off, to record them together."""
+
 ADMIT_SPREAD_SECONDS = 0.2
 """Time over which nodes propose a new build, so that the first one spares the rest."""
 
@@ -47,9 +50,6 @@
 
 RETIRE_SECONDS = 60.0
 RETIRE_SPREAD_SECONDS = 20.0
-BREAK_SECONDS = 0.02
-"""Time over which a node gathers streams that broke off, to record them together."""
-
 FIND_SECONDS = 1.0
 FIND_PAUSES_SECONDS = (0.05, 0.1, 0.2)
 """Pauses before the control group is asked again for an origin that it does not know.
@@ -202,7 +202,7 @@
         self._unrecorded.pop(digest_request_id(request_id), None)
 
     def break_off(self, request_id: str) -> None:
-        """Record soon what began a stream, which its caller may take up at once.
+        """Record a stream soon, as its caller may take it up at once.
 
         One that has ended as whole, or never began, needs no record.
         """
--- a/hawthornshelf/httplimits.py
+++ b/hawthornshelf/httplimits.py
@@ -124,7 +124,7 @@
 
 
 def _fail_body(body: aiohttp.StreamReader, reason: str) -> None:
-    """Fail a body that is not whole; else whoever reads it would wait or take it so."""
+    """Fail a body that is not whole; the library leaves it open, or ends it."""
     if not body.is_eof() and body.exception() is None:
         body.set_exception(aiohttp.ClientPayloadError(reason))
 
--- a/hawthornshelf/responseheads.py
+++ b/hawthornshelf/responseheads.py
@@ -23,7 +23,7 @@
     rb"(?:content-length:[\t ]*([0-9]+)|transfer-encoding:[\t ]*(chunked))[\t ]*\r\n",
     re.IGNORECASE,
 )
-"""Header that marks the end of a body; no other coding was asked for."""
+"""Header that tells where a body ends; no other transfer coding is requested."""
 
 _FRAMING_NAMES = (b"content-length:", b"transfer-encoding:")
 FIRST_FINAL_STATUS = 200
@@ -90,5 +90,5 @@
         raise MalformedHead("no status line of HTTP/1.1")
     status = int(match[1])
     if status == SWITCHING_PROTOCOLS:
-        raise MalformedHead("a switch of protocols that was not asked for")
+        raise MalformedHead("an unrequested switch of protocols")
     return status
--- a/tests/southernveil/fakes.py
+++ b/tests/southernveil/fakes.py
@@ -224,11 +224,7 @@
     async def _stream(
         self, request: web.BaseRequest, response_headers: dict[str, str]
     ) -> web.StreamResponse:
-        response_headers["Content-Type"] = "text/event-stream"
-        response = web.StreamResponse(headers=response_headers)
-        response.enable_chunked_encoding()
-        await response.prepare(request)
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        response, first = await self._begin_stream(request, response_headers)
         for number in range(first, 4):
             await response.write(b"id: %d\ndata: x\n\n" % number)
             if request.raw_path.endswith("/breaks") and number == 2 and first == 1:
@@ -239,6 +235,16 @@
         await response.write_eof()
         return response
 
+    async def _begin_stream(
+        self, request: web.BaseRequest, response_headers: dict[str, str]
+    ) -> tuple[web.StreamResponse, int]:
+        """Send the head of a stream; return it and the number of its first event."""
+        response_headers["Content-Type"] = "text/event-stream"
+        response = web.StreamResponse(headers=response_headers)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        return response, int(request.headers.get("Last-Event-Id", "0")) + 1
+
     async def _hang(self) -> web.StreamResponse:
         try:
             await asyncio.sleep(60)
--- a/tests/southernveil/test_hedges.py
+++ b/tests/southernveil/test_hedges.py
@@ -1,9 +1,11 @@
 """Hedge a request over HTTP: what both runners get, and what the slow one notices."""
 
 import asyncio
+import contextlib
 import random
 import socket
 import struct
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import uvloop
@@ -95,59 +97,51 @@
     return forwarder
 
 
+@contextlib.asynccontextmanager
+async def ask(runners: list[FakeRunner], body: bytes) -> AsyncIterator[Caller]:
+    """Serve one request at the first of two runners, or at both."""
+    for runner in runners:
+        await runner.start()
+    session = make_session()
+    forwarder = make_forwarder(HttpRunnerClient(session), runners)
+    now = CLOCK.monotonic()
+    headers = (Header("X-Request-Id", "r1"), Header("X-Deadline-Ms", "9000"))
+    inbound = InboundRequest(
+        "r1", "POST", "/r/hang", "h", headers, body, now, now + 3.0
+    )
+    caller = Caller()
+    await forwarder.serve(inbound, caller)
+    yield caller
+    await forwarder.stop()
+    await session.close()
+    for runner in runners:
+        runner.stop()
+
+
 def test_the_connection_of_a_lost_send_stays_open() -> None:
     """The slow runner would work on, and its late answer would find a connection."""
 
     async def play() -> None:
         runners = [FakeRunner(name="slow"), QuickRunner(name="quick")]
-        for runner in runners:
-            await runner.start()
-        session = make_session()
-        forwarder = make_forwarder(HttpRunnerClient(session), runners)
-        now = CLOCK.monotonic()
-        headers = (Header("X-Request-Id", "r1"), Header("X-Deadline-Ms", "9000"))
-        inbound = InboundRequest(
-            "r1", "POST", "/r/hang", "h", headers, b"in", now, now + 3.0
-        )
-        caller = Caller()
-        await forwarder.serve(inbound, caller)
-        assert (caller.status, caller.data) == (200, b"quick")
-        async with asyncio.timeout(1.0):
-            await runners[0].disconnected.wait()
-        (slow,), (quick,) = runners[0].received, runners[1].received
-        assert slow["X-Request-Id"] == quick["X-Request-Id"] == "r1"
-        assert int(quick["X-Deadline-Ms"]) < int(slow["X-Deadline-Ms"]) <= 3000
-        assert runners[0].bodies == runners[1].bodies == [b"in"]
-        await forwarder.stop()
-        await session.close()
-        for runner in runners:
-            runner.stop()
+        async with ask(runners, b"in") as caller:
+            assert (caller.status, caller.data) == (200, b"quick")
+            async with asyncio.timeout(1.0):
+                await runners[0].disconnected.wait()
+            (slow,), (quick,) = runners[0].received, runners[1].received
+            assert slow["X-Request-Id"] == quick["X-Request-Id"] == "r1"
+            assert int(quick["X-Deadline-Ms"]) < int(slow["X-Deadline-Ms"]) <= 3000
+            assert runners[0].bodies == runners[1].bodies == [b"in"]
 
     asyncio.run(play())
 
 
 def test_an_answer_that_a_reset_cut_during_an_upload_is_not_passed_on() -> None:
-    """Between the end of a race and the reading of its answer the loop turns twice."""
+    """The loop turns twice between the end of a race and the reading of its answer."""
 
     async def play() -> None:
         runners = [ResettingRunner(name="resetting"), QuickRunner(name="quick")]
-        for runner in runners:
-            await runner.start()
-        session = make_session()
-        forwarder = make_forwarder(HttpRunnerClient(session), runners)
-        now = CLOCK.monotonic()
-        headers = (Header("X-Request-Id", "r1"), Header("X-Deadline-Ms", "9000"))
-        upload = b"x" * 900_000
-        inbound = InboundRequest(
-            "r1", "POST", "/r/hang", "h", headers, upload, now, now + 3.0
-        )
-        caller = Caller()
-        await forwarder.serve(inbound, caller)
-        assert (caller.status, caller.data) == (200, b"quick")
-        await forwarder.stop()
-        await session.close()
-        for runner in runners:
-            runner.stop()
+        async with ask(runners, b"x" * 900_000) as caller:
+            assert (caller.status, caller.data) == (200, b"quick")
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(play())
--- a/tests/southernveil/test_versions.py
+++ b/tests/southernveil/test_versions.py
@@ -42,11 +42,7 @@
     async def _stream(
         self, request: web.BaseRequest, response_headers: dict[str, str]
     ) -> web.StreamResponse:
-        response_headers["Content-Type"] = "text/event-stream"
-        response = web.StreamResponse(headers=response_headers)
-        response.enable_chunked_encoding()
-        await response.prepare(request)
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        response, first = await self._begin_stream(request, response_headers)
         for number in range(first, EVENTS + 1):
             await response.write(
                 b"id: %d\ndata: %b\n\n" % (number, self._base.encode())
