Ask for an unknown origin in one place

Cause: the question stood before the loop that repeats it and in it. Change: one loop; the questions, their pauses and their number are the same. Measured: test_streamorigins passes, with the counts of questions as they were.

--- a/hawthornshelf/gateway/streamorigins.py
+++ b/hawthornshelf/gateway/streamorigins.py
@@ -221,13 +221,12 @@
             return self._streams[key]
         listed = tuple(sorted(o for o, b in self._builds.items() if b.is_listed))
         command = FindOrigin(key, services, listed)
-        origin = await self._ask(command)
         for pause in FIND_PAUSES_SECONDS:
+            origin = await self._ask(command)
             if origin is not None:
-                break
+                return origin
             await asyncio.sleep(pause)
-            origin = await self._ask(command)
-        return origin
+        return await self._ask(command)
 
     async def _ask(self, command: FindOrigin) -> Origin | None:
         try:
