Bound bytes that come before the first request again

Cause: looked at heads only once a request had been sent, and so stopped counting what a peer sends on a new connection before that; counted it. dropped what had caused a body to fail, and half of the reason for failing it. Change: a connection checks heads from its start, which needs no case for "none yet". Failed bodies name their cause, and the comment both reasons. A framing that no test used is gone from test_httplimits.

--- a/hawthornshelf/httplimits.py
+++ b/hawthornshelf/httplimits.py
@@ -65,9 +65,12 @@
     end = ""
     _head_bytes = 0
     _response_bytes = 0
-    _heads: ResponseHeads | None = None
     _body: aiohttp.StreamReader | None = None
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self._heads = ResponseHeads()
+
     def set_response_params(self, **params: Any) -> None:
         """Begin to count for the next response."""
         self._head_bytes = self._response_bytes = 0
@@ -82,9 +85,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of a response, unless it is malformed or has become too large."""
-        if self._heads is None:
-            super().data_received(data)
-            return
         self._response_bytes += len(data)
         if not self._heads.is_whole:
             self._head_bytes += len(data)
@@ -96,7 +96,7 @@
         is_sound, body = self._exception is None, self._payload
         super().data_received(data)
         if is_sound and self._exception is not None and body is not None:
-            _fail_body(body, repr(self._exception))
+            _fail_body(body, repr(self._exception), self._exception)
         if not self._heads.is_whole and self._head_bytes > MAX_HEAD_BYTES:
             reason = f"no final response within {MAX_HEAD_BYTES} bytes"
             self._abort(ResponseTooLarge(reason))
@@ -112,7 +112,7 @@
         """
         self.end = "closed" if exc is None else "reset"
         if exc is not None and self._body is not None:
-            _fail_body(self._body, "the connection was reset")
+            _fail_body(self._body, "the connection was reset", exc)
         super().connection_lost(exc)
 
     def _abort(self, error: aiohttp.ClientPayloadError) -> None:
@@ -123,10 +123,14 @@
             self.transport.abort()
 
 
-def _fail_body(body: aiohttp.StreamReader, reason: str) -> None:
-    """Fail a body that is not whole; the library leaves it open, or ends it."""
+def _fail_body(body: aiohttp.StreamReader, reason: str, cause: BaseException) -> None:
+    """Fail a body that is not whole.
+
+    The library leaves whoever reads one that goes on with bytes that are no HTTP
+    waiting, and takes one that a reset cut off for whole.
+    """
     if not body.is_eof() and body.exception() is None:
-        body.set_exception(aiohttp.ClientPayloadError(reason))
+        body.set_exception(aiohttp.ClientPayloadError(reason), cause)
 
 
 def limit_connections(
--- a/tests/test_httplimits.py
+++ b/tests/test_httplimits.py
@@ -8,7 +8,12 @@
 import pytest
 import uvloop
 
-from hawthornshelf.httplimits import limit_connections, read_body
+from hawthornshelf.httplimits import (
+    MAX_HEAD_BYTES,
+    BoundedConnection,
+    limit_connections,
+    read_body,
+)
 
 UPLOADS = {"no upload": b"", "long upload": b"x" * 8_000_000}
 LOOPS = {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
@@ -17,7 +22,6 @@
 FRAMINGS = {
     "length": (b"Content-Length: 5\r\n\r\n", b"whole"),
     "chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"5\r\nwhole\r\n0\r\n\r\n"),
-    "connection": (b"\r\n", b"whole"),
 }
 
 
@@ -128,7 +132,7 @@
 
 @pytest.mark.parametrize("loop", LOOPS)
 @pytest.mark.parametrize("reads_late", [False, True])
-@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("upload", UPLOADS)
 def test_a_body_with_a_stated_end_is_whole_whatever_ends_its_connection(
     upload: str, framing: str, reads_late: bool, loop: str
@@ -148,3 +152,13 @@
         return fetch(server, b"", reads_late)
 
     assert run(loop, main) == b"whole"
+
+
+@pytest.mark.parametrize("data", [b"no HTTP\r\n", b"x" * (MAX_HEAD_BYTES + 1)])
+def test_bytes_before_the_first_request_are_bounded_and_checked(data: bytes) -> None:
+    async def main() -> bool:
+        connection = BoundedConnection(asyncio.get_running_loop())
+        connection.data_received(data)
+        return connection.should_close and connection.exception() is not None
+
+    assert asyncio.run(main())
