Show that an entry with missing fields misroutes requests (review case 9)

Cause: an entry of the list without Version and ColdLeftMs is taken for a runner, though the platform's page says that such an entry names none.

Done: review/9 adds one that names a runner of another service. Nothing is fixed.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exit with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+here=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$here/../.." && pwd)
+cd "$root" || exit 2
+PYTHONPATH="$root/target/deps" exec python3 -u "$here/case.py"
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,7 @@
-"""Send requests that stay within the limits of the manifest in force."""
+"""Let an entry with missing fields name a runner of another service."""
 
 import asyncio
+import json
 import random
 import sys
 from pathlib import Path
@@ -9,58 +10,75 @@
 sys.path.insert(0, str(HERE.parent))
 
 from kit2 import (  # noqa: E402
+    SERVICE,
     TROUBLE,
     ZONES,
     Answer,
     Record,
+    Runner,
     deploy,
     make_manifest,
     run_case,
 )
 
-REQUESTS = 40
-SETTLED_SECONDS = 5.0
-"""Time after the acknowledgement, more than ConfigMs."""
+OTHER_SERVICE = "wuno96b"
+REQUESTS = 100
+PAUSE_SECONDS = 0.1
+SETTLED_SECONDS = 6.0
+"""Time after a change of the list, more than LagMs, DrainMs and a reading of it."""
 
-HEADER_LIMIT, BODY_LIMIT = 65_536, 16_777_216
-USUAL_HEADER_LIMIT = 16_384
-SHORT_BODY_BYTES = 102_400
-"""A body that is within the usual limit by far."""
 
-DENIALS = {400, 401, 403, 404, 413, 431}
+def make_two_services() -> dict[str, object]:
+    """Return a manifest in which the unsafe route goes to another service."""
+    manifest = make_manifest(7)
+    routes, services = manifest["Routes"], manifest["Services"]
+    assert isinstance(routes, list) and isinstance(services, list)
+    routes[1] = {**routes[1], "Service": OTHER_SERVICE}
+    services.append({**services[0], "Name": OTHER_SERVICE})
+    return manifest
+
+
+def make_odd_entry(runner: Runner) -> str:
+    """Return an entry without Version, ColdLeftMs and born, as of an older writer."""
+    entry = {
+        "Service": SERVICE,
+        "Address": runner.address,
+        "Zone": runner.zone,
+        "Slots": 16,
+        "State": "ready",
+        "Id": runner.name,
+    }
+    return json.dumps(entry)
 
 
 async def case(record: Record) -> bool:
-    """Return whether no more than 5 and one in 500 requests were denied."""
-    usual = make_manifest(7)
-    wide = make_manifest(8, MaxHeaderBytes=HEADER_LIMIT, MaxBodyBytes=BODY_LIMIT)
-    header_bytes = HEADER_LIMIT // 2 if TROUBLE else USUAL_HEADER_LIMIT // 2
-    body_bytes = BODY_LIMIT // 4 * 3 if TROUBLE else SHORT_BODY_BYTES
-    async with deploy(record) as (deployment, _):
+    """Return whether all requests of the safe route run at runners of its service."""
+    async with deploy(record) as (deployment, runners):
+        own, others = runners[:2], runners[2:]
+        for runner in others:
+            runner.service = OTHER_SERVICE
+        deployment.runner_list.texts = [runner.entry() for runner in runners]
         await deployment.start_all()
-        await deployment.replace_until_acknowledged(usual)
+        await deployment.replace_until_acknowledged(make_two_services())
         await deployment.wait_ready()
-        await asyncio.sleep(1.0)
         if TROUBLE:
-            await deployment.replace_until_acknowledged(wide)
+            odd = make_odd_entry(others[0])
+            deployment.runner_list.texts.append(odd)
+            record.say(f"the list has an entry of another writer: {odd}")
         await asyncio.sleep(SETTLED_SECONDS)
-        answers: list[Answer] = []
-        for number in range(REQUESTS):
-            zone = random.choice(ZONES)
-            if number % 2:
-                parts = header_bytes // 16
-                prefix = ",".join(f"{part:08x}:{part:06d}" for part in range(parts))
-                headers = {"X-Prompt-Prefix": prefix}
-                answers.append(await deployment.ask("/lohu930/2f", zone, **headers))
-            else:
-                body = b"x" * body_bytes
-                answers.append(await deployment.ask("/pufi791/2f", zone, body))
+        tasks: list[asyncio.Task[Answer]] = []
+        for _ in range(REQUESTS):
+            send = deployment.ask("/lohu930/2f", random.choice(ZONES))
+            tasks.append(asyncio.create_task(send))
+            await asyncio.sleep(PAUSE_SECONDS)
+        answers = await asyncio.gather(*tasks)
+        names = {answer.name for answer in answers}
+        right = sum(name in names for runner in own for name in runner.runs)
+        wrong = sum(name in names for runner in others for name in runner.runs)
         served = sum(answer.is_served for answer in answers)
-        statuses = sorted({answer.status for answer in answers})
-        denied = sum(answer.status in DENIALS for answer in answers)
-        record.say(f"served {served} of {len(answers)}, statuses {statuses}")
-        record.say(f"denied by a 4xx of the system: {denied}")
-        return denied <= 5 + len(answers) / 500
+        record.say(f"requests on the route to {SERVICE}: {len(answers)}, 200: {served}")
+        record.say(f"run at {SERVICE}: {right}, at {OTHER_SERVICE}: {wrong}")
+        return wrong == 0
 
 
 run_case(str(HERE), case)
