--- a/review/8/case.py
+++ b/review/8/case.py
@@ -93,10 +93,11 @@
     """Return the bytes that a process has not read from a connection, or -1."""
     own_ip, own_port = writer.get_extra_info("sockname")[:2]
     local, remote = make_key(ip, port), make_key(own_ip, own_port)
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        fields = line.split()
-        if (fields[1], fields[2]) == (local, remote):
-            return int(fields[4].partition(":")[2], 16)
+    with contextlib.suppress(OSError):
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            if (fields[1], fields[2]) == (local, remote):
+                return int(fields[4].partition(":")[2], 16)
     return -1
 
 
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -496,9 +496,17 @@
     """Run a case, which returns whether its rule held, and exit by the result."""
     record = Record(Path(folder) / "record.txt")
     record.say(f"TROUBLE={int(TROUBLE)}")
+
+    async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # Ends the processes of the deployment if the script itself is ended.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await case(record)
+
     try:
-        held = asyncio.run(case(record))
-    except (CannotRun, OSError) as error:
+        held = asyncio.run(run())
+    except (CannotRun, OSError, asyncio.CancelledError) as error:
         record.say(f"the case could not run: {error!r}")
         sys.exit(NOT_RUN)
     record.say("the rule held" if held else "the rule was broken")
