Keep a first manifest of any number, as absence is no number (CONFIG)

A document was stored only if its number was above that of the one held.

Done: no document is None from the state to the adapter. The acknowledgement of a number up to 0 carries the body, so that it can't be taken for an older leader's "none". Tests that wrote 0 for "no document" name None instead; their assertions are the same.

--- a/hawthornshelf/commands.py
+++ b/hawthornshelf/commands.py
@@ -476,11 +476,20 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutesInForce:
-    """Represent the current route document; number 0 means that there is none."""
+    """Represent the current route document, or acknowledge its number.
+
+    An acknowledgement has no body if the number is above 0. Without a body, a number up
+    to 0 is how builds that kept no such numbers tell of no document.
+    """
 
     number: int
     body: bytes = field(repr=False)
 
+    @property
+    def is_absent(self) -> bool:
+        """Return whether this tells of no document."""
+        return self.number <= 0 and not self.body
+
 
 @dataclass(frozen=True, slots=True)
 class OriginFound:
--- a/hawthornshelf/fleetorders.py
+++ b/hawthornshelf/fleetorders.py
@@ -17,7 +17,12 @@
 )
 from hawthornshelf.effects import Effect, log
 from hawthornshelf.enginegroups import EngineGroup, EngineKey, EngineLimits
-from hawthornshelf.events import EnginesListed, PlatformCallEnded, ScalingLoaded
+from hawthornshelf.events import (
+    EnginesListed,
+    PlatformCallEnded,
+    ScalingLoaded,
+    ServiceScaling,
+)
 from hawthornshelf.fleetrecords import FleetOrderRow
 from hawthornshelf.fleetsizing import FleetPlan, decide_fleet, record_unavailable
 from hawthornshelf.messages import UsageCounts
@@ -74,7 +79,7 @@
         self.is_on = Duty.ENGINES in settings.duties
         self._propose = propose
         self._ledger = LoadLedger()
-        self._scaling = ScalingLoaded(0, ())
+        self._scaling: ScalingLoaded | None = None
         self._listed = EnginesListed((), float("-inf"))
         self._plans: dict[str, FleetPlan] = {}
         self._demands: dict[str, ServiceDemand] = {}
@@ -87,9 +92,13 @@
         self._decide_due = 0.0
 
     @property
-    def scaling_number(self) -> int:
-        """Return the number of the route document whose limits apply."""
-        return self._scaling.number
+    def scaling_number(self) -> int | None:
+        """Return the number of the route document whose limits apply, None for none."""
+        return self._scaling.number if self._scaling else None
+
+    @property
+    def _scaled_services(self) -> tuple[ServiceScaling, ...]:
+        return self._scaling.services if self._scaling else ()
 
     def reset(self) -> None:
         """Forget what an earlier term of duty knew, except for the counts."""
@@ -131,10 +140,10 @@
         effects: list[Effect] = []
         if now >= self._decide_due:
             self._decide_due = now + DECISION_SECONDS
-            for service, limits in self._scaling.services:
+            for service, limits in self._scaled_services:
                 self._decide(now, state, service, limits)
                 effects.extend(self._describe(now, state, service))
-        for service, _ in self._scaling.services:
+        for service, _ in self._scaled_services:
             for row in state.fleet.of_service(service):
                 effects.extend(self._advance(now, row, call))
         return effects
@@ -302,7 +311,7 @@
             streams=demand.streams + demand.long_streams,
             fresh=round(demand.fresh_share, 2),
             list_age=round(min(now - self._listed.read_at, 1e6), 2),
-            routes=self._scaling.number,
+            routes="none" if self._scaling is None else self._scaling.number,
         )
 
 
--- a/hawthornshelf/gateway/controlnode.py
+++ b/hawthornshelf/gateway/controlnode.py
@@ -14,7 +14,7 @@
 from hawthornshelf.gateway.dutycalls import DutyCaller
 from hawthornshelf.gateway.enginelister import EngineLister
 from hawthornshelf.gateway.fleetgauges import make_fleet_gauges
-from hawthornshelf.gateway.routes import find_scaling
+from hawthornshelf.gateway.routes import find_scaling, is_newer
 from hawthornshelf.logs import write_log
 from hawthornshelf.metrics import LabelledGauge, Metrics
 from hawthornshelf.node import NodeSettings
@@ -56,7 +56,7 @@
         )
         self._codec = codec
         self._duty_caller = DutyCaller(duty_client, self.post)
-        self._route_number = 0
+        self._route_number: int | None = None
         self._source = source
         self.metrics = Metrics()
 
@@ -87,14 +87,14 @@
     def on_step(self) -> None:
         """Apply what the duties need of a newer route document."""
         routes, control = self._core.view.routes, self._core.control
-        if not self.node_settings.duties.duties:
+        if routes is None or not self.node_settings.duties.duties:
             return
         lacks_scaling = (
             control is not None
             and control.fleet.is_on
-            and control.fleet.scaling_number < routes.number
+            and is_newer(routes.number, control.fleet.scaling_number)
         )
-        if routes.number <= self._route_number and not lacks_scaling:
+        if not is_newer(routes.number, self._route_number) and not lacks_scaling:
             return
         self._route_number = routes.number
         services: tuple[ServiceScaling, ...] = ()
@@ -124,22 +124,22 @@
         Raises an ExceptionGroup of DeclarationError if the document is invalid.
         """
         number = self._codec.decode(body).number
+        assert number is not None, "a document has a number"
         result = await self._run(ReplaceRoutes(number, zlib.compress(body)))
-        current = result.number if result else 0
         write_log(
             "routes-replaced",
             number=number,
-            in_force=current,
+            in_force="unknown" if result is None else result.number,
             known=bool(result),
             bytes=len(body),
         )
         return result
 
     async def read_routes(self) -> RoutesInForce | None:
-        """Return the newest route document, or None if it can't be read now."""
+        """Return the newest route document, None if there is none or it isn't known."""
         result = await self._run(ReadRoutes())
-        if result is None or result.number == 0:
-            return result
+        if result is None:
+            return None
         return RoutesInForce(result.number, zlib.decompress(result.body))
 
     async def leave(self) -> None:
@@ -154,7 +154,7 @@
             result = await asyncio.wait_for(
                 self.run_command(command), COMMAND_TIMEOUT_SECONDS
             )
-            if isinstance(result, RoutesInForce):
+            if isinstance(result, RoutesInForce) and not result.is_absent:
                 return result
         write_log("command-unanswered", command=type(command).__name__)
         return None
--- a/hawthornshelf/gateway/exchange.py
+++ b/hawthornshelf/gateway/exchange.py
@@ -92,8 +92,9 @@
     `relayed_runs` is None unless another node relayed the request: then it is what that
     node says of the attempts left out. This one makes one attempt, whatever it says.
     `relayed_routes` is the number of the newest route document that the other node
-    knows of, 0 if it does not say; `relayed_origin` is what wrote the events that the
-    caller has, and `relayed_runners` names runners that may still work on the request.
+    knows of, None if it does not say; `relayed_origin` is what wrote the events that
+    the caller has, and `relayed_runners` names runners that may still work on the
+    request.
     """
 
     request_id: str
@@ -109,7 +110,7 @@
     caller: str = field(default="", repr=False)
     resumes: str = ""
     relayed_runs: int | None = None
-    relayed_routes: int = 0
+    relayed_routes: int | None = None
     relayed_origin: Origin | None = None
     relayed_runners: frozenset[str] = frozenset()
     key: str = field(default="", repr=False)
@@ -389,7 +390,11 @@
 
     @abstractmethod
     async def refuse(
-        self, status: int, reason: str, retry_after: float, route_number: int = 0
+        self,
+        status: int,
+        reason: str,
+        retry_after: float,
+        route_number: int | None = None,
     ) -> None:
         """Send an error response of this node; `retry_after` in seconds, 0 for none.
 
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -200,14 +200,14 @@
         self.is_closed = False
 
     @property
-    def route_number(self) -> int:
-        """Return the number of the route document in force here, 0 for none."""
+    def route_number(self) -> int | None:
+        """Return the number of the route document in force here, None for none."""
         return self._index.table.number
 
     @property
     def has_routes(self) -> bool:
         """Return whether a route table is in force here."""
-        return self.route_number > 0
+        return self.route_number is not None
 
     @property
     def reaches_runners(self) -> bool:
@@ -321,6 +321,8 @@
         weights = [split.weight for split in route.splits]
         split = self._rng.choices(route.splits, weights)[0]
         now = self._clock.monotonic()
+        number = self.route_number
+        assert number is not None, "a route is of a document"
         self._budget.record_request(now, split.service)
         self._hedges.record_request(now, split.service)
         deadline = min(inbound.deadline, inbound.arrived_at + route.timeout)
@@ -328,7 +330,7 @@
         return RequestContext(
             inbound,
             route,
-            self._index.table.number,
+            number,
             split.service,
             writer,
             deadline,
@@ -355,7 +357,7 @@
         writer: ResponseWriter,
         status: int,
         reason: str,
-        route_number: int = 0,
+        route_number: int | None = None,
     ) -> None:
         number = self._index.table.number
         age = self._clock.monotonic() - self._loaded_at
--- a/hawthornshelf/gateway/node.py
+++ b/hawthornshelf/gateway/node.py
@@ -20,7 +20,7 @@
 from hawthornshelf.gateway.listreader import ListReader
 from hawthornshelf.gateway.peerrelay import Peer, RelayClient
 from hawthornshelf.gateway.polling import ListPace, poll_interval
-from hawthornshelf.gateway.routes import find_scaling
+from hawthornshelf.gateway.routes import find_scaling, is_newer
 from hawthornshelf.gateway.runners import RunnerTable
 from hawthornshelf.gateway.streamorigins import StreamOrigins
 from hawthornshelf.limitrecords import Permit
@@ -91,7 +91,7 @@
         self._list_reader = ListReader(source)
         self._poll_limits = poll_limits
         self._started_at = clock.monotonic()
-        self._route_number = 0
+        self._route_number: int | None = None
         self._builds: tuple[BuildRow, ...] = ()
         self.metrics = Metrics()
         self.runners = RunnerTable(settings.data_centre, rng, self._core.departures)
@@ -151,11 +151,12 @@
             "relayed_requests": float(self.forwarder.relayed_requests),
             "unknown_callers": float(self.forwarder.unknown_callers),
             "leaving_runners": float(len(self._core.departures)),
-            "routes_number": float(self._route_number),
             "lost_peers": float(self.count_lost_peers()),
             "control_word_age_seconds": min(self._core.staleness(now), MAX_AGE_SECONDS),
             "streams_remembered": float(self.origins.stream_count),
         }
+        if self._route_number is not None:
+            gauges["routes_number"] = float(self._route_number)
         if self._core.usage is not None:
             gauges["usage_requests_too_late"] = float(self._core.usage.counter.late)
         return gauges
@@ -218,7 +219,7 @@
             self._builds = self._core.view.builds
             self.origins.load_builds(self._builds)
         routes = self._core.view.routes
-        if routes.number <= self._route_number:
+        if routes is None or not is_newer(routes.number, self._route_number):
             return
         self._route_number = routes.number
         try:
--- a/hawthornshelf/gateway/peerrelay.py
+++ b/hawthornshelf/gateway/peerrelay.py
@@ -22,6 +22,7 @@
 from hawthornshelf.gateway.requestusage import RequestUsage
 from hawthornshelf.gateway.retrygate import RetryGate
 from hawthornshelf.gateway.routegate import RouteGate
+from hawthornshelf.gateway.routes import is_newer
 from hawthornshelf.gateway.runners import Runner
 from hawthornshelf.gateway.silence import SilenceLimits, WaitingAttempt
 from hawthornshelf.gateway.streamrelay import StreamRelay
@@ -65,7 +66,7 @@
     peer: Peer
     seconds_left: float
     runs: int
-    route_number: int
+    route_number: int | None
     resume_after: str = ""
     origin: Origin | None = None
     runners: frozenset[str] = frozenset()
@@ -200,13 +201,13 @@
         try:
             return await self._await_headers(context, peer, number)
         except RoutesDiffer as error:
-            if error.number <= number:
+            if not is_newer(error.number, number):
                 raise
             self._routes.learn(error.number, peer.node)
             return await self._await_headers(context, peer, error.number)
 
     async def _await_headers(
-        self, context: RequestContext, peer: Peer, route_number: int
+        self, context: RequestContext, peer: Peer, route_number: int | None
     ) -> RunnerResponse:
         seconds_left = context.deadline - self._clock.monotonic()
         assert self._client is not None
--- a/hawthornshelf/gateway/recorder.py
+++ b/hawthornshelf/gateway/recorder.py
@@ -340,18 +340,19 @@
         )
 
     def record_unrouted(
-        self, request: str, status: int, reason: str, routes: int, age: float
+        self, request: str, status: int, reason: str, routes: int | None, age: float
     ) -> None:
         """Record a request that was refused before it was routed.
 
-        `age` is for how long the route document `routes` is in force here, in seconds.
+        `age` is for how long the route document `routes` is in force here, in seconds;
+        `routes` is None if none is.
         """
         write_log(
             "request-refused",
             request=request,
             status=status,
             reason=reason,
-            routes=routes,
+            routes="none" if routes is None else routes,
             routes_age=round(age, 3),
         )
 
--- a/hawthornshelf/gateway/routegate.py
+++ b/hawthornshelf/gateway/routegate.py
@@ -6,9 +6,10 @@
 
 from hawthornshelf.clock import Clock
 from hawthornshelf.gateway.exchange import InboundRequest
+from hawthornshelf.gateway.routes import is_newer
 from hawthornshelf.logs import write_log
 
-__all__ = ["RouteDecision", "RouteGate", "decide_routes"]
+__all__ = ["RouteDecision", "RouteGate", "decide_routes", "find_newest"]
 
 ROUTES_WAIT_SECONDS = 0.3
 """Longest wait for a newer document; it comes within a round trip from a live node."""
@@ -25,21 +26,32 @@
     REFUSE = "refuse"
 
 
-def decide_routes(held: int, floor: int, relayed: int) -> RouteDecision:
+def decide_routes(
+    held: int | None, floor: int | None, relayed: int | None
+) -> RouteDecision:
     """Decide if the document `held` here may be applied to a request.
 
     `floor` is the newest document that this node knows to have been applied to a
     request of its callers. `relayed` is the one that another node named as it relayed
-    the request, 0 if none did. A newer one here is refused as well: the other node must
-    know of it before a runner does, or it would go back to its own.
+    the request. Each is None where there is no document. A newer one here is refused
+    as well: the other node must know of it before a runner does, or it would go back
+    to its own.
     """
-    if relayed and held > relayed:
+    if held is None:
+        return RouteDecision.WAIT
+    if relayed is not None and held > relayed:
         return RouteDecision.REFUSE
-    if held < max(floor, relayed):
+    needed = find_newest(floor, relayed)
+    if needed is not None and held < needed:
         return RouteDecision.WAIT
     return RouteDecision.APPLY
 
 
+def find_newest(*numbers: int | None) -> int | None:
+    """Return the highest number of a document, None without any."""
+    return max((number for number in numbers if number is not None), default=None)
+
+
 class RouteGate:
     """Hold requests back until the document that must be applied to them is here.
 
@@ -50,15 +62,15 @@
         self._clock = clock
         self._request_view = request_view
         self._loaded = asyncio.Event()
-        self._held = 0
-        self._floor = 0
+        self._held: int | None = None
+        self._floor: int | None = None
 
     @property
-    def newest(self) -> int:
+    def newest(self) -> int | None:
         """Return the number of the newest document that this node knows of."""
-        return max(self._held, self._floor)
+        return find_newest(self._held, self._floor)
 
-    def load(self, number: int) -> None:
+    def load(self, number: int | None) -> None:
         """Record that a document is in force here, and let requests go on."""
         self._held = number
         self._loaded.set()
@@ -66,7 +78,7 @@
 
     def learn(self, number: int, node: str) -> None:
         """Record that another node holds a newer document, and ask it for its view."""
-        if number <= self.newest:
+        if not is_newer(number, self.newest):
             return
         write_log("routes-behind", held=self._held, number=number, peer=node)
         self._floor = number
--- a/hawthornshelf/gateway/routes.py
+++ b/hawthornshelf/gateway/routes.py
@@ -19,6 +19,7 @@
     "Split",
     "check_table",
     "find_scaling",
+    "is_newer",
 ]
 
 
@@ -106,16 +107,22 @@
 class RouteTable(NamedTuple):
     """Store the routes and services of one route document with its number.
 
-    `workspaces` is None if the document has none: then callers need no API key.
+    `number` is None if there is no document. `workspaces` is None if the document has
+    none: then callers need no API key.
     """
 
-    number: int = 0
+    number: int | None = None
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceSpec, ...] = ()
     limits: CallerLimits = CallerLimits()
     workspaces: tuple[Workspace, ...] | None = None
 
 
+def is_newer(number: int, other: int | None) -> bool:
+    """Return whether a route document replaces another one, None for no document."""
+    return other is None or number > other
+
+
 def check_table(table: RouteTable) -> list[DeclarationError]:
     """Return every fault of a table."""
     faults: list[DeclarationError] = []
--- a/hawthornshelf/node.py
+++ b/hawthornshelf/node.py
@@ -351,7 +351,7 @@
         self.members.revision = view.revision
         if self.entry:
             self.entry.load_view(view)
-        is_large = len(view.routes.body) > MAX_PUSHED_VIEW_BYTES
+        is_large = len(view.stored_routes.body) > MAX_PUSHED_VIEW_BYTES
         announcement = ViewNews(view.revision) if is_large else ViewUpdate(view)
         for member in self.members.sample(VIEW_FANOUT):
             self._send(member.node, announcement)
@@ -360,7 +360,7 @@
                 "view-in-force",
                 revision=view.revision,
                 version=view.version,
-                routes=view.routes.number,
+                routes="none" if view.routes is None else view.routes.number,
                 source=source,
             )
         )
--- a/hawthornshelf/state.py
+++ b/hawthornshelf/state.py
@@ -70,6 +70,8 @@
 MAX_CHANGE_OUTCOMES = 50_000
 MAX_HISTORY = 500
 NO_ROUTES = RoutesInForce(0, b"")
+"""No document, in snapshots and in views on their way: all builds can read it."""
+
 NO_USAGE = UsageSnapshot()
 
 
@@ -132,10 +134,15 @@
     configuration: Configuration = Configuration()
     drains: tuple[DrainRow, ...] = ()
     suspects: tuple[SuspectRow, ...] = ()
-    routes: RoutesInForce = NO_ROUTES
+    stored_routes: RoutesInForce = NO_ROUTES
     builds: tuple[BuildRow, ...] = ()
     quarantines: tuple[QuarantineRow, ...] = ()
 
+    @property
+    def routes(self) -> RoutesInForce | None:
+        """Return the current route document, None if there is none yet."""
+        return _load_routes(self.stored_routes)
+
 
 class _StateSnapshot(NamedTuple):
     revision: int
@@ -175,7 +182,7 @@
         self.orders: dict[str, OrderRow] = {}
         self.claims = ClaimTable()
         self.suspects = SuspectTable()
-        self.routes = NO_ROUTES
+        self.routes: RoutesInForce | None = None
         self.origins = OriginTable()
         self.quarantines = QuarantineTable()
         self.usage = UsageRecords()
@@ -206,7 +213,7 @@
             case ReplaceRoutes():
                 return self._replace_routes(index, command)
             case ReadRoutes():
-                return self.routes
+                return self.routes or NotFound("route document")
             case AdmitBuild() | RetireBuild() | RecordOrigins() | FindOrigin():
                 return self._apply_origins(index, command)
             case RecordQuarantine() | LiftQuarantine():
@@ -231,7 +238,7 @@
             self.configuration,
             tuple(self.drains.values()),
             self.suspects.rows(),
-            self.routes,
+            self.routes or NO_ROUTES,
             self.origins.builds(),
             self.quarantines.rows(),
         )
@@ -262,7 +269,7 @@
             self.claims.kept(),
             self.suspects.rows(),
             self.suspects.trials(),
-            self.routes,
+            self.routes or NO_ROUTES,
             self.origins.builds(),
             self.origins.origins(),
             self.quarantines.rows(),
@@ -294,7 +301,7 @@
         state.orders = {row.upstream: row for row in snapshot.orders}
         state.claims = ClaimTable(snapshot.claims, snapshot.released, snapshot.kept)
         state.suspects = SuspectTable(snapshot.suspects, snapshot.trials)
-        state.routes = snapshot.routes
+        state.routes = _load_routes(snapshot.routes)
         state.origins = OriginTable(snapshot.builds, snapshot.origins)
         state.quarantines = QuarantineTable(snapshot.quarantines)
         state.usage = UsageRecords(snapshot.usage)
@@ -413,10 +420,11 @@
 
     def _replace_routes(self, index: int, command: ReplaceRoutes) -> Result:
         """Replace the route document if the number is higher than the current one."""
-        if command.number > self.routes.number:
+        if self.routes is None or command.number > self.routes.number:
             self.routes = RoutesInForce(command.number, command.body)
             self.revision = index
-        return RoutesInForce(self.routes.number, b"")
+        number, body = self.routes.number, self.routes.body
+        return RoutesInForce(number, b"" if number > 0 else body)
 
     def _remove_node(self, index: int, command: RemoveNode) -> Result:
         row = self.nodes.get(command.node)
@@ -466,6 +474,10 @@
         return Done(index)
 
 
+def _load_routes(stored: RoutesInForce) -> RoutesInForce | None:
+    return None if stored.is_absent else stored
+
+
 def _digest_proposal(command: ProposeConfiguration) -> str:
     body = msgspec.msgpack.encode((command.base_version, command.configuration))
     return hashlib.blake2b(body, digest_size=12).hexdigest()
--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -490,7 +490,11 @@
         self.begun.set()
 
     async def refuse(
-        self, status: int, reason: str, retry_after: float, route_number: int = 0
+        self,
+        status: int,
+        reason: str,
+        retry_after: float,
+        route_number: int | None = None,
     ) -> None:
         await super().refuse(status, reason, retry_after, route_number)
         self.is_refused = status in NOT_RUN_STATUSES
@@ -555,7 +559,7 @@
         except asyncio.CancelledError:
             task.cancel()
             raise
-        if caller.route_number:
+        if caller.route_number is not None:
             raise RoutesDiffer(entry.name, caller.route_number)
         return _RelayedResponse(caller, self._fleet.breaks_hop)
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -110,7 +110,7 @@
     aborted: bool = False
     retry_after: float = 0.0
     reason: str = ""
-    route_number: int = 0
+    route_number: int | None = None
     headers: tuple[Header, ...] = ()
     headers_sent: bool = False
 
@@ -135,7 +135,11 @@
         self.status, self.headers, self.data = status, headers, body
 
     async def refuse(
-        self, status: int, reason: str, retry_after: float, route_number: int = 0
+        self,
+        status: int,
+        reason: str,
+        retry_after: float,
+        route_number: int | None = None,
     ) -> None:
         assert not self.headers_sent
         self.route_number = route_number
--- a/tests/gateway/routefleet.py
+++ b/tests/gateway/routefleet.py
@@ -7,7 +7,7 @@
 
 from hawthornshelf.commands import ReplaceRoutes
 from hawthornshelf.gateway.forwarder import Forwarder
-from hawthornshelf.gateway.routes import RouteTable, ServiceSpec, Split
+from hawthornshelf.gateway.routes import RouteTable, ServiceSpec, Split, is_newer
 from tests.gateway import fakes
 from tests.gateway.controlfleet import ControlFleet
 from tests.gateway.crashfleet import CONTACT_SECONDS, Entry, SimRunner
@@ -70,9 +70,9 @@
 
     def follow_view(self, entry: Entry) -> None:
         """Load the routes of a node's view if they are new, as a gateway node does."""
-        number = entry.core.view.routes.number
-        if number > entry.forwarder.route_number:
-            entry.forwarder.load(make_table(number))
+        routes = entry.core.view.routes
+        if routes and is_newer(routes.number, entry.forwarder.route_number):
+            entry.forwarder.load(make_table(routes.number))
 
     def newest_at(self, at: float) -> int:
         """Return the number of the newest document that was published by some time."""
--- a/tests/gateway/runsoak.py
+++ b/tests/gateway/runsoak.py
@@ -21,7 +21,7 @@
     StoppedRun,
 )
 from hawthornshelf.gateway.forwarder import Forwarder
-from hawthornshelf.gateway.routes import RouteTable
+from hawthornshelf.gateway.routes import RouteTable, is_newer
 from hawthornshelf.gateway.runners import Runner
 from tests.gateway import fakes
 from tests.gateway.controlfleet import ControlFleet
@@ -138,9 +138,9 @@
         """Load nothing: the control group tells a node its routes."""
 
     def follow_view(self, entry: Entry) -> None:
-        number = entry.core.view.routes.number
-        if number > entry.forwarder.route_number:
-            entry.forwarder.load(make_table(number))
+        routes = entry.core.view.routes
+        if routes and is_newer(routes.number, entry.forwarder.route_number):
+            entry.forwarder.load(make_table(routes.number))
 
     def estimate_streams(self, entry: Entry) -> float:
         """Return so many that all engines are used for interactive requests."""
--- a/tests/gateway/test_kept_quarantine.py
+++ b/tests/gateway/test_kept_quarantine.py
@@ -8,6 +8,7 @@
 
 from hawthornshelf.commands import LiftQuarantine, RecordQuarantine, ReplaceRoutes
 from hawthornshelf.gateway.forwarder import Forwarder
+from hawthornshelf.gateway.routes import is_newer
 from hawthornshelf.messages import CODEC, Message, Submit
 from tests.gateway.controlfleet import CONTROL, ControlFleet
 from tests.gateway.crashfleet import CONTACT_SECONDS, POISON, TABLE, Entry
@@ -38,7 +39,8 @@
         """Load nothing: the control group tells a node its routes."""
 
     def follow_view(self, entry: Entry) -> None:
-        if entry.core.view.routes.number > entry.forwarder.route_number:
+        routes = entry.core.view.routes
+        if routes and is_newer(routes.number, entry.forwarder.route_number):
             entry.forwarder.load(TABLE)
 
     def _receive(self, sender: str, target: str, message: Message) -> None:
--- a/tests/gateway/test_routegate.py
+++ b/tests/gateway/test_routegate.py
@@ -12,18 +12,23 @@
 @pytest.mark.parametrize(
     ("held", "floor", "relayed", "decision"),
     [
-        (4, 0, 0, RouteDecision.APPLY),
-        (4, 4, 0, RouteDecision.APPLY),
-        (4, 5, 0, RouteDecision.WAIT),
-        (4, 0, 4, RouteDecision.APPLY),
-        (4, 0, 5, RouteDecision.WAIT),
-        (5, 0, 4, RouteDecision.REFUSE),
+        (4, None, None, RouteDecision.APPLY),
+        (4, 4, None, RouteDecision.APPLY),
+        (4, 5, None, RouteDecision.WAIT),
+        (4, None, 4, RouteDecision.APPLY),
+        (4, None, 5, RouteDecision.WAIT),
+        (5, None, 4, RouteDecision.REFUSE),
+        (0, None, None, RouteDecision.APPLY),
+        (1, None, 0, RouteDecision.REFUSE),
+        (-1, 0, None, RouteDecision.WAIT),
+        (-1, None, 0, RouteDecision.WAIT),
+        (None, None, None, RouteDecision.WAIT),
         (5, 6, 4, RouteDecision.REFUSE),
         (4, 5, 4, RouteDecision.WAIT),
     ],
 )
 def test_no_document_is_applied_that_is_older_than_one_known_to_be_in_force(
-    held: int, floor: int, relayed: int, decision: RouteDecision
+    held: int | None, floor: int | None, relayed: int | None, decision: RouteDecision
 ) -> None:
     assert decide_routes(held, floor, relayed) is decision
 
--- a/tests/shellfleet.py
+++ b/tests/shellfleet.py
@@ -170,7 +170,8 @@
     in_force_at: dict[int, float]
 
     def on_step(self) -> None:
-        number = self.core.view.routes.number
+        routes = self.core.view.routes
+        number = routes.number if routes else 0
         self.in_force_at.setdefault(number, self._clock.monotonic())
 
 
--- a/tests/test_fleetorders.py
+++ b/tests/test_fleetorders.py
@@ -113,7 +113,7 @@
             control = node.core.control
             if control is None:
                 continue
-            if self.has_limits and control.fleet.scaling_number == 0:
+            if self.has_limits and control.fleet.scaling_number is None:
                 scaling = ScalingLoaded(1, (ServiceScaling(SERVICE, LIMITS),))
                 self.simulation.post_later(name, node.epoch, scaling, 0.001)
             if is_due and control.orders_engines(now):
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -7,6 +7,7 @@
 from hawthornshelf.commands import ReadRoutes, ReplaceRoutes, RoutesInForce
 from hawthornshelf.effects import Effect, Send
 from hawthornshelf.messages import ViewUpdate
+from hawthornshelf.node import NodeCore
 from hawthornshelf.raft import Raft
 from hawthornshelf.raftmessages import RaftSend
 from tests.simulation import SimNode, Simulation
@@ -22,6 +23,10 @@
     return simulation
 
 
+def number_in_force(core: NodeCore) -> int | None:
+    return core.view.routes.number if core.view.routes else None
+
+
 def replace_routes(simulation: Simulation, node: str, number: int) -> None:
     result = simulation.run_command(node, ReplaceRoutes(number, b"%d" % number))
     assert result == RoutesInForce(number, b"")
@@ -167,7 +172,7 @@
         simulation.start(name)
     simulation.run_until(simulation.leader, TIMEOUT_SECONDS, "leader")
     assert simulation.run_command("c1", ReadRoutes()) == RoutesInForce(29, b"29")
-    views = [node.core.view.routes.number for node in simulation.nodes.values()]
+    views = [number_in_force(node.core) for node in simulation.nodes.values()]
     assert views == [29, 29, 29]
 
 
@@ -188,16 +193,16 @@
         simulation.isolate(name, simulation.control)
     for name in simulation.nodes:
         simulation.start(name)
-    seen: set[int] = set()
+    seen: set[int | None] = set()
     for _ in range(200):
         simulation.run(0.02)
         cores = [node.core for node in simulation.nodes.values()]
-        seen |= {core.view.routes.number for core in cores if core is not None}
-    assert seen == ({0} if is_cut else {0, 29})
+        seen |= {number_in_force(core) for core in cores if core is not None}
+    assert seen == ({None} if is_cut else {None, 29})
     simulation.heal()
     simulation.run(5.0)
     cores = [node.core for node in simulation.nodes.values()]
-    assert {core.view.routes.number for core in cores if core is not None} == {29}
+    assert {number_in_force(core) for core in cores if core is not None} == {29}
 
 
 def test_a_minority_can_neither_read_nor_replace() -> None:
@@ -232,7 +237,7 @@
     simulation.run_command(simulation.leader(), ReplaceRoutes(9, body))
     nodes = [node for node in simulation.nodes.values() if node.core]
     simulation.run_until(
-        lambda: all(node.core.view.routes.number == 9 for node in nodes),
+        lambda: all(number_in_force(node.core) == 9 for node in nodes),
         2.0,
         "large document everywhere",
     )
