Keep one entry for a runner that is listed twice, and bound placement (CONFIG)

Cause: the table of runners kept one state for a name and one for each entry, so the first of two was offered for placement and refused for ever. Placing a request called itself again without a bound, and counted on the table to leave the engine out.

Ruled out: the reading of the list (requests were served until a stream came); sends astray (both entries of the case name one address).

Evidence: `runner-left` for one request over and over, then RecursionError.

The lists by service are made of the states by name. Placement is a loop of at most 16 turns, each of which looks at the time left, the quarantine and the budget, and leaves out an engine that did not accept. Choosing a plain runner asks each one for a permit once.

--- a/hawthornshelf/gateway/chooser.py
+++ b/hawthornshelf/gateway/chooser.py
@@ -61,14 +61,16 @@
         Raise AdmissionRejected if there is no runner, or no permit in time.
         """
         service = context.service
+        refused: set[str] = set()
         while True:
             busy = self._limiter.exhausted(self._runners.in_service(service))
             now = self._clock.monotonic()
-            state = self._runners.choose_plain(now, service, excluded | busy)
+            state = self._runners.choose_plain(now, service, excluded | busy | refused)
             if state is None:
                 return await self._await_any(context, (Stage.MIXED,), excluded)
             if await self.acquire(context, state):
                 return state
+            refused.add(state.runner.name)
 
     async def exclude_limited(
         self, context: RequestContext, excluded: Set[str]
--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -67,6 +67,9 @@
 
 __all__ = ["Forwarder"]
 
+MAX_PLACEMENTS = 16
+"""Times that a request is placed on engines until one accepts it."""
+
 RETRY_AFTER_SECONDS = 0.3
 """Retry-After if no runner accepted a request and the queue gave no estimate.
 
@@ -480,9 +483,7 @@
 
         The response may be an error or a refusal.
         """
-        now = self._clock.monotonic()
-        if context.deadline - now < MIN_SECONDS_LEFT:
-            raise AdmissionRejected("no time left", 0.0)
+        self._check_time(context)
         self._continuer.check(context)
         standing = self._quarantine.check(context)
         prompt = context.inbound.prompt
@@ -512,10 +513,30 @@
         """Place a request on engines, prefill its prompt and send it to run.
 
         If the engine that was to run it accepts no work after the prefill, the request
-        is placed again.
+        is placed again, elsewhere.
+        """
+        passed: set[str] = set()
+        for _ in range(MAX_PLACEMENTS):
+            self._check_time(context)
+            is_answered = await self._place(context, prompt, passed)
+            if is_answered is not None:
+                return is_answered
+        raise AdmissionRejected("no engine accepts work", 0.0)
+
+    def _check_time(self, context: RequestContext) -> None:
+        if context.deadline - self._clock.monotonic() < MIN_SECONDS_LEFT:
+            raise AdmissionRejected("no time left", 0.0)
+
+    async def _place(
+        self, context: RequestContext, prompt: Prompt, passed: set[str]
+    ) -> bool | None:
+        """Place a request once; return whether the caller has a response.
+
+        None means that it was not sent. Engines in `passed` are left out, and one that
+        accepts no work is added.
         """
         standing = self._quarantine.check(context)
-        excluded = self._exclude_runners(context, standing)
+        excluded = self._exclude_runners(context, standing) | passed
         limited = await self._chooser.exclude_limited(context, excluded)
         reservation = await self._scheduler.acquire(
             PlacementRequest(
@@ -540,11 +561,12 @@
             run = reservation.placement.run
             if not self._accepts(context, run):
                 self._recorder.record_leaving_runner(context, run)
+                passed.add(run.runner.name)
             elif limited.has_permit or await self._chooser.acquire(context, run):
                 return await self._attempts.send(context, run, reservation)
+            return None
         finally:
             reservation.release()
-        return await self._try_engine(context, prompt)
 
     def _exclude_runners(
         self, context: RequestContext, standing: Standing
--- a/hawthornshelf/gateway/listreader.py
+++ b/hawthornshelf/gateway/listreader.py
@@ -1,19 +1,28 @@
-"""Read the platform's list of runners, and log when that fails and works again."""
+"""Read the platform's list of runners, and log what is odd about it as that changes."""
 
 from hawthornshelf.errors import HawthornshelfError
 from hawthornshelf.gateway.contract import RunnerSource
+from hawthornshelf.gateway.runnerids import EntryChoice, choose_entries
 from hawthornshelf.gateway.runners import RunnerList
 from hawthornshelf.logs import write_log
 
 __all__ = ["ListReader"]
 
+MAX_LOGGED_CHOICES = 16
+"""Runners named more than once that are logged of one list."""
+
 
 class ListReader:
-    """Read the list; of failures in a row only the first is logged."""
+    """Read the list with one entry for each runner.
+
+    Of failures in a row only the first is logged, and so is a choice between entries
+    of one runner that stays the same.
+    """
 
     def __init__(self, source: RunnerSource) -> None:
         self._source = source
         self._is_available = True
+        self._choices: tuple[EntryChoice, ...] = ()
 
     async def read(self) -> RunnerList | None:
         """Return the whole list, None if reading it fails."""
@@ -27,4 +36,23 @@
         if not self._is_available:
             write_log("list-regained", runners=len(runner_list.runners))
         self._is_available = True
-        return runner_list
+        runners, choices = choose_entries(runner_list.runners)
+        self._log_choices(choices)
+        return runner_list._replace(runners=runners)
+
+    def _log_choices(self, choices: tuple[EntryChoice, ...]) -> None:
+        known, self._choices = set(self._choices), choices[:MAX_LOGGED_CHOICES]
+        for choice in self._choices:
+            if choice in known:
+                continue
+            other = choice.dropped[0]
+            write_log(
+                "runner-listed-twice",
+                runner=choice.kept.name,
+                boot=choice.kept.boot,
+                address=choice.kept.address,
+                entries=1 + len(choice.dropped),
+                other_boot=other.boot,
+                other_address=other.address,
+                runners=len(choices),
+            )
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -98,7 +98,10 @@
 
 
 class RunnerList(NamedTuple):
-    """Store the platform's list of runners; `read_at` is in monotonic seconds."""
+    """Store the platform's list of runners; `read_at` is in monotonic seconds.
+
+    A source may name a runner more than once; a reader of the list chooses one entry.
+    """
 
     runners: tuple[Runner, ...]
     read_at: float
@@ -176,7 +179,8 @@
                 state = self._make_state(runner)
             state.runner = runner
             states[runner.name] = state
-            services.setdefault(runner.service, []).append(state)
+        for state in states.values():
+            services.setdefault(state.runner.service, []).append(state)
         self._states, self._services = states, services
         self.read_at = runner_list.read_at
         restarted = {
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -6,6 +6,7 @@
 
 from hawthornshelf.crashrecords import Evidence
 from hawthornshelf.gateway.budget import RetryLimits
+from hawthornshelf.gateway.context import RequestContext
 from hawthornshelf.gateway.exchange import (
     Attempt,
     AttemptFailed,
@@ -16,7 +17,8 @@
 )
 from hawthornshelf.gateway.identity import digest_parts
 from hawthornshelf.gateway.routes import RouteTable
-from hawthornshelf.gateway.runners import RunnerList, Stage
+from hawthornshelf.gateway.runners import RunnerList, RunnerState, Stage
+from hawthornshelf.gateway.scheduler import PlacementRequest, Reservation
 from tests.gateway.fakes import (
     CLOCK,
     Caller,
@@ -505,3 +507,62 @@
         fleet.forwarder.end_requests()
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize(("path", "prompt"), [("/talk/x", SHORT), ("/read/x", LONG)])
+def test_a_request_ends_though_no_engine_that_is_offered_accepts_it(
+    path: str, prompt: Prompt
+) -> None:
+    """Placement was repeated without a bound, and kept the processor."""
+    fleet = Fleet([stream(1)], prefill_reply=lambda a: KvCacheHandle("h:12", "k"))
+    placed: list[str] = []
+    acquire = fleet.forwarder._scheduler.acquire
+
+    async def count(request: PlacementRequest) -> Reservation:
+        placed.append(request.service)
+        return await acquire(request)
+
+    fleet.forwarder._scheduler.acquire = count
+    fleet.runners.accepts_work = lambda now, state: False
+    caller = fleet.ask(path, prompt=prompt)
+    assert caller.status == 503 and caller.retry_after > 0
+    assert not fleet.sent and len(fleet.prefills) <= 1
+    assert len(placed) <= len(fleet.listed)
+
+
+def test_a_request_is_placed_no_more_once_its_time_is_over() -> None:
+    clock = VirtualClock()
+
+    async def check() -> None:
+        fleet = Fleet([stream(1)], clock=clock)
+        placed: list[float] = []
+        acquire = fleet.forwarder._scheduler.acquire
+
+        async def delay(request: PlacementRequest) -> Reservation:
+            placed.append(clock.monotonic())
+            await asyncio.sleep(0.4)
+            return await acquire(request)
+
+        fleet.forwarder._scheduler.acquire = delay
+        fleet.runners.accepts_work = lambda now, state: False
+        caller, now = Caller(), clock.monotonic()
+        inbound = replace(
+            make_inbound("/talk/x", prompt=SHORT), arrived_at=now, deadline=now + 0.5
+        )
+        await fleet.forwarder.serve(inbound, caller)
+        assert caller.status == 503 and len(placed) == 2
+
+    run_in_virtual_time(clock, check())
+
+
+def test_runners_that_grant_no_permit_are_each_asked_once() -> None:
+    fleet = Fleet([ok])
+    asked: list[str] = []
+
+    async def refuse(context: RequestContext, state: RunnerState) -> bool:
+        asked.append(state.runner.name)
+        return False
+
+    fleet.forwarder._chooser.acquire = refuse
+    assert fleet.ask("/safe/x").status == 503
+    assert sorted(asked) == ["a0", "a1", "a2"]
