Answer Expect: 100-continue at the operators' server too

What operators saw: one that holds its manifest back until it is told to go on, as RFC 9110 (10.1.1) lets it, got no answer and waited.

Cause: only the callers' server sent the interim response.

Evidence: test_long_bodies, no_long_manifest: it timed out at the manifest with Expect before.

Done: hold_body sends it for both servers; not to HTTP/1.0, as the RFC says.

--- a/hawthornshelf/inboundlimits.py
+++ b/hawthornshelf/inboundlimits.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from aiohttp.web_protocol import RequestHandler
 
 from hawthornshelf.httplimits import ByteBudget
@@ -34,6 +34,7 @@
 Small headers take far more memory once they are parsed.
 """
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 HEAD_TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -109,6 +110,8 @@
     """
     parts: list[bytes] = []
     size = 0
+    if _awaits_invitation(request):
+        await request.writer.write(CONTINUE)
     try:
         async for part in request.content.iter_any():
             parts.append(part)
@@ -124,3 +127,9 @@
     finally:
         parts.clear()
         _held.give_back(size)
+
+
+def _awaits_invitation(request: web.BaseRequest) -> bool:
+    """Return whether a sender holds its body back until it is told to go on."""
+    expectation = request.headers.get("Expect", "").lower()
+    return expectation == "100-continue" and request.version >= HttpVersion11
--- a/tests/southernveil/test_long_bodies.py
+++ b/tests/southernveil/test_long_bodies.py
@@ -89,7 +89,7 @@
             manifest = make_manifest(10 + number)
             manifest["Note"] = "n" * draws.randint(*MANIFEST_BYTES)
             body = json.dumps(manifest).encode()
-            manner = ("once", "chunks", "paced", "kept")[number % 4]
+            manner = MANNERS[number % len(MANNERS)]
             status, _ = await send(
                 fleet, fleet.operator_address, REPLACE_PATH, body, manner
             )
