Give up a body that does not come in time with 408

What callers saw: a body that stops coming had no answer as long as its connection was open; it stayed in memory and took the room of other bodies.

Cause: reading a body had no time limit; that of the route begins after it.

Done: a body must be whole within what its caller and its route allow, and 60 s at most. Then its request gets 408 on a connection that is closed; it has gone to no runner, so the promise of 408 holds. A body that is there at once needs no timer. The limits on memory are as they were.

--- a/hawthornshelf/gateway/forwarder.py
+++ b/hawthornshelf/gateway/forwarder.py
@@ -212,6 +212,11 @@
         """Return whether a route table is in force here."""
         return self.route_number is not None
 
+    def find_timeout(self, host: str, path: str) -> float:
+        """Return the timeout of a route in seconds, infinite if there is no route."""
+        route = self._index.find(host, path)
+        return float("inf") if route is None else route.timeout
+
     @property
     def reaches_runners(self) -> bool:
         """Return whether this node reaches any runner, as far as is known."""
--- a/hawthornshelf/inboundlimits.py
+++ b/hawthornshelf/inboundlimits.py
@@ -1,7 +1,8 @@
 """Bound what callers and operators send, for every HTTP server."""
 
+import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 from aiohttp import HttpVersion11, web
@@ -12,8 +13,10 @@
 __all__ = [
     "BodiesCrowded",
     "BodyTooLarge",
+    "BodyTooSlow",
     "BoundedRequestHandler",
     "MAX_REQUEST_BODY_BYTES",
+    "MAX_REQUEST_BODY_SECONDS",
     "hold_body",
 ]
 
@@ -22,6 +25,9 @@
 
 MAX_REQUEST_BODY_BYTES = 8 * 1024 * 1024
 
+MAX_REQUEST_BODY_SECONDS = 60.0
+"""Longest time from a request's head to the end of its body."""
+
 MAX_HELD_BODY_BYTES = 32 * 1024 * 1024
 """All bodies of requests that a process holds at the same time."""
 
@@ -47,6 +53,10 @@
     """Signal a request body beyond the limit."""
 
 
+class BodyTooSlow(Exception):
+    """Signal a request body that was not whole in time."""
+
+
 class BodiesCrowded(Exception):
     """Signal a body for which there is no room beside those of other requests."""
 
@@ -101,26 +111,30 @@
 
 @contextlib.asynccontextmanager
 async def hold_body(
-    request: web.BaseRequest, limit: int = MAX_REQUEST_BODY_BYTES
+    request: web.BaseRequest,
+    limit: int = MAX_REQUEST_BODY_BYTES,
+    allow_seconds: Callable[[], float] = lambda: MAX_REQUEST_BODY_SECONDS,
 ) -> AsyncIterator[bytes]:
-    """Read the body of a request and hold it; raise BodyTooLarge or BodiesCrowded.
+    """Read the body of a request and hold it.
 
-    `limit` is in bytes. A body that is large fails while all that are held exceed
-    MAX_HELD_BODY_BYTES.
+    Raise BodyTooLarge, BodyTooSlow or BodiesCrowded. `limit` is in bytes;
+    `allow_seconds` is asked for the time limit if the body is not whole at once. A body
+    that is large fails while all that are held exceed MAX_HELD_BODY_BYTES.
     """
     parts: list[bytes] = []
     size = 0
     if _awaits_invitation(request):
         await request.writer.write(CONTINUE)
     try:
-        async for part in request.content.iter_any():
-            parts.append(part)
-            size += len(part)
-            _held.take(len(part))
-            if size > limit:
-                raise BodyTooLarge
-            if size > SMALL_BODY_BYTES and _held.is_exceeded:
-                raise BodiesCrowded
+        async with _limit_time(request, allow_seconds):
+            async for part in request.content.iter_any():
+                parts.append(part)
+                size += len(part)
+                _held.take(len(part))
+                if size > limit:
+                    raise BodyTooLarge
+                if size > SMALL_BODY_BYTES and _held.is_exceeded:
+                    raise BodiesCrowded
         body = b"".join(parts)
         parts.clear()
         yield body
@@ -133,3 +147,19 @@
     """Return whether a sender holds its body back until it is told to go on."""
     expectation = request.headers.get("Expect", "").lower()
     return expectation == "100-continue" and request.version >= HttpVersion11
+
+
+@contextlib.asynccontextmanager
+async def _limit_time(
+    request: web.BaseRequest, allow_seconds: Callable[[], float]
+) -> AsyncIterator[None]:
+    """Raise BodyTooSlow if reading a body takes too long."""
+    if request.content.is_eof():
+        yield
+        return
+    seconds = min(MAX_REQUEST_BODY_SECONDS, allow_seconds())
+    try:
+        async with asyncio.timeout(seconds):
+            yield
+    except TimeoutError as error:
+        raise BodyTooSlow from error
--- a/tests/southernveil/test_long_bodies.py
+++ b/tests/southernveil/test_long_bodies.py
@@ -98,3 +98,58 @@
             assert status == 200 and msgspec.json.decode(content) == manifest
 
     run_scenario(tmp_path, scenario, uvloop.new_event_loop)
+
+
+@pytest.mark.parametrize("size", [10, 300_000])
+def test_a_body_that_stops_coming_gets_408_at_its_routes_timeout(
+    tmp_path: Path, size: int
+) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        routes = make_manifest()["Routes"]
+        assert isinstance(routes, list)
+        short = [{**routes[0], "TimeoutMs": 300}, *routes[1:]]
+        assert await fleet.replace(make_manifest(5, Routes=short)) == 200
+        forwarder = fleet.entry.node.forwarder
+
+        async def is_in_force() -> bool:
+            return forwarder.route_number == 5
+
+        await fleet.wait_until(is_in_force)
+        for path, deadline in (("/safe/x", 15_000), ("/unsafe/x", 300)):
+            ip, _, port = fleet.caller_address.partition(":")
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            lines = (
+                f"POST {path} HTTP/1.1",
+                f"Host: {HOST}",
+                "X-Request-Id: stopped",
+                f"X-Deadline-Ms: {deadline}",
+                f"Content-Length: {size + 1}",
+            )
+            writer.write("\r\n".join((*lines, "", "")).encode() + b"x" * size)
+            async with asyncio.timeout(WAIT_SECONDS):
+                answer = await reader.readuntil(b"\r\n\r\n")
+                assert answer.startswith(b"HTTP/1.1 408 ")
+                assert b"connection: close" in answer.lower()
+                await reader.read()
+            writer.close()
+        assert fleet.app.received == []
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_a_manifest_that_stops_coming_gets_408(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("hawthornshelf.inboundlimits.MAX_REQUEST_BODY_SECONDS", 0.3)
+
+    async def scenario(fleet: Fleet) -> None:
+        ip, _, port = fleet.operator_address.partition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        head = f"POST {REPLACE_PATH} HTTP/1.1\r\nHost: o\r\nContent-Length: 9\r\n\r\n"
+        writer.write(head.encode() + b"{")
+        async with asyncio.timeout(WAIT_SECONDS):
+            assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
+        writer.close()
+        assert (await fleet.get(fleet.operator_address, READ_PATH))[0] == 200
+
+    run_scenario(tmp_path, scenario)
--- a/tests/test_inboundlimits.py
+++ b/tests/test_inboundlimits.py
@@ -1,4 +1,4 @@
-"""Test that requests are parsed to their end."""
+"""Test that requests are parsed to their end, and bodies take a bounded time."""
 
 import asyncio
 import contextlib
@@ -10,7 +10,10 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from hawthornshelf import inboundlimits
 from hawthornshelf.inboundlimits import (
+    BodyTooLarge,
+    BodyTooSlow,
     BoundedRequestHandler,
     hold_body,
 )
@@ -26,6 +29,16 @@
         return BoundedRequestHandler(self, loop=self._loop, **self._kwargs)
 
 
+async def answer(request: web.BaseRequest) -> web.StreamResponse:
+    try:
+        async with hold_body(request, allow_seconds=lambda: 0.2) as body:
+            return web.Response(text=f"{len(body)} {body[-1:].decode()}")
+    except BodyTooSlow:
+        return web.Response(status=408)
+    except BodyTooLarge:
+        return web.Response(status=413)
+
+
 async def take(request: web.BaseRequest) -> web.StreamResponse:
     async with hold_body(request) as body:
         return web.Response(text=f"{len(body)} {body[-1:].decode()}")
@@ -118,6 +131,31 @@
     run(loop, check)
 
 
+@pytest.mark.parametrize("sent", [0, 1, 70_000, 1_000_000])
+def test_a_body_that_stops_coming_is_given_up_and_not_kept(sent: int) -> None:
+    async def check() -> None:
+        async with connect(answer) as (reader, writer):
+            writer.write(make_head(f"Content-Length: {sent + 1}") + b"x" * sent)
+            assert (await read_answer(reader))[0] == 408
+            assert await reader.read() == b""
+        assert inboundlimits._held._count == 0
+
+    run("asyncio", check)
+
+
+def test_a_body_that_comes_byte_by_byte_is_given_up_in_time() -> None:
+    async def check() -> None:
+        async with connect(answer) as (reader, writer):
+            writer.write(make_head("Content-Length: 1000000"))
+            answered = asyncio.create_task(read_answer(reader))
+            while not answered.done():
+                writer.write(b"x")
+                await asyncio.sleep(0.01)
+            assert answered.result()[0] == 408
+
+    run("asyncio", check)
+
+
 @pytest.mark.parametrize("rest", [b"", b"x" * 600_000])
 def test_a_head_that_is_too_large_is_refused_behind_a_long_body(rest: bytes) -> None:
     async def check() -> None:
