--- a/hawthornshelf/gateway/listreader.py
+++ b/hawthornshelf/gateway/listreader.py
@@ -15,14 +15,15 @@
 class ListReader:
     """Read the list with one entry for each runner.
 
-    Of failures in a row only the first is logged, and so is a choice between entries
-    of one runner that stays the same.
+    Of failures in a row only the first is logged, and what is odd about the entries
+    only as it changes.
     """
 
     def __init__(self, source: RunnerSource) -> None:
         self._source = source
         self._is_available = True
         self._choices: tuple[EntryChoice, ...] = ()
+        self._unusable = 0
 
     async def read(self) -> RunnerList | None:
         """Return the whole list, None if reading it fails."""
@@ -36,10 +37,20 @@
         if not self._is_available:
             write_log("list-regained", runners=len(runner_list.runners))
         self._is_available = True
+        self._log_unusable(runner_list)
         runners, choices = choose_entries(runner_list.runners)
         self._log_choices(choices)
         return runner_list._replace(runners=runners)
 
+    def _log_unusable(self, runner_list: RunnerList) -> None:
+        if runner_list.unusable != self._unusable:
+            write_log(
+                "list-entries-unusable",
+                entries=runner_list.unusable,
+                runners=len(runner_list.runners),
+            )
+        self._unusable = runner_list.unusable
+
     def _log_choices(self, choices: tuple[EntryChoice, ...]) -> None:
         known, self._choices = set(self._choices), choices[:MAX_LOGGED_CHOICES]
         for choice in self._choices:
--- a/hawthornshelf/gateway/runners.py
+++ b/hawthornshelf/gateway/runners.py
@@ -101,10 +101,12 @@
     """Store the platform's list of runners; `read_at` is in monotonic seconds.
 
     A source may name a runner more than once; a reader of the list chooses one entry.
+    `unusable` counts the entries that name no runner.
     """
 
     runners: tuple[Runner, ...]
     read_at: float
+    unusable: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/southernveil/test_odd_entries.py
+++ b/tests/southernveil/test_odd_entries.py
@@ -7,6 +7,7 @@
 
 import pytest
 from aiohttp import web
+from southernveil import listpage
 from southernveil.runnerclient import make_session
 from southernveil.runnersource import CloudRunnerSource
 
@@ -26,6 +27,7 @@
         "Version": "v1",
         "Slots": 6,
         "State": "ready",
+        "ColdLeftMs": 0,
         "Note": 'odd "]}, {[ text \\',
     }
     for number in range(1, 4)
@@ -83,24 +85,65 @@
 }
 
 
+ENTRY_QUOTES = 32
+"""Quotes of 9 names and 7 texts."""
+
+
+def drop_quote(place: int) -> bytes:
+    """Return an entry without one of its quotes."""
+    entry = change(Note=b'"n"')
+    quotes = [at for at, byte in enumerate(entry) if byte == ord('"')]
+    at = quotes[place]
+    return entry[:at] + entry[at + 1 :]
+
+
+UNBALANCED = {
+    **{f"quote-{place}-missing": drop_quote(place) for place in range(ENTRY_QUOTES)},
+    "three-quotes": change(State=b'"""'),
+    "a-quote": b'"',
+    "a-quote-and-brackets": b'"]}{[',
+    "quote-and-no-utf-8": change(State=b'"ready') + b',"\xff"}',
+    "no-utf-8-before-a-quote": b'{"Id":"\xe2"i"}',
+    "no-utf-8-at-the-end": b'{"Id":"i-odd","Zone":"\xf0\x9f}',
+    "escape-at-the-end": b'{"Id":"i-odd\\',
+    "escape-at-the-end-of-a-string": b'{"Id":"i-odd\\"}',
+    "control-byte": b'{"Id":"i-odd\x00}',
+    "line-ends": b'{"Id":"i-odd\n\n,}',
+    "opening-brackets": b'{"Id":[[[{{{',
+    "closing-brackets": b']]}}"',
+    "comma-and-quote": b',",',
+    "cut-in-a-list": b'{"Id":"i-odd","Models":[{"Name":"m"},{"Name":"n',
+    "quote-behind": change() + b'"',
+    "half-an-escape": b'{"Id":"\\u12}',
+    "end-of-the-list": b'{"Id":"i-odd"],"Next":null}',
+    "end-of-the-list-and-a-quote": b'{"Id":"i-odd],"Next":"p-9"}',
+}
+PLACES = {"before": (0,), "between": (2,), "behind": (3,), "both sides": (0, 1, 3)}
+
+
 @dataclass
 class RawList(FakeRunnerList):
     """Serve one page with an odd entry between sound ones."""
 
     odd: bytes = b""
     next_page: bytes = b"null"
+    places: tuple[int, ...] = (1,)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         entries = [json.dumps(entry).encode() for entry in self.entries]
-        if self.odd:
-            entries.insert(1, self.odd)
+        for place in reversed(self.places) if self.odd else ():
+            entries.insert(place, self.odd)
         body = b'{"Instances":[%s],"Next":%s}'
         return web.Response(body=body % (b",".join(entries), self.next_page))
 
 
-def read(odd: bytes, next_page: bytes = b"null") -> RunnerList:
+def read(
+    odd: bytes, next_page: bytes = b"null", places: tuple[int, ...] = (1,)
+) -> RunnerList:
     async def main() -> RunnerList:
-        server = RawList(entries=list(SOUND), odd=odd, next_page=next_page)
+        server = RawList(
+            entries=list(SOUND), odd=odd, next_page=next_page, places=places
+        )
         await server.start()
         async with make_session() as session:
             try:
@@ -118,6 +161,81 @@
     assert names == [entry["Id"] for entry in SOUND]
 
 
+@pytest.mark.parametrize("places", PLACES.values(), ids=list(PLACES))
+@pytest.mark.parametrize("odd", UNBALANCED.values(), ids=list(UNBALANCED))
+def test_an_entry_with_an_odd_number_of_quotes_hides_no_other(
+    odd: bytes, places: tuple[int, ...]
+) -> None:
+    """Texts were taken for structure behind it, and all runners there were lost."""
+    found = read(odd, places=places)
+    assert [runner.name for runner in found.runners] == [e["Id"] for e in SOUND]
+    assert found.unusable >= 1 or odd[:1] != b"{"
+
+
+@pytest.mark.parametrize("name", ["quote-3-missing", "opening-brackets", "a-quote"])
+def test_an_odd_entry_of_one_page_hides_none_of_another(name: str) -> None:
+    class PagedList(RawList):
+        async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+            is_first = "PageToken" not in request.query
+            found = self.entries[:1] if is_first else self.entries[1:]
+            texts = [json.dumps(entry).encode() for entry in found]
+            if is_first:
+                texts.append(self.odd)
+            token = b'"p-2"' if is_first else b"null"
+            body = b'{"Instances":[%s],"Next":%s}' % (b",".join(texts), token)
+            return web.Response(body=body)
+
+    async def main() -> RunnerList:
+        server = PagedList(entries=list(SOUND), odd=UNBALANCED[name])
+        await server.start()
+        async with make_session() as session:
+            try:
+                return await CloudRunnerSource(session, server.address, CLOCK).read()
+            finally:
+                server.stop()
+
+    names = [runner.name for runner in asyncio.run(main()).runners]
+    assert names == [entry["Id"] for entry in SOUND]
+
+
+@pytest.mark.parametrize("name", [*UNBALANCED, "not-closed", "no-json-value"])
+def test_thousands_of_odd_entries_cost_no_more_than_their_length(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The work is counted, so that it doesn't depend on the machine."""
+    odd = {**ODD_ENTRIES, **UNBALANCED}[name]
+    sound = [json.dumps(entry).encode() for entry in SOUND]
+    body = b",".join([odd] * 1_500 + sound[:2] + [odd] * 1_500 + sound[2:] + [odd])
+    calls: list[int] = []
+    scanner = listpage._SCANNER
+
+    class Counter:
+        def raw_decode(self, text: str) -> tuple[object, int]:
+            calls.append(len(text))
+            return scanner.raw_decode(text)
+
+    monkeypatch.setattr(listpage, "_SCANNER", Counter())
+    page = listpage.decode_page(b'{"Instances":[%s],"Next":null}' % body)
+    names = [entry["Id"] for entry in page.entries if "Address" in entry]
+    assert [n for n in names if n != "i-odd"] == [entry["Id"] for entry in SOUND]
+    assert sum(calls) <= listpage.MAX_PARTS * len(body)
+
+
+def test_an_entry_with_many_models_is_read_beside_an_odd_one() -> None:
+    models = [{"Name": f"m-{number}", "Version": 1} for number in range(40)]
+    sound = json.dumps({**SOUND[0], "Models": models}).encode()
+    page = listpage.decode_page(b'{"Instances":[{"a":"b,%s],"Next":null}' % sound)
+    assert [entry["Id"] for entry in page.entries] == ["i-1"]
+
+
+@pytest.mark.parametrize("entries", [b"null", b"7", b'"x"', b'{"Id":"i-1"}'])
+def test_a_page_without_a_list_is_not_taken_for_an_empty_one(entries: bytes) -> None:
+    with pytest.raises(ValueError):
+        listpage.decode_page(b'{"Instances":%s,"Next":null}' % entries)
+    with pytest.raises(ValueError):
+        listpage.decode_page(b'{"Next":null}')
+
+
 @pytest.mark.parametrize("next_page", [b"5", b"[]", b'"\xff"', b"oops", MANY_DIGITS])
 def test_a_list_whose_next_page_is_not_told_is_not_taken_for_whole(
     next_page: bytes,
