--- a/tests/southernveil/test_odd_entries.py
+++ b/tests/southernveil/test_odd_entries.py
@@ -265,3 +265,56 @@
         server.stop()
 
     run_scenario(tmp_path, scenario)
+
+
+def test_no_request_goes_to_an_address_that_only_an_odd_entry_names(
+    tmp_path: Path,
+) -> None:
+    """Entries without Version or ColdLeftMs were taken for runners."""
+
+    async def scenario(fleet: Fleet) -> None:
+        astray = FakeRunner(name="i-astray")
+        await astray.start()
+        whole = astray.entry()
+        kinds: list[dict[str, object]] = []
+        for field in whole:
+            kinds.append({key: whole[key] for key in whole if key != field})
+            kinds.append({**whole, field: None})
+        named = {"i-app": fleet.app.entry(), "i-d1": fleet.decoders[0].entry()}
+        kinds.extend(
+            {**kind, "Id": name}
+            for name, entry in named.items()
+            for kind in kinds[:]
+            if kind.get("Id")
+        )
+        others = [fleet.prefiller.entry(), fleet.decoders[1].entry()]
+        fleet.runner_list.page_size = 7
+        fleet.runner_list.entries = [
+            *kinds,
+            *named.values(),
+            *others,
+            {**whole, "Id": "i-last"},
+        ]
+
+        async def is_followed() -> bool:
+            return fleet.entry.node.runners.find("i-last") is not None
+
+        await fleet.wait_until(is_followed)
+        fleet.runner_list.entries.pop()
+
+        async def is_gone() -> bool:
+            return not await is_followed()
+
+        await fleet.wait_until(is_gone)
+        before = len(astray.received)
+        for number in range(12):
+            assert (await fleet.ask(f"/safe/{number}"))[0] == 200
+            assert (await fleet.ask(f"/unsafe/{number}"))[0] == 200
+        assert len(astray.received) == before
+        runners = fleet.entry.node.runners
+        assert {s.runner.name for s in runners.in_service(fleet.app.service)} == {
+            "i-app"
+        }
+        astray.stop()
+
+    run_scenario(tmp_path, scenario)
