--- a/hawthornshelf/gateway/listreader.py
+++ b/hawthornshelf/gateway/listreader.py
@@ -22,7 +22,7 @@
     def __init__(self, source: RunnerSource) -> None:
         self._source = source
         self._is_available = True
-        self._choices: tuple[EntryChoice, ...] = ()
+        self._logged: frozenset[tuple[tuple[str, str], ...]] = frozenset()
         self._unusable = 0
 
     async def read(self) -> RunnerList | None:
@@ -52,9 +52,10 @@
         self._unusable = runner_list.unusable
 
     def _log_choices(self, choices: tuple[EntryChoice, ...]) -> None:
-        known, self._choices = set(self._choices), choices[:MAX_LOGGED_CHOICES]
-        for choice in self._choices:
-            if choice in known:
+        due = choices[:MAX_LOGGED_CHOICES]
+        known, self._logged = self._logged, frozenset(choice.places for choice in due)
+        for choice in due:
+            if choice.places in known:
                 continue
             other = choice.dropped[0]
             write_log(
--- a/hawthornshelf/gateway/routegate.py
+++ b/hawthornshelf/gateway/routegate.py
@@ -80,7 +80,8 @@
         """Record that another node holds a newer document, and ask it for its view."""
         if not is_newer(number, self.newest):
             return
-        write_log("routes-behind", held=self._held, number=number, peer=node)
+        held = "none" if self._held is None else self._held
+        write_log("routes-behind", held=held, number=number, peer=node)
         self._floor = number
         self._request_view(node)
 
--- a/hawthornshelf/gateway/runnerids.py
+++ b/hawthornshelf/gateway/runnerids.py
@@ -14,6 +14,11 @@
     kept: Runner
     dropped: tuple[Runner, ...]
 
+    @property
+    def places(self) -> tuple[tuple[str, str], ...]:
+        """Return the boots and their addresses, the one that holds first."""
+        return tuple((r.key, r.address) for r in (self.kept, *self.dropped))
+
 
 def choose_entries(
     runners: Iterable[Runner],
@@ -37,11 +42,14 @@
     return EntryChoice(found[place], (*found[:place], *found[place + 1 :]))
 
 
-def _rank(runner: Runner) -> tuple[int, bool, str, str, str]:
+def _rank(runner: Runner) -> tuple[int, bool, str, str, str, str, str, int]:
     return (
         runner.boot,
         runner.is_leaving,
         runner.address,
         runner.service,
         runner.data_centre,
+        runner.stage.value,
+        runner.build,
+        runner.slots,
     )
--- a/tests/gateway/test_runnerids.py
+++ b/tests/gateway/test_runnerids.py
@@ -40,6 +40,7 @@
         ((ENGINE, ENGINE._replace(boot=0)), ENGINE),
         ((ENGINE, EARLIER, LEAVING, ELSEWHERE), LEAVING),
         ((MOVED, ENGINE), MOVED),
+        ((ENGINE, ENGINE._replace(build="v2")), ENGINE._replace(build="v2")),
     ],
 )
 def test_one_entry_of_a_runner_holds_in_any_order(
@@ -85,10 +86,11 @@
 
     monkeypatch.setattr(listreader, "write_log", write)
     twice, again = (ENGINE, EARLIER), (ENGINE, EARLIER._replace(boot=2))
-    reader = ListReader(Source(twice, twice, again, (ENGINE,), twice))
+    later = (ENGINE._replace(leaves_in=2.5), EARLIER)
+    reader = ListReader(Source(twice, twice, later, again, (ENGINE,), twice))
 
     async def read_all() -> None:
-        for _ in range(5):
+        for _ in range(6):
             await reader.read()
 
     asyncio.run(read_all())
