Show that a stream without a length ends as complete when its runner crashes

The kernel ends the connection of a killed process with FIN. The relay takes the end of a stream without a length for its end as soon as one event has come, so the caller gets the last chunk after, for instance, 4 of 20 events.

--- a/review/kit3.py
+++ b/review/kit3.py
@@ -16,7 +16,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -27,6 +27,9 @@
     "Engine",
     "Fleet",
     "HOST",
+    "ENGINE",
+    "PLAIN",
+    "RUNNER_PORT",
     "HttpServer",
     "Machine",
     "PlainRunner",
@@ -35,6 +38,8 @@
     "RunnerList",
     "call",
     "make_manifest",
+    "read_chunks",
+    "read_head",
     "run_case",
 ]
 
@@ -103,11 +108,14 @@
     """Return a body that has a length or comes in chunks; empty without either."""
     if headers.get("transfer-encoding", "").lower() != "chunked":
         return await reader.readexactly(int(headers.get("content-length", "0")))
-    parts = []
+    return b"".join([chunk async for chunk in read_chunks(reader)])
+
+
+async def read_chunks(reader: asyncio.StreamReader) -> AsyncIterator[bytes]:
+    """Yield the chunks of a body; raise EOFError if it is broken off."""
     while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
-        parts.append((await reader.readexactly(size + 2))[:-2])
+        yield (await reader.readexactly(size + 2))[:-2]
     await reader.readuntil(b"\r\n")
-    return b"".join(parts)
 
 
 def encode_answer(
@@ -500,6 +508,20 @@
         self._started.append(process)
         self.record.write("start", machine=machine.name, role=role, pid=process.pid)
 
+    async def start_program(
+        self, path: Path, *words: str
+    ) -> asyncio.subprocess.Process:
+        """Start a stand-in as a process with pipes to its standard input and output."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(path),
+            *words,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._started.append(process)
+        return process
+
     async def kill(self, *machines: Machine) -> None:
         """Kill all processes of some machines at the same moment."""
         for machine in machines:
@@ -613,6 +635,9 @@
 
     async def run() -> bool:
         fleet = Fleet(record)
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             await fleet.list.start()
             async with asyncio.timeout(seconds):
@@ -622,7 +647,7 @@
 
     try:
         has_held = asyncio.run(run())
-    except (CaseFailed, TimeoutError, OSError) as error:
+    except (CaseFailed, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.write("no-result", reason=repr(error))
         print(f"the case could not run: {error!r}")
         return 2
